Workspace with the shared types, wire types and process plumbing

Cause: nothing existed. Ruled out: internally tagged and flattened serde forms, since positional codecs between processes can't read them.

--- /dev/null
+++ b/crates/mgw-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Holds the durable state on a machine with a disk.
--- /dev/null
+++ b/crates/mgw-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serves callers and targets and drives pipelines.
--- /dev/null
+++ b/crates/mgw-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiment tool.
--- /dev/null
+++ b/crates/mgw-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Program start.
+
+fn main() {}
--- /dev/null
+++ b/crates/mgw-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership views, leases, spreading and the addresses given to callers.
--- /dev/null
+++ b/crates/mgw-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! RPC interfaces between the system's own processes.
--- /dev/null
+++ b/crates/mgw-pipe/src/lib.rs
@@ -0,0 +1,1 @@
+//! A request's way through its stages, and its recovery.
--- /dev/null
+++ b/crates/mgw-quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, leases, snapshots and synced files.
--- /dev/null
+++ b/crates/mgw-route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Throughput bound, path choice, limits, queues and the retry budget.
--- /dev/null
+++ b/crates/mgw-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for a model engine, a plain service and the weight store.
--- /dev/null
+++ b/crates/mgw-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration, ledger and audit trail as the log's state machine.
--- /dev/null
+++ b/crates/mgw-world/src/request.rs
@@ -0,0 +1,92 @@
+//! What names one call of a stage: request, attempt and token position.
+
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a caller's request across the whole system; written as 32 hex digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+#[display("{_0:032x}")]
+pub struct RequestId(pub u128);
+
+/// a request id is 32 hexadecimal digits
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, derive_more::Error)]
+pub struct ParseRequestIdError;
+
+impl FromStr for RequestId {
+    type Err = ParseRequestIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 32 {
+            return Err(ParseRequestIdError);
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseRequestIdError)
+    }
+}
+
+impl Serialize for RequestId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for RequestId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// Counts the attempts of one stage of a request; an abandoned attempt's number is never reused.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+pub struct Attempt(pub u32);
+
+impl Attempt {
+    /// The following attempt.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Index of a token in prompt and answer taken together.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+pub struct Position(pub u32);
+
+impl Position {
+    /// The position `count` tokens later.
+    #[must_use]
+    pub const fn advance(self, count: u32) -> Self {
+        Self(self.0 + count)
+    }
+}
