Add the pipeline state machine

Cause: a request must run each layer once per token, in order, also when a stage is lost. Ruled out: sending a position again after an unknown fate without asking the engine first; driving one position through all stages as one call chain, since replay, prefill in chunks and spliced stages would each need code of their own. Change: each stage takes the positions that the one before delivered; recovery imports a KV cache, replays held inputs or runs earlier stages again.

--- /dev/null
+++ b/crates/mgw-pipe/src/event.rs
@@ -0,0 +1,158 @@
+//! What a pipeline hears and what it asks its shell to do.
+
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_contract::engine::{
+    KvImage, SessionKey, SessionStanding, StageOutput, StageStep, StepRefusal,
+};
+use mgw_world::{LayerRange, Millis, TargetName};
+
+use crate::Stage;
+
+/// Names a call that a pipeline asked for; an answer to a call that it has given up is ignored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub struct CallId(pub u64);
+
+/// Gives the time that a step of some positions may take at a target.
+pub type Patience<'a> = &'a dyn Fn(&TargetName, u32) -> Millis;
+
+/// What a pipeline hears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A step ran.
+    StepDone {
+        /// The call.
+        call: CallId,
+        /// What came out.
+        output: StageOutput,
+    },
+    /// A step was refused and did not run.
+    StepRefused {
+        /// The call.
+        call: CallId,
+        /// Why.
+        refusal: StepRefusal,
+    },
+    /// A step got no answer.
+    StepFailed {
+        /// The call.
+        call: CallId,
+        /// Whether any byte of it may have reached the target.
+        sent: bool,
+    },
+    /// A session's standing, none if there is no such session.
+    Standing {
+        /// The call.
+        call: CallId,
+        /// Where it stands.
+        standing: Option<SessionStanding>,
+    },
+    /// A KV cache was exported.
+    Exported {
+        /// The call.
+        call: CallId,
+        /// The cache.
+        image: KvImage,
+    },
+    /// A KV cache was imported.
+    Imported {
+        /// The call.
+        call: CallId,
+    },
+    /// A question, an export or an import got no usable answer.
+    CallFailed {
+        /// The call.
+        call: CallId,
+    },
+    /// Targets that take over a range of layers; none if there are none now.
+    Replacement {
+        /// The call.
+        call: CallId,
+        /// Stages that cover the range.
+        stages: Vec<Stage>,
+    },
+    /// A target is leaving or became much slower; its stages move away.
+    Degraded {
+        /// The target.
+        target: TargetName,
+    },
+    /// The caller went away or the entry must end.
+    Cancelled {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// What a pipeline asks its shell to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a step.
+    Step {
+        /// The call.
+        call: CallId,
+        /// Target and its address.
+        stage: Stage,
+        /// The step.
+        step: StageStep,
+    },
+    /// Ask a target where a session stands.
+    Ask {
+        /// The call.
+        call: CallId,
+        /// Target and its address.
+        stage: Stage,
+        /// The session.
+        session: SessionKey,
+    },
+    /// Export a session's KV cache.
+    Export {
+        /// The call.
+        call: CallId,
+        /// Target and its address.
+        stage: Stage,
+        /// The session.
+        session: SessionKey,
+    },
+    /// Import a KV cache as a new session.
+    Import {
+        /// The call.
+        call: CallId,
+        /// Target and its address.
+        stage: Stage,
+        /// The new session.
+        session: SessionKey,
+        /// The cache.
+        image: KvImage,
+    },
+    /// Free a session; no answer is awaited.
+    Free {
+        /// Target and its address.
+        stage: Stage,
+        /// The session.
+        session: SessionKey,
+    },
+    /// Look for targets that take over a range of layers.
+    Replace {
+        /// The call.
+        call: CallId,
+        /// Stage that is given up.
+        old: Stage,
+        /// Layers to cover.
+        layers: LayerRange,
+        /// Targets that failed this request.
+        excluded: Vec<TargetName>,
+    },
+    /// Hand a token to the caller.
+    Emit {
+        /// Index within the answer, from zero.
+        index: u32,
+        /// The token.
+        token: u32,
+    },
+    /// Give the final answer.
+    Finish {
+        /// What became of the request.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+}
--- a/crates/mgw-pipe/src/lib.rs
+++ b/crates/mgw-pipe/src/lib.rs
@@ -1,1 +1,19 @@
-//! A request's way through its stages, and its recovery.
+//! A request's way through its stages, and its recovery when a stage fails.
+//!
+//! [`Pipeline`] is driven by [`Event`]s and answers with [`Action`]s; it performs no I/O. Each stage
+//! takes the positions that the stage before it has delivered, so that prefill in chunks, decoding
+//! and the rebuilding of a lost stage are the same data flow.
+
+mod buffer;
+mod event;
+mod pipeline;
+mod recover;
+mod settings;
+mod stage;
+mod times;
+
+pub use event::{Action, CallId, Event, Patience};
+pub use pipeline::{Order, Pipeline};
+pub use settings::PipeSettings;
+pub use stage::Stage;
+pub use times::{StepTimes, TimeSettings};
