Tokens of prompts and answers as one shared module

Entries, stand-in engines and load tools must split prompts alike, or whole answers can't be verified.

--- a/crates/mgw-contract/src/lib.rs
+++ b/crates/mgw-contract/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod operator;
 pub mod target;
+pub mod tokens;
 
 pub use caller::Outcome;
