Shells of entry, control and command line, in progress

Cause: the parts need processes around them. Change: seams of the entry, the control's replica actor, peer calls over tarpc and the operators' commands. Conclusion: not built yet as a whole; the view's interface is awaited.

--- /dev/null
+++ b/crates/mgw-cli/src/commands/mod.rs
@@ -0,0 +1,14 @@
+//! One file for each command.
+
+mod audit;
+mod config_apply;
+mod config_check;
+mod config_show;
+mod drain;
+mod entries;
+mod ledger;
+mod run;
+mod status;
+mod targets;
+
+pub use run::run_command;
--- /dev/null
+++ b/crates/mgw-control/src/replica/mod.rs
@@ -0,0 +1,11 @@
+//! The replica as an actor, its disk as a thread, and the senders to the other controls.
+
+mod actor;
+mod disk;
+mod handle;
+mod message;
+mod senders;
+
+pub use actor::{ReplicaActor, ReplicaStart};
+pub use handle::{ReplicaHandle, SharedState};
+pub use message::{MemberChange, ReplicaMessage, ReplicaReport};
--- /dev/null
+++ b/crates/mgw-entry/src/completions/answer.rs
@@ -0,0 +1,99 @@
+//! Final answers and their HTTP form.
+
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
+use mgw_contract::caller::{FinalAnswer, OUTCOME_HEADER, Outcome, REQUEST_ID_HEADER, Reason};
+use mgw_serve::http::{Body, json_response};
+use mgw_world::{Millis, RequestId};
+
+use crate::app::App;
+
+/// The parts of a final answer that differ from request to request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FinalFields {
+    /// The request.
+    pub id: RequestId,
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// Text for people.
+    pub message: String,
+    /// Tokens that the answer holds.
+    pub tokens: u32,
+    /// When to come back, if known better than by the reason.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl FinalFields {
+    /// Completes the answer with when and where to come back.
+    #[must_use]
+    pub fn complete(self, app: &App) -> FinalAnswer {
+        let comes_back = !matches!(
+            self.reason,
+            Reason::Complete | Reason::BadRequest | Reason::KeyConflict | Reason::KeyExpired
+        );
+        let retry_after_ms = self.retry_after_ms.or_else(|| default_retry(self.reason));
+        FinalAnswer {
+            id: self.id,
+            outcome: self.outcome,
+            reason: self.reason,
+            message: self.message,
+            tokens: self.tokens,
+            retry_after_ms: if comes_back { retry_after_ms } else { None },
+            retry_at: if comes_back { app.other_entries() } else { Vec::new() },
+        }
+    }
+}
+
+const fn default_retry(reason: Reason) -> Option<Millis> {
+    match reason {
+        Reason::Leaving | Reason::TargetFailed => Some(Millis(100)),
+        Reason::NoPath | Reason::Overloaded | Reason::NoQuorum | Reason::InProgress => {
+            Some(Millis(1000))
+        }
+        _ => None,
+    }
+}
+
+/// The HTTP status that goes with a reason.
+#[must_use]
+pub const fn status_of(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Complete => StatusCode::OK,
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Reason::TargetFailed => StatusCode::BAD_GATEWAY,
+        Reason::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::InProgress => StatusCode::CONFLICT,
+        Reason::KeyExpired => StatusCode::GONE,
+        Reason::Cancelled | Reason::SlowReader => StatusCode::REQUEST_TIMEOUT,
+        Reason::NoPath | Reason::Leaving | Reason::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Puts the headers that every answer carries.
+pub fn set_answer_headers(response: &mut Response<Body>, answer: &FinalAnswer) {
+    let headers = response.headers_mut();
+    let mut put = |name: &'static str, text: String| {
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(name, value);
+        }
+    };
+    put(REQUEST_ID_HEADER, answer.id.to_string());
+    put(OUTCOME_HEADER, answer.outcome.to_string());
+    if let Some(retry_after_ms) = answer.retry_after_ms {
+        put("retry-after", retry_after_ms.0.div_ceil(1000).to_string());
+    }
+}
+
+/// Answers a request that did not start.
+#[must_use]
+pub fn refuse_request(app: &App, fields: FinalFields) -> Response<Body> {
+    let answer = fields.complete(app);
+    app.metrics.count_outcome(answer.outcome, answer.reason);
+    let mut response = json_response(status_of(answer.reason), &answer);
+    set_answer_headers(&mut response, &answer);
+    response
+}
--- /dev/null
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -0,0 +1,191 @@
+//! Runs one pipeline: performs its actions and feeds it with what comes of them.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_pipe::{Action, Event, Order, Pipeline, Stage};
+use mgw_world::{Millis, TargetName};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, warn};
+
+use crate::app::App;
+use crate::engines::StepError;
+use crate::paths::PathLease;
+
+/// What the caller's side hears of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunItem {
+    /// A token of the answer.
+    Token {
+        /// Index within the answer, from zero.
+        index: u32,
+        /// The token.
+        token: u32,
+    },
+    /// The end of the run.
+    End {
+        /// What became of the request.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// A run that is ready to start.
+pub struct RunRequest {
+    /// What shall be generated.
+    pub order: Order,
+    /// The chosen path; given back when the run ends.
+    pub path: PathLease,
+    /// Where the answer goes.
+    pub items: mpsc::Sender<RunItem>,
+}
+
+struct Run {
+    app: Arc<App>,
+    pipeline: Pipeline,
+    path: PathLease,
+    items: mpsc::Sender<RunItem>,
+    calls: FuturesUnordered<BoxFuture<'static, Event>>,
+}
+
+/// Runs a request until its final answer was handed over or the caller went away.
+pub async fn run_request(app: Arc<App>, request: RunRequest) {
+    let RunRequest { order, path, items } = request;
+    let pipeline = Pipeline::new(order, path.stages(), app.settings.pipe.clone());
+    let mut run = Run { app, pipeline, path, items, calls: FuturesUnordered::new() };
+    let patience = run.patience();
+    let now = run.app.clock.now();
+    let actions = run.pipeline.start(now, &patience);
+    run.perform(actions).await;
+    while !run.pipeline.is_finished() {
+        let actions = run.wait().await;
+        run.perform(actions).await;
+    }
+}
+
+impl Run {
+    fn patience(&self) -> impl Fn(&TargetName, u32) -> Millis + Send + Sync + 'static {
+        let app = Arc::clone(&self.app);
+        move |target: &TargetName, count: u32| app.times.lock().patience(target, count)
+    }
+
+    /// Waits until an answer comes, a deadline passes or the caller goes away.
+    async fn wait(&mut self) -> Vec<Action> {
+        let patience = self.patience();
+        let now = self.app.clock.now();
+        let pause = self.pipeline.next_wakeup().map_or(Millis::ZERO, |wakeup| wakeup - now);
+        let has_wakeup = self.pipeline.next_wakeup().is_some();
+        let event = tokio::select! {
+            Some(event) = self.calls.next() => event,
+            () = self.items.closed() => Event::Cancelled { reason: Reason::Cancelled },
+            () = self.app.shutdown.forced.cancelled() => {
+                Event::Cancelled { reason: Reason::Leaving }
+            }
+            () = sleep(pause.to_duration()), if has_wakeup => {
+                return self.pipeline.tick(self.app.clock.now(), &patience);
+            }
+        };
+        self.pipeline.handle(event, self.app.clock.now(), &patience)
+    }
+
+    async fn perform(&mut self, actions: Vec<Action>) {
+        let patience = self.patience();
+        let mut pending = std::collections::VecDeque::from(actions);
+        while let Some(action) = pending.pop_front() {
+            if let Some(event) = self.perform_one(action).await {
+                let now = self.app.clock.now();
+                pending.extend(self.pipeline.handle(event, now, &patience));
+            }
+        }
+    }
+
+    /// Performs an action; returns an event when its result is known at once.
+    async fn perform_one(&mut self, action: Action) -> Option<Event> {
+        let engines = self.app.engines.clone();
+        match action {
+            Action::Step { call, stage, step } => {
+                let app = Arc::clone(&self.app);
+                self.calls.push(Box::pin(send_step(app, call, stage, step)));
+            }
+            Action::Ask { call, stage, session } => self.calls.push(Box::pin(async move {
+                match engines.standing(stage.address, session).await {
+                    Ok(standing) => Event::Standing { call, standing },
+                    Err(_) => Event::CallFailed { call },
+                }
+            })),
+            Action::Export { call, stage, session } => self.calls.push(Box::pin(async move {
+                match engines.export(stage.address, session).await {
+                    Ok(image) => Event::Exported { call, image },
+                    Err(_) => Event::CallFailed { call },
+                }
+            })),
+            Action::Import { call, stage, session, image } => {
+                self.calls.push(Box::pin(async move {
+                    match engines.import(stage.address, session, &image).await {
+                        Ok(()) => Event::Imported { call },
+                        Err(_) => Event::CallFailed { call },
+                    }
+                }));
+            }
+            Action::Free { stage, session } => {
+                tokio::spawn(async move {
+                    if let Err(error) = engines.free(stage.address, session).await {
+                        debug!(target = %stage.target, %session, %error, "couldn't free the session");
+                    }
+                });
+            }
+            Action::Replace { call, old, layers, excluded } => {
+                warn!(target = %old.target, %layers, "stage failed; looking for a replacement");
+                let stages = self.path.replace(&old, layers, &excluded);
+                self.app.metrics.stage_rebuilds.inc();
+                return Some(Event::Replacement { call, stages });
+            }
+            Action::Emit { index, token } => {
+                self.app.metrics.tokens.inc();
+                return self.emit(RunItem::Token { index, token }).await;
+            }
+            Action::Finish { outcome, reason } => {
+                let _ = self.emit(RunItem::End { outcome, reason }).await;
+            }
+        }
+        None
+    }
+
+    /// Hands an item to the caller's side, which is held back by a slow reader up to a limit.
+    async fn emit(&self, item: RunItem) -> Option<Event> {
+        let limit = self.app.settings.callers.slow_reader_ms.to_duration();
+        match timeout(limit, self.items.send(item)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(Event::Cancelled { reason: Reason::Cancelled }),
+            Err(_) => Some(Event::Cancelled { reason: Reason::SlowReader }),
+        }
+    }
+}
+
+async fn send_step(
+    app: Arc<App>,
+    call: mgw_pipe::CallId,
+    stage: Stage,
+    step: mgw_contract::engine::StageStep,
+) -> Event {
+    let count = step.count;
+    let started = app.clock.now_us();
+    let result = app.engines.step(stage.address, step).await;
+    match result {
+        Ok(output) => {
+            let took_us = app.clock.now_us() - started;
+            app.observe_step(&stage.target, count, took_us);
+            Event::StepDone { call, output }
+        }
+        Err(StepError::Refused(refusal)) => Event::StepRefused { call, refusal },
+        Err(StepError::NoAnswer(error)) => {
+            warn!(target = %stage.target, %error, "step got no answer");
+            app.suspect(&stage.target);
+            Event::StepFailed { call, sent: error.may_have_been_sent() }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-entry/src/settings.rs
@@ -0,0 +1,116 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+
+use mgw_pipe::{PipeSettings, TimeSettings};
+use mgw_settings::LogSettings;
+use mgw_world::{EntryName, Link, Millis, NodeName, PlaceName, RegionName, VmName};
+use serde::Deserialize;
+
+/// Another process of the system.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its name.
+    pub name: NodeName,
+    /// Where it takes calls of the system's own processes.
+    pub address: SocketAddr,
+}
+
+/// Limits on what callers may hold at this entry.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Tokens that wait for a caller to read them.
+    pub stream_tokens: usize,
+    /// How long a caller may leave its stream unread.
+    pub slow_reader_ms: Millis,
+    /// Deadline of a request that names none.
+    pub default_deadline_ms: Millis,
+    /// Most tokens of one answer.
+    pub max_tokens: u32,
+    /// Most tokens of a prompt.
+    pub max_prompt_tokens: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            stream_tokens: 64,
+            slow_reader_ms: Millis(5_000),
+            default_deadline_ms: Millis(60_000),
+            max_tokens: 4096,
+            max_prompt_tokens: 32_768,
+        }
+    }
+}
+
+/// Limits of a shutdown.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeavingSettings {
+    /// Longest time that a graceful shutdown takes.
+    pub limit_ms: Millis,
+}
+
+impl Default for LeavingSettings {
+    fn default() -> Self {
+        Self { limit_ms: Millis(120_000) }
+    }
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the entry.
+    pub name: EntryName,
+    /// Machine that it runs on.
+    pub vm: VmName,
+    /// Zone of that machine.
+    pub place: PlaceName,
+    /// Region of that zone.
+    pub region: RegionName,
+    /// Where callers, targets and operators are served.
+    pub listen: SocketAddr,
+    /// Base URL given to callers; made from `listen` if absent.
+    #[serde(default)]
+    pub url: Option<String>,
+    /// Where the system's own processes are served.
+    pub peer_listen: SocketAddr,
+    /// Folder for the revision last in force; none on a machine without a disk.
+    #[serde(default)]
+    pub data: Option<std::path::PathBuf>,
+    /// Other entries to start the exchange of views with.
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    /// Controls.
+    #[serde(default)]
+    pub controls: Vec<Peer>,
+    /// Links, until a configuration names them.
+    #[serde(default)]
+    pub links: Vec<Link>,
+    /// What is logged and how.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Pipelines.
+    #[serde(default)]
+    pub pipe: PipeSettings,
+    /// Step deadlines.
+    #[serde(default)]
+    pub times: TimeSettings,
+    /// Callers.
+    #[serde(default)]
+    pub callers: CallerLimits,
+    /// Shutdown.
+    #[serde(default)]
+    pub leaving: LeavingSettings,
+}
+
+impl EntrySettings {
+    /// Base URL given to callers.
+    #[must_use]
+    pub fn url(&self) -> String {
+        self.url.clone().unwrap_or_else(|| format!("http://{}", self.listen))
+    }
+}
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -1,1 +1,13 @@
-//! RPC interfaces between the system's own processes.
+//! RPC interfaces between the system's own processes, by `tarpc` over TCP.
+
+mod codec;
+mod pool;
+mod rpc;
+mod serve;
+
+pub use pool::{CallFailure, PeerPool};
+pub use rpc::{
+    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, PeerRpcClient,
+    PeerRpcRequest, PeerRpcResponse,
+};
+pub use serve::{bind_peer_listener, serve_peers};
--- a/crates/mgw-pipe/src/recover.rs
+++ b/crates/mgw-pipe/src/recover.rs
@@ -21,7 +21,7 @@
             Event::Imported { call } => self.take_import(call),
             Event::CallFailed { call } => self.take_call_failure(call, now, actions),
             Event::Replacement { call, stages } => {
-                self.take_replacement(call, stages, now, actions)
+                self.take_replacement(call, stages, now, actions);
             }
             Event::Degraded { target } => self.leave_target(&target, now, actions),
             Event::StepDone { .. } | Event::Cancelled { .. } => {}
--- a/crates/mgw-world/src/clock.rs
+++ b/crates/mgw-world/src/clock.rs
@@ -141,6 +141,17 @@
         }
     }
 
+    /// The present point in microseconds, for measuring short spans.
+    #[must_use]
+    pub fn now_us(&self) -> u64 {
+        match &self.source {
+            Source::Monotonic(start) => {
+                u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
+            }
+            Source::Manual(now_ms) => now_ms.load(Ordering::SeqCst).saturating_mul(1000),
+        }
+    }
+
     /// Wall-clock time of this machine.
     #[must_use]
     pub fn wall() -> UnixMillis {
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# Starts the whole system on loopback from examples/local: three controls, six entries, nine engine
+# stand-ins and a plain service; sends one drill-scenario request and prints the streamed answer.
+#
+#   scripts/local.sh          keep running until Ctrl-C
+#   scripts/local.sh --once   exit 0 after the whole answer and a clean shutdown
+#
+# Every run uses a fresh temporary folder and ports of its own; only processes started here are
+# stopped.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+once=false
+case "${1:-}" in
+    "") ;;
+    --once) once=true ;;
+    *) echo "usage: scripts/local.sh [--once]" >&2; exit 2 ;;
+esac
+
+say() { printf '%s\n' "$*" >&2; }
+
+profile_dir=${MGW_BIN_DIR:-}
+if [ -z "$profile_dir" ]; then
+    cargo build --workspace --bins --locked --quiet
+    profile_dir=${CARGO_TARGET_DIR:-target}/debug
+fi
+bin=$(cd "$profile_dir" && pwd)
+
+# Ports are 127.0.0.1:PPnnn; the two leading digits are chosen so that all of them are free.
+port_is_used() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+ports=$(grep -hoE '127\.0\.0\.1:17[0-9]{3}' examples/local/*.toml | sort -u | sed 's/.*:17//')
+lock=""
+prefix=""
+for candidate in 17 18 19 20 21 22 23 24 25 26 27 28 29 30 31; do
+    lock="${TMPDIR:-/tmp}/mgw-local-ports-$candidate"
+    if ! mkdir "$lock" 2>/dev/null; then
+        owner=$(cat "$lock/pid" 2>/dev/null || echo "")
+        if [ -z "$owner" ] || kill -0 "$owner" 2>/dev/null; then continue; fi
+        rm -rf "$lock"
+        mkdir "$lock" 2>/dev/null || continue
+    fi
+    echo $$ >"$lock/pid"
+    free=true
+    for port in $ports; do
+        if port_is_used "$candidate$port"; then free=false; break; fi
+    done
+    if $free; then prefix=$candidate; break; fi
+    rm -rf "$lock"
+done
+[ -n "$prefix" ] || { say "no free block of ports"; exit 1; }
+
+folder=$(mktemp -d "${TMPDIR:-/tmp}/mgw-local.XXXXXX")
+for file in examples/local/*.toml; do
+    sed "s/127\.0\.0\.1:17/127.0.0.1:$prefix/g" "$file" >"$folder/$(basename "$file")"
+done
+cp examples/inventory.toml "$folder/inventory.toml"
+cp examples/operator.key "$folder/operator.key"
+
+declare -A pids=()
+start() { # name, program, arguments
+    local name=$1 program=$2
+    shift 2
+    (cd "$folder" && exec "$bin/$program" "$@" >>"$name.out" 2>>"$name.log") &
+    pids[$name]=$!
+    echo "${pids[$name]}" >"$folder/$name.pid"
+}
+
+# Asks all processes to end in the order targets, entries, controls; sets `unclean` to the names of
+# those that did not end by themselves with status 0.
+unclean=""
+stop_group() {
+    local name
+    for name in "$@"; do kill -TERM "${pids[$name]}" 2>/dev/null || true; done
+    for name in "$@"; do
+        local status=0
+        ( sleep 40; kill -KILL "${pids[$name]}" 2>/dev/null ) &
+        local guard=$!
+        wait "${pids[$name]}" 2>/dev/null || status=$?
+        kill "$guard" 2>/dev/null || true
+        wait "$guard" 2>/dev/null || true
+        [ "$status" = 0 ] || unclean="$unclean $name($status)"
+        unset "pids[$name]"
+    done
+}
+names_like() { local name; for name in "${!pids[@]}"; do case "$name" in $1) echo "$name" ;; esac; done; }
+stop_all() {
+    trap - INT TERM EXIT
+    stop_group $(names_like 'entry-*')
+    stop_group $(names_like 'eng-*') $(names_like 'train-*')
+    stop_group $(names_like 'control-*')
+    rm -rf "$lock"
+}
+trap 'stop_all; exit 130' INT TERM
+trap 'stop_all' EXIT
+
+fail() {
+    say "failed: $1; logs are in $folder"
+    tail -n 5 "$folder"/*.log >&2 || true
+    exit 1
+}
+
+for i in 1 2 3; do start "control-$i" mgw-control --config "control-$i.toml" --found; done
+for i in 1 2 3 4 5 6; do start "entry-$i" mgw-entry --config "entry-$i.toml"; done
+for i in 1 2 3 4 5 6 7 8 9; do start "eng-$i" mgw-standin --config "eng-$i.toml"; done
+start train-1 mgw-standin --config train-1.toml
+
+export MGW_AT="http://127.0.0.1:${prefix}101,http://127.0.0.1:${prefix}102,http://127.0.0.1:${prefix}103"
+export MGW_OPERATOR=ops MGW_KEY_FILE="$folder/operator.key"
+
+# Repeats a command until it succeeds, as long as all processes run.
+until_ready() { # what, command...
+    local what=$1 tries=0
+    shift
+    until "$@" >"$folder/ready.out" 2>"$folder/ready.err"; do
+        tries=$((tries + 1))
+        [ "$tries" -lt 600 ] || fail "$what: $(tail -n 1 "$folder/ready.err")"
+        local name
+        for name in "${!pids[@]}"; do
+            kill -0 "${pids[$name]}" 2>/dev/null || fail "$name has ended"
+        done
+        sleep 0.1
+    done
+}
+targets_are_in_choice() {
+    "$bin/mgw" --at "http://127.0.0.1:${prefix}201" targets >"$folder/targets.txt" \
+        && [ "$(grep -cE ' (ready) +yes ' "$folder/targets.txt")" = 10 ]
+}
+
+until_ready "first configuration" \
+    "$bin/mgw" config apply "$folder/inventory.toml" --base 0 --change-id first --wait 10
+until_ready "targets" targets_are_in_choice
+say "ready: $(wc -l <"$folder/targets.txt" | tr -d ' ') lines in $folder/targets.txt"
+
+entries=()
+for i in 1 2 3 4 5 6; do entries+=(--entry "http://127.0.0.1:${prefix}20$i"); done
+"$bin/mgw-load" once "${entries[@]}" --workspace tower-one --model drill --max-tokens 24 --verify \
+    --prompt "Draft an evacuation drill scenario for a twelve floor office tower in Port of Spain" \
+    || fail "the request"
+
+say ""
+say "send your own:"
+say "  curl -N http://127.0.0.1:${prefix}201/v1/completions -H 'x-mgw-workspace: tower-one' \\"
+say "    -d '{\"model\":\"drill\",\"prompt\":\"which extinguisher class\",\"max_tokens\":16,\"stream\":true}'"
+say "operate it:"
+say "  export MGW_AT=$MGW_AT MGW_OPERATOR=ops MGW_KEY_FILE=$MGW_KEY_FILE; $bin/mgw status"
+
+if ! $once; then
+    say "running in $folder; Ctrl-C ends it"
+    wait
+fi
+
+stop_all
+[ -z "$unclean" ] || { say "not ended cleanly:$unclean; logs are in $folder"; exit 1; }
+"$bin/mgw-standin" check-journals "$folder"/eng-*.journal
+rm -rf "$folder"
