--- /dev/null
+++ b/crates/mgw-quorum/src/ids.rs
@@ -0,0 +1,78 @@
+//! Identities and counters, each a type of its own so that they can't be confused.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+macro_rules! counter {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Display, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The value before the first one.
+            pub const ZERO: Self = Self(0);
+
+            /// The value that follows.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+
+            /// The value before, or zero.
+            #[must_use]
+            pub const fn previous(self) -> Self {
+                Self(self.0.saturating_sub(1))
+            }
+        }
+    };
+}
+
+counter!(
+    /// Election term. At most one replica leads a term, so it serves as the fencing number.
+    Term
+);
+counter!(
+    /// Position in the log. The first entry has index 1.
+    Index
+);
+counter!(
+    /// Heartbeat round of one leader in one term.
+    Round
+);
+counter!(
+    /// Number of a disk write, in the order in which a replica asked for them.
+    WriteId
+);
+counter!(
+    /// Chosen by the shell to recognise its read in [`crate::Output::reads`].
+    ReadToken
+);
+
+/// Full identity of a replica: the name of its VM and the disk that holds its log.
+///
+/// A replica that lost its disk draws a new `disk` number. The old identity never votes again.
+#[derive(
+    Debug, Display, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{name}#{disk:016x}")]
+pub struct ReplicaId {
+    /// Name of the VM, as in the inventory.
+    pub name: String,
+    /// Number drawn once when the data folder was created.
+    pub disk: u64,
+}
+
+impl ReplicaId {
+    /// Names a replica.
+    #[must_use]
+    pub fn new(name: impl Into<String>, disk: u64) -> Self {
+        Self {
+            name: name.into(),
+            disk,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-quorum/src/storage/files.rs
@@ -0,0 +1,140 @@
+//! File calls with the syncs that make them last.
+
+use super::StorageError;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// A moment next to a sync, at which a test may fail it or stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SyncPoint {
+    /// File in the data folder, or `.` for the folder itself.
+    pub file: &'static str,
+    /// False just before the sync, true just after it.
+    pub is_done: bool,
+}
+
+/// Called at each [`SyncPoint`]. An error counts as a failed sync.
+pub type SyncHook = Box<dyn FnMut(SyncPoint) -> io::Result<()> + Send>;
+
+/// Gives access to the files of one folder and counts the syncs.
+pub(super) struct Files {
+    folder: PathBuf,
+    hook: SyncHook,
+    syncs: u64,
+}
+
+const FOLDER: &str = ".";
+const NEW_SUFFIX: &str = ".new";
+
+impl Files {
+    pub(super) const fn new(folder: PathBuf, hook: SyncHook) -> Self {
+        Self {
+            folder,
+            hook,
+            syncs: 0,
+        }
+    }
+
+    pub(super) const fn syncs(&self) -> u64 {
+        self.syncs
+    }
+
+    pub(super) fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    pub(super) fn create_folder(&mut self) -> Result<(), StorageError> {
+        if self.folder.is_dir() {
+            return Ok(());
+        }
+        let folder = self.folder.clone();
+        fs::create_dir_all(&folder).map_err(|source| fail("creating", &folder, source))?;
+        let parent = match folder.parent() {
+            Some(parent) if !parent.as_os_str().is_empty() => parent,
+            _ => Path::new(FOLDER),
+        };
+        let opened = File::open(parent).map_err(|source| fail("opening", parent, source))?;
+        self.sync(&opened, FOLDER, parent)
+    }
+
+    pub(super) fn read(&self, name: &str) -> Result<Option<Vec<u8>>, StorageError> {
+        let path = self.path(name);
+        match fs::read(&path) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(source) => Err(fail("reading", &path, source)),
+        }
+    }
+
+    /// Replaces a file as a whole: after a crash either the old or the new content stands.
+    pub(super) fn replace(&mut self, name: &'static str, bytes: &[u8]) -> Result<(), StorageError> {
+        let new_path = self.path(&format!("{name}{NEW_SUFFIX}"));
+        let path = self.path(name);
+        let mut file =
+            File::create(&new_path).map_err(|source| fail("creating", &new_path, source))?;
+        file.write_all(bytes)
+            .map_err(|source| fail("writing", &new_path, source))?;
+        self.sync(&file, name, &new_path)?;
+        fs::rename(&new_path, &path).map_err(|source| fail("renaming", &new_path, source))?;
+        let folder = self.folder.clone();
+        let opened = File::open(&folder).map_err(|source| fail("opening", &folder, source))?;
+        self.sync(&opened, FOLDER, &folder)
+    }
+
+    pub(super) fn open_append(&self, name: &str) -> Result<File, StorageError> {
+        let path = self.path(name);
+        OpenOptions::new()
+            .append(true)
+            .open(&path)
+            .map_err(|source| fail("opening", &path, source))
+    }
+
+    pub(super) fn append(
+        &mut self,
+        file: &mut File,
+        name: &'static str,
+        bytes: &[u8],
+    ) -> Result<(), StorageError> {
+        let path = self.path(name);
+        file.write_all(bytes)
+            .map_err(|source| fail("writing", &path, source))?;
+        self.sync(file, name, &path)
+    }
+
+    pub(super) fn cut(
+        &mut self,
+        file: &File,
+        name: &'static str,
+        size_bytes: u64,
+    ) -> Result<(), StorageError> {
+        let path = self.path(name);
+        file.set_len(size_bytes)
+            .map_err(|source| fail("cutting", &path, source))?;
+        self.sync(file, name, &path)
+    }
+
+    fn sync(&mut self, file: &File, name: &'static str, path: &Path) -> Result<(), StorageError> {
+        let failed = |source| fail("syncing", path, source);
+        let before = SyncPoint {
+            file: name,
+            is_done: false,
+        };
+        let after = SyncPoint {
+            is_done: true,
+            ..before
+        };
+        (self.hook)(before).map_err(failed)?;
+        file.sync_all().map_err(failed)?;
+        self.syncs += 1;
+        (self.hook)(after).map_err(failed)
+    }
+}
+
+pub(super) fn fail(action: &'static str, path: &Path, source: io::Error) -> StorageError {
+    StorageError::Io {
+        action,
+        path: path.to_owned(),
+        source,
+    }
+}
--- /dev/null
+++ b/crates/mgw-quorum/src/storage/folder.rs
@@ -0,0 +1,273 @@
+//! The data folder: opened once, then written batch by batch.
+
+use super::StorageError;
+use super::files::{Files, SyncHook, fail};
+use super::frame::{encode_frame, scan_frames};
+use super::recover::{Base, Batch, LOG, Reading, SNAPSHOT, read_state};
+use crate::{Damage, DiskWrite, HardState, Membership, Recovered, ReplicaId, Snapshot};
+use std::fs::{File, TryLockError};
+use std::path::Path;
+
+const IDENTITY: &str = "identity";
+const LOCK: &str = "lock";
+
+/// Files of one replica. Blocking calls: run them on a thread of their own.
+///
+/// ```no_run
+/// # use mgw_quorum::Storage;
+/// # use std::path::Path;
+/// let hook = Box::new(|_| Ok(()));
+/// let (mut storage, recovered) = Storage::open(Path::new("data"), "vm-1", 0x51f0, hook)?;
+/// # Ok::<(), mgw_quorum::StorageError>(())
+/// ```
+pub struct Storage {
+    files: Files,
+    id: ReplicaId,
+    log: Option<File>,
+    next_sequence: u64,
+    hard_state: HardState,
+    is_empty: bool,
+    /// Held open, since closing it releases the lock.
+    _lock: File,
+}
+
+impl Storage {
+    /// Opens the data folder, or creates it with the identity `name` and `disk`.
+    ///
+    /// The shell draws `disk` at random; it is used only when the folder has no identity yet.
+    /// Damage is reported in [`Recovered::damage`]; such a folder takes no writes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be read or synced, is in use, or belongs to another name.
+    pub fn open(
+        folder: &Path,
+        name: &str,
+        disk: u64,
+        hook: SyncHook,
+    ) -> Result<(Self, Recovered), StorageError> {
+        let mut files = Files::new(folder.to_owned(), hook);
+        files.create_folder()?;
+        let lock = take_lock(&files)?;
+        let identity = files.read(IDENTITY)?;
+        let mut storage = Self {
+            files,
+            id: ReplicaId::new(name, disk),
+            log: None,
+            next_sequence: 0,
+            hard_state: HardState::default(),
+            is_empty: false,
+            _lock: lock,
+        };
+        let recovered = match identity {
+            Some(bytes) => storage.open_existing(&bytes)?,
+            None => storage.create()?,
+        };
+        Ok((storage, recovered))
+    }
+
+    /// Identity of the replica that owns the folder.
+    #[must_use]
+    pub const fn id(&self) -> &ReplicaId {
+        &self.id
+    }
+
+    /// Number of syncs since the folder was opened.
+    #[must_use]
+    pub const fn syncs(&self) -> u64 {
+        self.files.syncs()
+    }
+
+    /// Founds a cluster of which this replica is the only voter. Others join as learners.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a folder that holds a log, and fails when it can't be synced.
+    pub fn found(&mut self) -> Result<Recovered, StorageError> {
+        if !self.is_empty {
+            return Err(StorageError::NotEmpty);
+        }
+        let snapshot = Snapshot::founding(Membership::of_voters([self.id.clone()]));
+        let hard_state = HardState {
+            term: snapshot.meta.term,
+            voted_for: None,
+        };
+        self.write(&DiskWrite {
+            hard_state: Some(hard_state.clone()),
+            snapshot: Some(snapshot.clone()),
+            ..DiskWrite::default()
+        })?;
+        Ok(Recovered {
+            hard_state,
+            snapshot: Some(snapshot),
+            ..Recovered::default()
+        })
+    }
+
+    /// Writes and syncs. On success the shell calls [`crate::Replica::synced`].
+    ///
+    /// # Errors
+    ///
+    /// After any error the folder takes no more writes and the process must end.
+    pub fn write(&mut self, write: &DiskWrite) -> Result<(), StorageError> {
+        let Some(log) = self.log.take() else {
+            return Err(StorageError::Closed);
+        };
+        if let Some(hard_state) = &write.hard_state {
+            self.hard_state = hard_state.clone();
+        }
+        self.is_empty = false;
+        let log = match &write.snapshot {
+            Some(snapshot) => self.replace_all(snapshot, write)?,
+            None => self.append(log, write)?,
+        };
+        self.log = Some(log);
+        Ok(())
+    }
+
+    fn append(&mut self, mut log: File, write: &DiskWrite) -> Result<File, StorageError> {
+        let batch = Batch {
+            base: None,
+            hard_state: write.hard_state.clone(),
+            truncate_from: write.truncate_from,
+            entries: write.append.clone(),
+        };
+        let bytes = encode_frame(self.next_sequence, &batch)?;
+        self.next_sequence += 1;
+        self.files.append(&mut log, LOG, &bytes)?;
+        Ok(log)
+    }
+
+    fn replace_all(
+        &mut self,
+        snapshot: &Snapshot,
+        write: &DiskWrite,
+    ) -> Result<File, StorageError> {
+        let bytes = encode_frame(0, snapshot)?;
+        self.files.replace(SNAPSHOT, &bytes)?;
+        let base = Base {
+            index: snapshot.meta.index,
+            term: snapshot.meta.term,
+        };
+        self.replace_log(&Batch {
+            base: Some(base),
+            hard_state: Some(self.hard_state.clone()),
+            truncate_from: None,
+            entries: write.append.clone(),
+        })
+    }
+
+    fn replace_log(&mut self, first: &Batch) -> Result<File, StorageError> {
+        let bytes = encode_frame(0, first)?;
+        self.next_sequence = 1;
+        self.files.replace(LOG, &bytes)?;
+        self.files.open_append(LOG)
+    }
+
+    /// The identity is written last: a folder that has one has a log too.
+    fn create(&mut self) -> Result<Recovered, StorageError> {
+        let has_state = self.files.read(SNAPSHOT)?.is_some();
+        let log = self.files.read(LOG)?;
+        let is_written = log.is_some_and(|bytes| !is_first_frame_only(&bytes));
+        if has_state || is_written {
+            return Ok(damaged(super::frame::report(
+                IDENTITY,
+                0,
+                "the file is missing beside a log",
+            )));
+        }
+        let log = self.replace_log(&Batch {
+            base: Some(Base::default()),
+            ..Batch::default()
+        })?;
+        let bytes = encode_frame(0, &self.id)?;
+        self.files.replace(IDENTITY, &bytes)?;
+        self.log = Some(log);
+        self.is_empty = true;
+        Ok(Recovered::default())
+    }
+
+    fn open_existing(&mut self, identity: &[u8]) -> Result<Recovered, StorageError> {
+        let name = std::mem::take(&mut self.id.name);
+        self.id = match read_identity(identity) {
+            Ok(id) => id,
+            Err(damage) => {
+                self.id.name = name;
+                return Ok(damaged(damage));
+            }
+        };
+        if self.id.name != name {
+            return Err(StorageError::WrongName {
+                path: self.files.path(IDENTITY),
+                found: self.id.name.clone(),
+                wanted: name,
+            });
+        }
+        let log = self.files.read(LOG)?;
+        let snapshot = self.files.read(SNAPSHOT)?;
+        match read_state(log.as_deref(), snapshot.as_deref()) {
+            Ok(reading) => self.mend(reading),
+            Err(damage) => Ok(damaged(damage)),
+        }
+    }
+
+    fn mend(&mut self, reading: Reading) -> Result<Recovered, StorageError> {
+        let recovered = reading.recovered;
+        self.hard_state = recovered.hard_state.clone();
+        self.next_sequence = reading.next_sequence;
+        let log = if let (true, Some(snapshot)) = (reading.is_log_old, &recovered.snapshot) {
+            self.replace_log(&Batch {
+                base: Some(Base {
+                    index: snapshot.meta.index,
+                    term: snapshot.meta.term,
+                }),
+                hard_state: Some(recovered.hard_state.clone()),
+                truncate_from: None,
+                entries: recovered.entries.clone(),
+            })?
+        } else {
+            let log = self.files.open_append(LOG)?;
+            self.files.cut(&log, LOG, reading.valid_bytes as u64)?;
+            log
+        };
+        self.log = Some(log);
+        self.is_empty = recovered == Recovered::default();
+        Ok(recovered)
+    }
+}
+
+fn take_lock(files: &Files) -> Result<File, StorageError> {
+    let path = files.path(LOCK);
+    let file = File::create(&path).map_err(|source| fail("creating", &path, source))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(StorageError::InUse { path }),
+        Err(TryLockError::Error(source)) => Err(fail("locking", &path, source)),
+    }
+}
+
+fn read_identity(bytes: &[u8]) -> Result<ReplicaId, Damage> {
+    let scan = scan_frames::<ReplicaId>(IDENTITY, bytes)?;
+    let is_whole = scan.valid_bytes == bytes.len();
+    scan.records
+        .into_iter()
+        .next()
+        .filter(|_| is_whole)
+        .ok_or_else(|| super::frame::report(IDENTITY, 0, "the file is empty or too long"))
+}
+
+fn is_first_frame_only(bytes: &[u8]) -> bool {
+    scan_frames::<Batch>(LOG, bytes).is_ok_and(|scan| scan.records.len() <= 1)
+}
+
+const fn damaged(damage: Damage) -> Recovered {
+    Recovered {
+        hard_state: HardState {
+            term: crate::Term::ZERO,
+            voted_for: None,
+        },
+        snapshot: None,
+        entries: Vec::new(),
+        damage: Some(damage),
+    }
+}
