--- a/crates/mgw-settings/src/lib.rs
+++ b/crates/mgw-settings/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod finding;
 mod load;
+mod locate;
 mod process;
 
 pub use finding::{Finding, Findings};
 pub use load::{load, parse};
+pub use locate::line_of_key;
 pub use process::{LogFormat, LogSettings};
--- a/crates/mgw-settings/src/load.rs
+++ b/crates/mgw-settings/src/load.rs
@@ -4,6 +4,7 @@
 
 use serde::de::DeserializeOwned;
 
+use crate::locate::line_of;
 use crate::{Finding, Findings};
 
 /// Reads settings from a file.
@@ -53,10 +54,3 @@
         }
     }
 }
-
-/// The line, from one, of a byte offset.
-fn line_of(text: &str, offset: usize) -> u32 {
-    let before = text.as_bytes().iter().take(offset);
-    let breaks = before.filter(|byte| **byte == b'\n').count();
-    u32::try_from(breaks + 1).unwrap_or(u32::MAX)
-}
--- /dev/null
+++ b/crates/mgw-state/src/inventory/check.rs
@@ -0,0 +1,246 @@
+//! The check of a configuration as a whole: duplicates, references and ranges.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mgw_settings::{Finding, line_of_key};
+use mgw_world::{ModelName, ServiceKind};
+
+use super::{ExpectedDuty, Holding, Inventory, Rules};
+
+const KEY_HASH_DIGITS: usize = 64;
+
+/// Gathers findings for one text.
+struct Checker<'a> {
+    file: &'a str,
+    text: &'a str,
+    all: Vec<Finding>,
+}
+
+impl Checker<'_> {
+    fn report(&mut self, key: String, message: String) {
+        self.all.push(Finding {
+            file: self.file.to_owned(),
+            line: line_of_key(self.text, &key),
+            key,
+            message,
+        });
+    }
+
+    /// Reports empty names and names that stand twice; returns the names.
+    fn check_names<'n>(
+        &mut self,
+        section: &str,
+        names: impl Iterator<Item = &'n str>,
+    ) -> BTreeSet<&'n str> {
+        let mut seen = BTreeMap::new();
+        for (index, name) in names.enumerate() {
+            let key = format!("{section}[{index}].name");
+            if name.is_empty() {
+                self.report(key, "the name is empty".to_owned());
+            } else if let Some(first) = seen.get(name) {
+                let message = format!("`{name}` is already the name of {section}[{first}]");
+                self.report(key, message);
+            } else {
+                seen.insert(name, index);
+            }
+        }
+        seen.into_keys().collect()
+    }
+
+    fn check_reference(&mut self, key: String, kind: &str, name: &str, known: &BTreeSet<&str>) {
+        if !known.contains(name) {
+            self.report(key, format!("there is no {kind} `{name}`"));
+        }
+    }
+
+    fn check_positive(&mut self, key: &str, value: u64) {
+        if value == 0 {
+            self.report(key.to_owned(), "must be more than zero".to_owned());
+        }
+    }
+}
+
+/// Finds all faults of a configuration that parsed.
+pub(super) fn check_inventory(inventory: &Inventory, file: &str, text: &str) -> Vec<Finding> {
+    let mut checker = Checker {
+        file,
+        text,
+        all: Vec::new(),
+    };
+    check_topology(&mut checker, inventory);
+    check_services(&mut checker, inventory);
+    check_targets(&mut checker, inventory);
+    check_people(&mut checker, inventory);
+    check_rules(&mut checker, &inventory.rules);
+    let mut all = checker.all;
+    all.sort_by(|left, right| (left.line, &left.key).cmp(&(right.line, &right.key)));
+    all
+}
+
+fn check_topology(checker: &mut Checker<'_>, inventory: &Inventory) {
+    let names = inventory.places.iter().map(|place| place.name.as_str());
+    let places = checker.check_names("places", names);
+    for (index, place) in inventory.places.iter().enumerate() {
+        if place.region.as_str().is_empty() {
+            let key = format!("places[{index}].region");
+            checker.report(key, "the region is empty".to_owned());
+        }
+    }
+    checker.check_names("vms", inventory.vms.iter().map(|vm| vm.name.as_str()));
+    for (index, vm) in inventory.vms.iter().enumerate() {
+        let key = format!("vms[{index}].place");
+        checker.check_reference(key, "place", vm.place.as_str(), &places);
+    }
+    let mut pairs = BTreeMap::new();
+    for (index, link) in inventory.links.iter().enumerate() {
+        let (from, to) = (link.from.as_str(), link.to.as_str());
+        checker.check_reference(format!("links[{index}].from"), "place", from, &places);
+        checker.check_reference(format!("links[{index}].to"), "place", to, &places);
+        checker.check_positive(&format!("links[{index}].bytes_per_s"), link.bytes_per_s);
+        let pair = (from.min(to), from.max(to));
+        if let Some(first) = pairs.get(&pair) {
+            let message = format!("links[{first}] already joins `{from}` and `{to}`");
+            checker.report(format!("links[{index}]"), message);
+        } else {
+            pairs.insert(pair, index);
+        }
+    }
+}
+
+fn check_services(checker: &mut Checker<'_>, inventory: &Inventory) {
+    let names = inventory.models.iter().map(|model| model.name.as_str());
+    let models = checker.check_names("models", names);
+    for (index, model) in inventory.models.iter().enumerate() {
+        checker.check_positive(&format!("models[{index}].layers"), model.layers.into());
+    }
+    let names = inventory
+        .services
+        .iter()
+        .map(|service| service.name.as_str());
+    checker.check_names("services", names);
+    for (index, service) in inventory.services.iter().enumerate() {
+        let key = format!("services[{index}].kind");
+        match &service.kind {
+            ServiceKind::Model(name) => {
+                checker.check_reference(key, "model", name.as_str(), &models);
+            }
+            ServiceKind::Plain { once_paths } => {
+                for path in once_paths.iter().filter(|path| !path.starts_with('/')) {
+                    let message = format!("the path `{path}` must start with `/`");
+                    checker.report(key.clone(), message);
+                }
+            }
+        }
+    }
+    let names = inventory
+        .workspaces
+        .iter()
+        .map(|workspace| workspace.name.as_str());
+    checker.check_names("workspaces", names);
+    for (index, workspace) in inventory.workspaces.iter().enumerate() {
+        let key = format!("workspaces[{index}].weight");
+        checker.check_positive(&key, workspace.weight.into());
+    }
+}
+
+fn check_targets(checker: &mut Checker<'_>, inventory: &Inventory) {
+    let vms = inventory.vms.iter().map(|vm| vm.name.as_str()).collect();
+    let services = inventory
+        .services
+        .iter()
+        .map(|service| service.name.as_str());
+    let services = services.collect();
+    let layers = inventory
+        .models
+        .iter()
+        .map(|model| (&model.name, model.layers));
+    let layers: BTreeMap<_, _> = layers.collect();
+    let names = inventory.targets.iter().map(|target| target.name.as_str());
+    checker.check_names("targets", names);
+    for (index, target) in inventory.targets.iter().enumerate() {
+        checker.check_reference(
+            format!("targets[{index}].vm"),
+            "VM",
+            target.vm.as_str(),
+            &vms,
+        );
+        let key = format!("targets[{index}].duty");
+        match &target.duty {
+            ExpectedDuty::Engine(holding) => check_holding(checker, &key, holding, &layers),
+            ExpectedDuty::Plain { service } => {
+                checker.check_reference(key, "service", service.as_str(), &services);
+            }
+        }
+    }
+}
+
+fn check_holding(
+    checker: &mut Checker<'_>,
+    key: &str,
+    holding: &Holding,
+    layers: &BTreeMap<&ModelName, u16>,
+) {
+    match layers.get(&holding.model) {
+        None => {
+            let message = format!("there is no model `{}`", holding.model);
+            checker.report(format!("{key}.engine.model"), message);
+        }
+        Some(count) if holding.layers.end() > *count => {
+            let message = format!("layers {} end past the model's {count}", holding.layers);
+            checker.report(format!("{key}.engine.layers"), message);
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_people(checker: &mut Checker<'_>, inventory: &Inventory) {
+    let names = inventory
+        .operators
+        .iter()
+        .map(|operator| operator.name.as_str());
+    checker.check_names("operators", names);
+    if inventory.operators.is_empty() {
+        let message = "there is no operator; nobody could make the next change".to_owned();
+        checker.report("operators".to_owned(), message);
+    }
+    for (index, operator) in inventory.operators.iter().enumerate() {
+        let hash = &operator.key_sha256;
+        let is_hex = hash.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if hash.len() != KEY_HASH_DIGITS || !is_hex {
+            let message = format!("must be {KEY_HASH_DIGITS} hexadecimal digits");
+            checker.report(format!("operators[{index}].key_sha256"), message);
+        }
+    }
+}
+
+fn check_rules(checker: &mut Checker<'_>, rules: &Rules) {
+    let positive = [
+        ("rules.ledger.window_ms", rules.ledger.window_ms.0),
+        ("rules.ledger.max_claims", rules.ledger.max_claims.into()),
+        (
+            "rules.requests.default_deadline_ms",
+            rules.requests.default_deadline_ms.0,
+        ),
+        (
+            "rules.requests.address_valid_ms",
+            rules.requests.address_valid_ms.0,
+        ),
+        ("rules.audit_records", rules.audit_records.into()),
+        ("rules.remembered_changes", rules.remembered_changes.into()),
+        (
+            "rules.weight_store_bytes_per_s",
+            rules.weight_store_bytes_per_s,
+        ),
+    ];
+    for (key, value) in positive {
+        checker.check_positive(key, value);
+    }
+    if rules.requests.default_deadline_ms > rules.requests.max_deadline_ms {
+        let message = "must not be less than `default_deadline_ms`".to_owned();
+        checker.report("rules.requests.max_deadline_ms".to_owned(), message);
+    }
+    if rules.requests.retry_budget_percent > 100 {
+        let message = "must not be more than 100".to_owned();
+        checker.report("rules.requests.retry_budget_percent".to_owned(), message);
+    }
+}
--- /dev/null
+++ b/crates/mgw-state/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to engines: what shall be loaded where, and in which order.
