--- /dev/null
+++ b/crates/mgw-control/src/app.rs
@@ -0,0 +1,31 @@
+//! What the parts of a control share.
+
+use std::sync::Arc;
+
+use mgw_member::View;
+use mgw_peer::PeerPool;
+use mgw_serve::Shutdown;
+use mgw_world::Clock;
+use parking_lot::Mutex;
+
+use crate::metrics::Metrics;
+use crate::replica::ReplicaHandle;
+use crate::settings::ControlSettings;
+
+/// What the parts of a control share.
+pub struct App {
+    /// Settings of the process.
+    pub settings: ControlSettings,
+    /// The clock.
+    pub clock: Clock,
+    /// Tokens that end the process.
+    pub shutdown: Shutdown,
+    /// The replica.
+    pub replica: ReplicaHandle,
+    /// What is believed of nodes and targets.
+    pub view: Arc<Mutex<View>>,
+    /// Connections to the other processes.
+    pub pool: Arc<PeerPool>,
+    /// Metrics.
+    pub metrics: Metrics,
+}
--- /dev/null
+++ b/crates/mgw-control/src/duties.rs
@@ -0,0 +1,140 @@
+//! What a control does by itself: a leader follows entries and members, others ask to be members.
+
+use std::sync::Arc;
+
+use mgw_peer::{JoinRequest, PeerError};
+use mgw_quorum::{ReplicaId, Role};
+use mgw_state::{Action, ClaimantId};
+use mgw_world::{FenceNumber, Millis};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::app::App;
+use crate::replica::{MemberChange, ReplicaReport};
+
+/// Time between two rounds of duties.
+const ROUND_MS: Millis = Millis(200);
+/// Silence after which an entry counts as lost and its open claims become unknown.
+const ENTRY_LOST_MS: Millis = Millis(10_000);
+/// Time between two commands that only move the time.
+const ADVANCE_MS: Millis = Millis(60_000);
+/// Time that a control gets to answer a request to join.
+const JOIN_LIMIT_MS: Millis = Millis(2_000);
+
+/// What is remembered from round to round.
+#[derive(Debug, Default)]
+struct Memory {
+    fenced_term: u64,
+    advanced_at: Millis,
+    joined_at: Millis,
+}
+
+/// Does the duties of this control until it ends.
+pub async fn run_duties(app: Arc<App>) {
+    let mut memory = Memory::default();
+    while app.shutdown.graceful.run_until_cancelled(sleep(ROUND_MS.to_duration())).await.is_some() {
+        let Some(report) = app.replica.describe().await else { return };
+        show_metrics(&app, &report);
+        if report.holds_lease {
+            lead(&app, &report, &mut memory).await;
+        } else if !report.membership.is_member(&report.id) && report.damage.is_none() {
+            ask_to_join(&app, &report, &mut memory).await;
+        }
+    }
+}
+
+fn show_metrics(app: &App, report: &ReplicaReport) {
+    let to_gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+    let metrics = &app.metrics;
+    metrics.leads.set(i64::from(report.role == Role::Leader));
+    metrics.term.set(to_gauge(report.term.0));
+    metrics.syncs.set(to_gauge(report.syncs));
+    let state = app.replica.state.read();
+    metrics.applied.set(to_gauge(state.applied()));
+    metrics.unknown_claims.set(i64::from(state.ledger().unknown_count()));
+}
+
+async fn lead(app: &App, report: &ReplicaReport, memory: &mut Memory) {
+    if memory.fenced_term != report.term.0 {
+        let fence = FenceNumber(report.term.0);
+        let action = Action::SetFence { fence, leader: app.settings.name.clone() };
+        if app.replica.submit(action).await.is_ok() {
+            memory.fenced_term = report.term.0;
+        }
+    }
+    declare_lost_entries(app).await;
+    arrange_members(app, report).await;
+    let now = app.clock.now();
+    if now - memory.advanced_at >= ADVANCE_MS {
+        memory.advanced_at = now;
+        let _ = app.replica.submit(Action::AdvanceTime).await;
+    }
+}
+
+/// Declares entries lost that hold claims and are gone, so that nobody waits for them.
+async fn declare_lost_entries(app: &App) {
+    let claimants = app.replica.state.read().ledger().claimants();
+    for claimant in claimants.into_iter().filter(|claimant| is_lost(app, claimant)) {
+        info!(%claimant, "entry is lost; its open claims become unknown");
+        if let Err(error) = app.replica.submit(Action::EntryLost { claimant }).await {
+            warn!(%error, "couldn't declare the entry lost");
+        }
+    }
+}
+
+fn is_lost(app: &App, claimant: &ClaimantId) -> bool {
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let nodes = view.nodes(now);
+    let name = claimant.entry.as_str();
+    match nodes.iter().find(|node| node.info.name.as_str() == name) {
+        Some(node) => {
+            node.info.incarnation > claimant.incarnation
+                || (node.info.incarnation == claimant.incarnation && node.age_ms > ENTRY_LOST_MS)
+        }
+        None => now - view.started_at() > ENTRY_LOST_MS,
+    }
+}
+
+/// Gives learners a vote, one at a time, in place of an unreachable replica of the same name.
+async fn arrange_members(app: &App, report: &ReplicaReport) {
+    let Some(learner) = report.membership.learners.iter().next() else { return };
+    let former = report.membership.voters.iter().find(|voter| voter.name == learner.name);
+    let change = match former {
+        Some(former) if report.reachable.contains(former) => return,
+        Some(former) => MemberChange::Remove(former.clone()),
+        None => MemberChange::Promote(learner.clone()),
+    };
+    match app.replica.change(change).await {
+        Ok(()) | Err(PeerError::Refused { .. }) => {}
+        Err(error) => warn!(%error, "couldn't change the members"),
+    }
+}
+
+async fn ask_to_join(app: &App, report: &ReplicaReport, memory: &mut Memory) {
+    let now = app.clock.now();
+    if now - memory.joined_at < JOIN_LIMIT_MS {
+        return;
+    }
+    memory.joined_at = now;
+    for peer in app.settings.controls.iter().filter(|peer| peer.name != app.settings.name) {
+        let request = JoinRequest {
+            replica: ReplicaId::clone(&report.id),
+            address: app.settings.peer_listen,
+        };
+        let answer = app
+            .pool
+            .call(peer.address, JOIN_LIMIT_MS, |client, context| async move {
+                client.join(context, request).await
+            })
+            .await;
+        match answer {
+            Ok(Ok(())) => {
+                info!(leader = %peer.name, "taken in as a learner");
+                return;
+            }
+            Ok(Err(PeerError::Refused { message })) => warn!(%message, "not taken in"),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-control/src/members.rs
@@ -0,0 +1,25 @@
+//! The control's own place in the view.
+
+use std::sync::Arc;
+
+use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
+use mgw_world::{Clock, Incarnation, Millis};
+use parking_lot::Mutex;
+
+use crate::settings::ControlSettings;
+
+/// Starts the view of a control.
+pub fn start_view(settings: &ControlSettings, seed: u64, now: Millis) -> Arc<Mutex<View>> {
+    let me = NodeInfo {
+        name: settings.name.clone(),
+        role: NodeRole::Control,
+        place: settings.place.clone(),
+        incarnation: Incarnation(Clock::wall().0),
+        peer_address: settings.peer_listen,
+        url: String::new(),
+        weight: 0,
+        phase: NodePhase::Serving,
+    };
+    let seeds: Vec<_> = settings.controls.iter().map(|peer| peer.address).collect();
+    Arc::new(Mutex::new(View::new(MemberSettings::default(), me, &seeds, seed, now)))
+}
--- /dev/null
+++ b/crates/mgw-control/src/operator/auth.rs
@@ -0,0 +1,30 @@
+//! Who an operator is.
+
+use hyper::Request;
+use mgw_contract::operator::{OPERATOR_HEADER, OPERATOR_KEY_HEADER};
+use mgw_state::Inventory;
+use mgw_world::OperatorName;
+
+/// Name and key as a request states them.
+#[derive(Clone)]
+pub struct Credentials {
+    /// Name.
+    pub operator: OperatorName,
+    key: String,
+}
+
+impl Credentials {
+    /// Reads the headers.
+    pub fn of<B>(request: &Request<B>) -> Self {
+        let header = |name| {
+            let value = request.headers().get(name);
+            value.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+        };
+        Self { operator: OperatorName::from(header(OPERATOR_HEADER)), key: header(OPERATOR_KEY_HEADER) }
+    }
+
+    /// Whether an inventory lists the operator with this key.
+    pub fn are_accepted_by(&self, inventory: &Inventory) -> bool {
+        inventory.authenticate(self.operator.as_str(), &self.key)
+    }
+}
--- /dev/null
+++ b/crates/mgw-control/src/operator/mod.rs
@@ -0,0 +1,8 @@
+//! Calls of operators.
+
+mod auth;
+mod read;
+mod web;
+mod write;
+
+pub use web::handle_request;
--- /dev/null
+++ b/crates/mgw-control/src/operator/read.rs
@@ -0,0 +1,115 @@
+//! Calls that read.
+
+use std::collections::BTreeMap;
+
+use mgw_contract::operator::{
+    AuditRecord, ConfigReply, EntryStatus, LedgerRecord, StatusReply, TargetStatus,
+};
+use mgw_contract::target::Readiness;
+use mgw_member::{NodePhase, NodeRole, VouchState};
+use mgw_peer::PeerError;
+use mgw_world::{EntryName, Revision, TargetDuty};
+
+use crate::app::App;
+
+/// The accepted configuration, confirmed by a quorum.
+pub async fn read_config(app: &App) -> Result<ConfigReply, PeerError> {
+    app.replica.confirm_read().await?;
+    let state = app.replica.state.read();
+    let config = state.config();
+    Ok(ConfigReply { revision: config.revision(), text: config.text().to_owned() })
+}
+
+/// The audit trail, confirmed by a quorum.
+pub async fn read_audit(app: &App) -> Result<Vec<AuditRecord>, PeerError> {
+    app.replica.confirm_read().await?;
+    Ok(app.replica.state.read().audit().iter().cloned().collect())
+}
+
+/// The ledger, confirmed by a quorum.
+pub async fn read_ledger(app: &App) -> Result<Vec<LedgerRecord>, PeerError> {
+    app.replica.confirm_read().await?;
+    Ok(app.replica.state.read().ledger().records().collect())
+}
+
+/// The entries that are heard.
+pub fn read_entries(app: &App) -> Vec<EntryStatus> {
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let nodes = view.nodes(now);
+    let entries = nodes.iter().filter(|node| node.info.role == NodeRole::Entry && node.is_alive);
+    let describe = |node: &mgw_member::NodeStatus<'_>| EntryStatus {
+        name: EntryName::from(node.info.name.as_str()),
+        place: node.info.place.clone(),
+        url: node.info.url.clone(),
+        revision: node.info.revision,
+        leaving: node.info.phase == NodePhase::Leaving,
+        in_flight: 0,
+        silent_ms: node.age_ms,
+    };
+    entries.map(describe).collect()
+}
+
+/// The targets that are known.
+pub fn read_targets(app: &App) -> Vec<TargetStatus> {
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let describe = |status: &mgw_member::TargetStatus<'_>| TargetStatus {
+        name: status.target.name.clone(),
+        place: status.target.place.clone(),
+        duty: match &status.target.duty {
+            TargetDuty::Engine(engine) => {
+                format!("{} {} layers {}", engine.model, engine.version, engine.layers)
+            }
+            TargetDuty::Plain { service } => service.to_string(),
+        },
+        readiness: match status.state {
+            VouchState::Announced(readiness) => readiness,
+            VouchState::Drained | VouchState::Lapsed => Readiness::Leaving,
+        },
+        in_flight: status.load.in_flight,
+        age_ms: status.age_ms,
+        in_choice: status.unchoosable.is_none(),
+    };
+    view.targets(now).iter().map(describe).collect()
+}
+
+/// The state of the system as this control sees it.
+pub async fn read_status(app: &App) -> Result<StatusReply, PeerError> {
+    let report = app.replica.describe().await.ok_or(PeerError::Ending)?;
+    let entries = read_entries(app);
+    let targets = read_targets(app);
+    let has_quorum = report.leader.is_some();
+    let (revision, ledger_unknown): (Revision, u32) = {
+        let state = app.replica.state.read();
+        (state.revision(), state.ledger().unknown_count())
+    };
+    let mut attention = Vec::new();
+    if let Some(damage) = report.damage {
+        attention.push(damage);
+    }
+    if !has_quorum {
+        attention.push("no leader is known; changes and claims wait for a quorum".to_owned());
+    }
+    if ledger_unknown > 0 {
+        attention.push(format!("{ledger_unknown} calls have an unknown outcome; see mgw ledger show"));
+    }
+    for place in app.view.lock().places(app.clock.now()) {
+        if place.is_cut_off {
+            attention.push(format!("place {} is silent as a whole", place.place));
+        }
+    }
+    Ok(StatusReply {
+        node: app.settings.name.clone(),
+        revision,
+        leader: report.leader,
+        has_quorum,
+        replicas: report.replicas,
+        entries: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+        targets: u32::try_from(targets.iter().filter(|target| target.in_choice).count())
+            .unwrap_or(u32::MAX),
+        models: BTreeMap::new(),
+        ledger_unknown,
+        attention,
+    })
+}
--- /dev/null
+++ b/crates/mgw-control/src/operator/write.rs
@@ -0,0 +1,131 @@
+//! Calls that change something.
+
+use mgw_contract::operator::{ApplyReply, ApplyRequest, DrainRequest, ResolveRequest};
+use mgw_peer::PeerError;
+use mgw_state::{Action, ConfigChange, Refusal, Reply, ResolveReply};
+use mgw_world::Revision;
+
+use super::auth::Credentials;
+use crate::app::App;
+
+/// Why a change wasn't made.
+#[derive(Debug, displaydoc::Display, derive_more::Error)]
+pub enum WriteError {
+    /// name or key of the operator is wrong
+    NotAllowed,
+    /// {message}
+    Refused {
+        /// Why.
+        message: String,
+    },
+    /// {0}
+    Peer(PeerError),
+}
+
+impl From<PeerError> for WriteError {
+    fn from(error: PeerError) -> Self {
+        Self::Peer(error)
+    }
+}
+
+/// Commits a change of configuration.
+pub async fn apply_config(
+    app: &App,
+    credentials: &Credentials,
+    request: ApplyRequest,
+) -> Result<ApplyReply, WriteError> {
+    let change = ConfigChange::check(
+        credentials.operator.clone(),
+        request.change_id,
+        request.base,
+        request.text,
+        "configuration",
+    );
+    let is_allowed = {
+        let state = app.replica.state.read();
+        match (&change.checked, state.revision() == Revision(0)) {
+            // The first configuration names its own operators.
+            (Ok(inventory), true) => credentials.are_accepted_by(inventory),
+            (Err(_), true) => true,
+            (_, false) => credentials.are_accepted_by(state.inventory()),
+        }
+    };
+    if !is_allowed {
+        refuse(app, credentials, "apply", &change.change_id, Some(change.base)).await?;
+    }
+    match app.replica.submit(Action::ApplyConfig(Box::new(change))).await? {
+        Reply::Config(reply) => Ok(reply),
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Commits a drain.
+pub async fn drain(
+    app: &App,
+    credentials: &Credentials,
+    subject: DrainRequest,
+) -> Result<(), WriteError> {
+    let name = format!("{subject:?}");
+    check_operator(app, credentials, "drain", &name).await?;
+    let operator = credentials.operator.clone();
+    match app.replica.submit(Action::Drain { operator, subject }).await? {
+        Reply::Drain { .. } => Ok(()),
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Commits an operator's word on a claim.
+pub async fn resolve(
+    app: &App,
+    credentials: &Credentials,
+    request: ResolveRequest,
+) -> Result<(), WriteError> {
+    check_operator(app, credentials, "resolve", request.key.as_str()).await?;
+    let operator = credentials.operator.clone();
+    match app.replica.submit(Action::Resolve { operator, request }).await? {
+        Reply::Resolve(ResolveReply::Resolved { .. }) => Ok(()),
+        Reply::Resolve(ResolveReply::InProgress) => {
+            Err(WriteError::Refused { message: "an entry still holds the claim".to_owned() })
+        }
+        Reply::Resolve(ResolveReply::AlreadyEnded { outcome }) => {
+            Err(WriteError::Refused { message: format!("the call has ended already: {outcome}") })
+        }
+        Reply::Resolve(ResolveReply::NoClaim) => {
+            Err(WriteError::Refused { message: "there is no such claim".to_owned() })
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn check_operator(
+    app: &App,
+    credentials: &Credentials,
+    action: &str,
+    subject: &str,
+) -> Result<(), WriteError> {
+    let is_allowed = credentials.are_accepted_by(app.replica.state.read().inventory());
+    if is_allowed { Ok(()) } else { refuse(app, credentials, action, subject, None).await }
+}
+
+/// Puts the refused call into the audit trail.
+async fn refuse(
+    app: &App,
+    credentials: &Credentials,
+    action: &str,
+    subject: &str,
+    base: Option<Revision>,
+) -> Result<(), WriteError> {
+    let refusal = Refusal {
+        operator: credentials.operator.clone(),
+        action: action.to_owned(),
+        subject: subject.to_owned(),
+        base,
+        reason: "name or key is wrong".to_owned(),
+    };
+    app.replica.submit(Action::NoteRefusal(refusal)).await?;
+    Err(WriteError::NotAllowed)
+}
+
+fn unexpected(reply: &Reply) -> WriteError {
+    WriteError::Refused { message: format!("unexpected reply: {reply:?}") }
+}
--- /dev/null
+++ b/crates/mgw-control/src/peers.rs
@@ -0,0 +1,133 @@
+//! Answers to the calls of other processes.
+
+use std::sync::Arc;
+
+use mgw_contract::operator::DrainRequest;
+use mgw_member::{Exchange, ExchangeReply};
+use mgw_peer::{
+    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc,
+};
+use mgw_quorum::{Envelope, ReplicaId};
+use mgw_state::{Command, ConfigUpdate, Reply};
+use tarpc::context::Context;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::replica::MemberChange;
+
+/// Serves the calls of other processes; until the control has started, only founding is answered.
+#[derive(Clone)]
+pub struct PeerServer {
+    /// Set once the control has started.
+    pub app: Arc<tokio::sync::OnceCell<Arc<App>>>,
+    /// What the data folder held at the start.
+    pub founding: FoundingState,
+}
+
+impl PeerServer {
+    fn app(&self) -> Result<&Arc<App>, PeerError> {
+        let starting = || PeerError::Refused { message: "the control is starting".to_owned() };
+        self.app.get().ok_or_else(starting)
+    }
+}
+
+impl PeerRpc for PeerServer {
+    async fn exchange(self, _: Context, exchange: Exchange) -> ExchangeReply {
+        match self.app() {
+            Ok(app) => app.view.lock().take_exchange(&exchange, app.clock.now()),
+            Err(_) => ExchangeReply { from: exchange.from, buckets: Vec::new(), deltas: Vec::new() },
+        }
+    }
+
+    async fn deliver(self, _: Context, messages: Vec<Envelope>) -> Result<(), PeerError> {
+        self.app()?.replica.deliver(messages);
+        Ok(())
+    }
+
+    async fn submit(self, _: Context, command: Command) -> Result<Reply, PeerError> {
+        self.app()?.replica.submit(command.action).await
+    }
+
+    async fn config(self, _: Context, question: ConfigQuestion) -> Result<ConfigAnswer, PeerError> {
+        answer_config(self.app()?, question).await
+    }
+
+    async fn founding(self, _: Context) -> Result<FoundingState, PeerError> {
+        let Ok(app) = self.app() else { return Ok(self.founding) };
+        let report = app.replica.describe().await.ok_or(PeerError::Ending)?;
+        let is_empty = report.membership.voters.is_empty() && report.damage.is_none();
+        Ok(FoundingState { replica: report.id, is_empty })
+    }
+
+    async fn join(self, _: Context, request: JoinRequest) -> Result<(), PeerError> {
+        let app = self.app()?;
+        check_known(app, &request)?;
+        app.replica.confirm_read().await?;
+        let report = app.replica.describe().await.ok_or(PeerError::Ending)?;
+        if report.membership.is_member(&request.replica) {
+            return Ok(());
+        }
+        app.replica.change(MemberChange::AddLearner(request.replica)).await
+    }
+}
+
+/// Only controls that the settings name are taken in, at the address named there.
+fn check_known(app: &App, request: &JoinRequest) -> Result<(), PeerError> {
+    let ReplicaId { name, .. } = &request.replica;
+    if app.settings.address_of(name) == Some(request.address) {
+        return Ok(());
+    }
+    let message = format!("the settings of {} name no control {name} there", app.settings.name);
+    Err(PeerError::Refused { message })
+}
+
+/// Answers at once when there is a newer revision, else when one comes or the time is over.
+async fn answer_config(app: &App, question: ConfigQuestion) -> Result<ConfigAnswer, PeerError> {
+    let mut applied = app.replica.applied.clone();
+    let until = app.clock.now() + question.wait_ms;
+    loop {
+        app.replica.confirm_read().await?;
+        applied.mark_unchanged();
+        let (update, drains) = read_config(app, &question);
+        let wait = until - app.clock.now();
+        let is_news = update.is_some() || drains != question.drains;
+        if is_news || wait.0 == 0 {
+            return Ok(ConfigAnswer { update, drains });
+        }
+        let changed = timeout(wait.to_duration(), wait_for_config(app, &mut applied, &question));
+        let _ = changed.await;
+    }
+}
+
+/// Waits until the revision or the drains differ from what the asker has.
+async fn wait_for_config(
+    app: &App,
+    applied: &mut tokio::sync::watch::Receiver<u64>,
+    question: &ConfigQuestion,
+) {
+    while applied.changed().await.is_ok() {
+        let (update, drains) = read_config(app, question);
+        if update.is_some() || drains != question.drains {
+            return;
+        }
+    }
+}
+
+fn read_config(app: &App, question: &ConfigQuestion) -> (Option<ConfigUpdate>, Vec<DrainRequest>) {
+    let state = app.replica.state.read();
+    let entries = state.drained_entries().iter().cloned().map(DrainRequest::Entry);
+    let targets = state.drained_targets().iter().cloned().map(DrainRequest::Target);
+    let drains = entries.chain(targets).collect();
+    let config = state.config();
+    let is_current = config.revision() == question.have
+        && question.digest.is_none_or(|digest| digest == config.digest());
+    let update = if is_current {
+        None
+    } else if question.have >= config.revision() {
+        // Of a revision that this group never accepted; the asker refuses what is older.
+        Some(config.full_update())
+    } else {
+        Some(config.update_since(question.have))
+    };
+    (update, drains)
+}
--- a/crates/mgw-control/src/replica/handle.rs
+++ b/crates/mgw-control/src/replica/handle.rs
@@ -17,6 +17,11 @@
 /// The state machine; written by the replica actor only.
 pub type SharedState = Arc<RwLock<State>>;
 
+/// State to which nothing was applied yet.
+pub fn start_state() -> SharedState {
+    Arc::new(RwLock::new(State::default()))
+}
+
 /// Calls the replica actor; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct ReplicaHandle {
--- a/crates/mgw-control/src/replica/mod.rs
+++ b/crates/mgw-control/src/replica/mod.rs
@@ -7,5 +7,6 @@
 mod senders;
 
 pub use actor::{ReplicaActor, ReplicaStart};
-pub use handle::{ReplicaHandle, SharedState};
+pub use handle::{ReplicaHandle, SharedState, start_state};
 pub use message::{MemberChange, ReplicaMessage, ReplicaReport};
+pub use senders::Senders;
--- /dev/null
+++ b/crates/mgw-control/src/run.rs
@@ -0,0 +1,228 @@
+//! Start and end of a control.
+
+use std::sync::Arc;
+
+use mgw_peer::{
+    FoundingState, PeerPool, Spread, bind_peer_listener, run_spread, serve_peers,
+};
+use mgw_quorum::{Recovered, Replica, ReplicaId, Storage};
+use mgw_serve::Shutdown;
+use mgw_world::{Clock, Millis};
+use ractor::{Actor, ActorRef};
+use tokio::net::TcpListener;
+use tokio::sync::{OnceCell, watch};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+
+use crate::app::App;
+use crate::duties::run_duties;
+use crate::founding::check_others_empty;
+use crate::members::start_view;
+use crate::metrics::Metrics;
+use crate::operator::handle_request;
+use crate::peers::PeerServer;
+use crate::replica::{ReplicaActor, ReplicaHandle, ReplicaMessage, ReplicaStart, SharedState};
+use crate::replica::{Senders, start_state};
+use crate::settings::ControlSettings;
+
+/// Time between two ticks of the replica.
+const TICK_MS: Millis = Millis(10);
+/// Longest time that the hand-over of leadership may take.
+const HAND_OVER_LIMIT_MS: Millis = Millis(3_000);
+/// Pause between two looks at the hand-over.
+const HAND_OVER_PAUSE_MS: Millis = Millis(20);
+
+/// Why a control can't run.
+#[derive(Debug, displaydoc::Display, derive_more::Error)]
+pub enum RunError {
+    /// can't listen at {address}: {source}
+    Listen {
+        /// The address.
+        address: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// can't use the data folder: {message}
+    Data {
+        /// What is wrong.
+        message: String,
+    },
+    /// {replica} holds a log already; start without --found to join its group
+    Founded {
+        /// The replica.
+        replica: String,
+    },
+    /// can't start: {message}
+    Start {
+        /// What is wrong.
+        message: String,
+    },
+}
+
+/// Runs a control until it is asked to end.
+///
+/// # Errors
+/// When an address, the data folder or the group can't be used.
+pub async fn run_control(settings: ControlSettings, found: bool) -> Result<(), RunError> {
+    let shutdown = Shutdown::listen().map_err(|error| start_error(&error))?;
+    let http = listen(settings.listen).await?;
+    let peers = listen_peers(settings.peer_listen).await?;
+    let (mut storage, mut recovered) = open_storage(&settings)?;
+    let pool = Arc::new(PeerPool::default());
+    let ended = CancellationToken::new();
+    let server = PeerServer {
+        app: Arc::new(OnceCell::new()),
+        founding: FoundingState {
+            replica: storage.id().clone(),
+            is_empty: recovered == Recovered::default(),
+        },
+    };
+    info!(
+        role = "control",
+        name = %settings.name,
+        vm = %settings.vm,
+        place = %settings.place,
+        region = %settings.region,
+        listen = %settings.listen,
+        peer_listen = %settings.peer_listen,
+        replica = %storage.id(),
+        "starting"
+    );
+    let is_empty = server.founding.is_empty;
+    let serving_peers = tokio::spawn(serve_peers(peers, server.clone(), ended.clone()));
+    if found && is_empty {
+        let checking = check_others_empty(&settings, &pool);
+        match shutdown.graceful.run_until_cancelled(checking).await {
+            None => return Ok(()),
+            Some(Err(replica)) => return Err(RunError::Founded { replica }),
+            Some(Ok(())) => recovered = storage.found().map_err(|error| data_error(&error))?,
+        }
+    }
+    let app = start_app(settings, shutdown, pool, storage, recovered).await?;
+    let _ = server.app.set(Arc::clone(&app));
+    let parts = start_parts(&app, http, &ended);
+    app.shutdown.graceful.cancelled().await;
+    info!("ending; handing leadership over first");
+    app.shutdown.unless_forced(hand_over(&app.replica)).await;
+    for part in parts {
+        app.shutdown.unless_forced(part).await;
+    }
+    ended.cancel();
+    let _ = serving_peers.await;
+    info!("ended");
+    Ok(())
+}
+
+async fn start_app(
+    settings: ControlSettings,
+    shutdown: Shutdown,
+    pool: Arc<PeerPool>,
+    storage: Storage,
+    recovered: Recovered,
+) -> Result<Arc<App>, RunError> {
+    let clock = Clock::monotonic();
+    let id: ReplicaId = storage.id().clone();
+    let seed = rand::random();
+    let others = settings.controls.iter().filter(|peer| peer.name != settings.name);
+    let addresses = others.map(|peer| (peer.name.to_string(), peer.address));
+    let senders = Senders::start(&pool, addresses);
+    let replica =
+        Replica::new(id, settings.quorum.to_settings(), recovered, clock.now(), seed);
+    let (applied_sender, applied) = watch::channel(0);
+    let state: SharedState = start_state();
+    let start = ReplicaStart {
+        replica,
+        storage,
+        clock: clock.clone(),
+        senders,
+        state: Arc::clone(&state),
+        applied: applied_sender,
+        snapshot_entries: settings.quorum.snapshot_entries,
+    };
+    let (actor, _running) = Actor::spawn(None, ReplicaActor, start)
+        .await
+        .map_err(|error| start_error(&error))?;
+    tokio::spawn(tick(actor.clone()));
+    let commit_limit_ms = settings.quorum.commit_limit_ms;
+    Ok(Arc::new(App {
+        replica: ReplicaHandle { actor, state, applied, commit_limit_ms },
+        view: start_view(&settings, seed, clock.now()),
+        metrics: Metrics::new().map_err(|error| start_error(&error))?,
+        settings,
+        clock,
+        shutdown,
+        pool,
+    }))
+}
+
+fn start_parts(
+    app: &Arc<App>,
+    http: TcpListener,
+    ended: &CancellationToken,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let for_requests = Arc::clone(app);
+    let handler = move |request| handle_request(Arc::clone(&for_requests), request);
+    let shutdown = app.shutdown.clone();
+    let serving = mgw_serve::http::serve(http, handler, shutdown.graceful, shutdown.forced);
+    let view_bytes = app.metrics.view_bytes.clone();
+    let spread = Spread {
+        view: Arc::clone(&app.view),
+        pool: Arc::clone(&app.pool),
+        clock: app.clock.clone(),
+        count_bytes: Arc::new(move |bytes| view_bytes.inc_by(bytes)),
+    };
+    tokio::spawn(run_spread(spread, ended.clone()));
+    vec![tokio::spawn(serving), tokio::spawn(run_duties(Arc::clone(app)))]
+}
+
+async fn tick(actor: ActorRef<ReplicaMessage>) {
+    while actor.cast(ReplicaMessage::Tick).is_ok() {
+        sleep(TICK_MS.to_duration()).await;
+    }
+}
+
+/// Hands leadership over and waits until another control leads.
+async fn hand_over(replica: &ReplicaHandle) {
+    let _ = replica.actor.cast(ReplicaMessage::HandOver);
+    let mut waited = Millis::ZERO;
+    while waited < HAND_OVER_LIMIT_MS {
+        let Some(report) = replica.describe().await else { return };
+        let leads = report.role == mgw_quorum::Role::Leader;
+        if !leads || report.membership.voters.len() == 1 {
+            return;
+        }
+        sleep(HAND_OVER_PAUSE_MS.to_duration()).await;
+        waited += HAND_OVER_PAUSE_MS;
+    }
+    warn!("no other control took leadership over in time");
+}
+
+fn open_storage(settings: &ControlSettings) -> Result<(Storage, Recovered), RunError> {
+    let hook = Box::new(|_| Ok(()));
+    let disk = rand::random();
+    let opened = Storage::open(&settings.data, settings.name.as_str(), disk, hook);
+    let (storage, recovered) = opened.map_err(|error| data_error(&error))?;
+    if let Some(damage) = &recovered.damage {
+        tracing::error!(%damage, "the data folder is damaged; this control doesn't vote");
+    }
+    Ok((storage, recovered))
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RunError::Listen { address: address.to_string(), source })
+}
+
+async fn listen_peers(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = bind_peer_listener(address).await;
+    bound.map_err(|source| RunError::Listen { address: address.to_string(), source })
+}
+
+fn data_error(error: &impl ToString) -> RunError {
+    RunError::Data { message: error.to_string() }
+}
+
+fn start_error(error: &impl ToString) -> RunError {
+    RunError::Start { message: error.to_string() }
+}
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -4,6 +4,7 @@
 mod pool;
 mod rpc;
 mod serve;
+mod spread;
 
 pub use pool::{CallFailure, PeerPool};
 pub use rpc::{
@@ -11,3 +12,4 @@
     PeerRpcRequest, PeerRpcResponse,
 };
 pub use serve::{bind_peer_listener, serve_peers};
+pub use spread::{Spread, run_spread};
--- a/crates/mgw-peer/src/pool.rs
+++ b/crates/mgw-peer/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
 /// Why a call to another process brought no answer.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, derive_more::Error)]
 pub enum CallFailure {
+    /// the machine answered that nothing listens there; nothing was sent
+    NothingListens,
     /// no connection came about; nothing was sent
     NotConnected,
     /// the connection broke or the answer did not come in time; the call may have been taken
@@ -35,7 +38,7 @@
     #[must_use]
     pub const fn had_no_effect(&self) -> bool {
         match self {
-            Self::NotConnected => true,
+            Self::NothingListens | Self::NotConnected => true,
             Self::NoAnswer => false,
             Self::Refused(error) => !matches!(error, PeerError::NotConfirmed | PeerError::Ending),
         }
@@ -84,7 +87,10 @@
         let connected = timeout(CONNECT_TIMEOUT_MS.to_duration(), connecting).await;
         let stream = connected
             .map_err(|_| CallFailure::NotConnected)?
-            .map_err(|_| CallFailure::NotConnected)?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => CallFailure::NothingListens,
+                _ => CallFailure::NotConnected,
+            })?;
         let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
@@ -36,8 +37,10 @@
 pub struct ConfigQuestion {
     /// Revision that the asker has.
     pub have: Revision,
-    /// Digest of that revision's text.
+    /// Digest of the configuration held.
     pub digest: Option<Digest>,
+    /// Drains that the asker knows, as [`ConfigAnswer::drains`] gave them.
+    pub drains: Vec<DrainRequest>,
     /// How long the answer may wait for a newer revision.
     pub wait_ms: Millis,
 }
@@ -47,8 +50,8 @@
 pub struct ConfigAnswer {
     /// What brings the asker to the newest revision; none if it has it.
     pub update: Option<ConfigUpdate>,
-    /// Names that an operator asked to leave.
-    pub drains: Vec<String>,
+    /// What an operator asked to leave, entries first.
+    pub drains: Vec<DrainRequest>,
 }
 
 /// Whether a control may take part in founding a group.
--- a/crates/mgw-quorum/src/replica/members.rs
+++ b/crates/mgw-quorum/src/replica/members.rs
@@ -97,6 +97,16 @@
             .map(|(id, _)| id.clone())
     }
 
+    /// Last entry known to be synced at a member; known of itself, and of others while leading.
+    #[must_use]
+    pub fn matched(&self, id: &ReplicaId) -> Option<Index> {
+        if *id == self.id {
+            return Some(self.durable);
+        }
+        let progress = &self.leadership.as_ref()?.progress;
+        progress.get(id).map(|progress| progress.matched)
+    }
+
     /// Members that answered within an election timeout, this leader included.
     #[must_use]
     pub fn reachable_members(&self) -> BTreeSet<ReplicaId> {
