Core of the membership view, the addresses and the leaving procedure

Cause: entries and controls need one view of targets and nodes with a bounded age. Ruled out: pushing freshness, because the time a pushed message spent in a buffer is unknown.

--- a/crates/mgw-member/src/lib.rs
+++ b/crates/mgw-member/src/lib.rs
@@ -1,1 +1,28 @@
 //! Membership views, leases, spreading and the addresses given to callers.
+//!
+//! Every node keeps a [`View`]. Targets announce themselves to any entry; that entry is their home
+//! and vouches for them. Nodes pull differences and ages from each other by [`Exchange`] and
+//! [`ExchangeReply`]. Nothing here performs I/O: the time and the seed are arguments.
+
+mod addresses;
+mod leaving;
+mod message;
+mod node;
+mod origin;
+mod settings;
+mod trust;
+mod view;
+
+pub use addresses::{AddressSettings, Availability, choose_addresses, judge_availability};
+pub use leaving::{CutOff, Leaving, LeavingPhase, LeavingSettings};
+pub use message::{
+    Age, BucketReply, Exchange, ExchangeReply, LoadLevel, NodeDelta, OriginLine, TargetChange,
+    Vouch, VouchState, Want,
+};
+pub use node::{NodeId, NodeInfo, NodePhase, NodeRole};
+pub use settings::MemberSettings;
+pub use trust::{Trust, TrustSettings};
+pub use view::{
+    AnnounceOutcome, ExchangeFailure, ExchangeTicket, NodeStatus, OutgoingExchange, PlaceStatus,
+    TargetInChoice, TargetStatus, Unchoosable, View,
+};
--- /dev/null
+++ b/crates/mgw-member/src/view/mod.rs
@@ -0,0 +1,14 @@
+//! The view of one node, its announcements, its exchanges and the choice made from it.
+
+mod announce;
+mod choice;
+mod core;
+mod exchange;
+mod places;
+mod reply;
+
+pub use announce::AnnounceOutcome;
+pub use choice::{TargetInChoice, TargetStatus, Unchoosable};
+pub use core::View;
+pub use exchange::{ExchangeFailure, ExchangeTicket, OutgoingExchange};
+pub use places::{NodeStatus, PlaceStatus};
