mgw-settings: all findings of a file together, each with its line and key

Cause: the parse stopped at the first type error and unknown keys had no line. Ruled out: removing the faulty item from the document, as this gives a missing key or shifts the indexes of the array. Change: the faulty value is replaced by one that lets the parse go on, and consequences of a replacement aren't reported.

--- a/crates/mgw-settings/src/lib.rs
+++ b/crates/mgw-settings/src/lib.rs
@@ -3,7 +3,9 @@
 mod finding;
 mod load;
 mod locate;
+mod mend;
 mod process;
+mod search;
 
 pub use finding::{Finding, Findings};
 pub use load::{load, parse};
--- a/crates/mgw-settings/src/load.rs
+++ b/crates/mgw-settings/src/load.rs
@@ -3,8 +3,10 @@
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
+use toml_edit::Document;
 
-use crate::locate::line_of;
+use crate::locate::{find_line, line_of, show_path};
+use crate::search::{Fault, search_faults};
 use crate::{Finding, Findings};
 
 /// Reads settings from a file.
@@ -26,31 +28,59 @@
 
 /// Parses settings; `file` is named in the findings.
 ///
+/// Wrong types, missing keys and unknown keys are all reported together. A text that isn't TOML at
+/// all gives the first fault only.
+///
+/// ```
+/// #[derive(Debug, serde::Deserialize)]
+/// struct Listen {
+///     port: u16,
+///     host: String,
+/// }
+/// let findings = mgw_settings::parse::<Listen>("a.toml", "port = \"x\"\nhots = 1").unwrap_err();
+/// let lines: Vec<_> = findings.all.iter().map(ToString::to_string).collect();
+/// assert_eq!(
+///     lines,
+///     [
+///         "a.toml:0: host: missing key",
+///         "a.toml:1: port: invalid type: string \"x\", expected u16",
+///         "a.toml:2: hots: unknown key",
+///     ]
+/// );
+/// ```
+///
 /// # Errors
-/// All faults found, unknown keys included.
+/// All faults found, in the order of their lines.
 pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Findings> {
-    let mut all = Vec::new();
-    let settings = toml::Deserializer::parse(text).and_then(|deserializer| {
-        serde_ignored::deserialize(deserializer, |path| {
-            all.push(Finding {
-                file: file.to_owned(),
-                line: 0,
-                key: path.to_string(),
-                message: "unknown key".to_owned(),
-            });
-        })
-    });
-    match settings {
-        Ok(settings) if all.is_empty() => Ok(settings),
-        Ok(_) => Err(Findings { all }),
-        Err(error) => {
-            all.push(Finding {
-                file: file.to_owned(),
-                line: line_of(text, error.span().map_or(0, |span| span.start)),
-                key: String::new(),
-                message: error.message().to_owned(),
-            });
-            Err(Findings { all })
-        }
+    let document = Document::parse(text)
+        .map_err(|error| report_syntax(file, text, error.span(), error.message()))?;
+    let table: toml::Table = toml::from_str(text)
+        .map_err(|error| report_syntax(file, text, error.span(), error.message()))?;
+    search_faults(table).map_err(|faults| {
+        let to_finding = |fault: Fault| Finding {
+            file: file.to_owned(),
+            line: find_line(&document, text, &fault.path),
+            key: show_path(&fault.path),
+            message: fault.message,
+        };
+        let mut all: Vec<_> = faults.into_iter().map(to_finding).collect();
+        all.sort_by(|left, right| (left.line, &left.key).cmp(&(right.line, &right.key)));
+        Findings { all }
+    })
+}
+
+fn report_syntax(
+    file: &str,
+    text: &str,
+    span: Option<std::ops::Range<usize>>,
+    message: &str,
+) -> Findings {
+    Findings {
+        all: vec![Finding {
+            file: file.to_owned(),
+            line: span.map_or(0, |span| line_of(text, span.start)),
+            key: String::new(),
+            message: message.trim_end().to_owned(),
+        }],
     }
 }
--- a/crates/mgw-settings/src/locate.rs
+++ b/crates/mgw-settings/src/locate.rs
@@ -3,7 +3,7 @@
 use toml_edit::{Document, Item, TableLike};
 
 /// One step from a value to a value inside it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Step {
     Key(String),
     Index(usize),
