Router and Admission: the public types, not yet the decisions

Cause: the entry is built at the same time and needs the seam. Change: types and signatures of Router, Admission, RetryBudget, LatencyLimit and the prefix index; choose_path still answers UnknownModel and Admission counts only. Conclusion: the signatures stay; the decisions follow.

--- /dev/null
+++ b/crates/mgw-route/src/graph/flow.rs
@@ -0,0 +1,1 @@
+//! Maximum flow over the groups of a graph.
--- /dev/null
+++ b/crates/mgw-route/src/graph/mod.rs
@@ -0,0 +1,9 @@
+//! The targets of one model version as a graph over layer boundaries, and its largest token rate.
+
+mod balance;
+mod bound;
+mod build;
+mod flow;
+
+pub use bound::{Bound, BoundaryShare, TargetShare, compute_bound};
+pub use build::{Graph, GraphTarget};
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -1,1 +1,22 @@
 //! Throughput bound, path choice, limits, queues and the retry budget.
+//!
+//! All decisions of the request path are made here, without I/O: time is an argument, randomness
+//! comes from a seed. [`Router`] chooses paths, one [`Admission`] for each model decides when a
+//! request may start.
+
+mod error;
+mod graph;
+mod limit;
+mod path;
+mod prefix;
+mod router;
+
+pub use error::NoPath;
+pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
+pub use limit::{
+    Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
+    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings,
+};
+pub use path::{Path, PathRequest, ReservationKey, Stage};
+pub use prefix::{CacheNews, PREFIX_BLOCK_TOKENS, PrefixDigest, PrefixIndex, digest_prefixes};
+pub use router::{Router, RouterSettings, TargetInput, TargetView};
--- /dev/null
+++ b/crates/mgw-route/src/limit/budget.rs
@@ -0,0 +1,94 @@
+//! One budget of retries for the whole path, so that retries can't multiply under faults.
+
+/// Settings of a retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryBudgetSettings {
+    /// Retries earned by a hundred requests.
+    pub retries_per_hundred: u32,
+    /// Most retries saved up; also what a fresh budget holds.
+    pub max_saved: u32,
+}
+
+impl Default for RetryBudgetSettings {
+    fn default() -> Self {
+        Self {
+            retries_per_hundred: 10,
+            max_saved: 10,
+        }
+    }
+}
+
+const COST_OF_RETRY: u64 = 100;
+
+/// A bucket of retries that requests fill and retries empty.
+///
+/// One bucket serves all stages and calls of an entry: whoever wants to retry takes from it.
+///
+/// ```
+/// use mgw_route::{RetryBudget, RetryBudgetSettings};
+/// let mut budget = RetryBudget::new(RetryBudgetSettings { retries_per_hundred: 10, max_saved: 1 });
+/// assert!(budget.try_retry());
+/// assert!(!budget.try_retry());
+/// for _ in 0..10 {
+///     budget.count_request();
+/// }
+/// assert!(budget.try_retry());
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    settings: RetryBudgetSettings,
+    saved: u64,
+    requests: u64,
+    retries: u64,
+    refused: u64,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    #[must_use]
+    pub fn new(settings: RetryBudgetSettings) -> Self {
+        Self {
+            settings,
+            saved: u64::from(settings.max_saved) * COST_OF_RETRY,
+            requests: 0,
+            retries: 0,
+            refused: 0,
+        }
+    }
+
+    /// Counts a first try and earns its part of a retry.
+    pub fn count_request(&mut self) {
+        self.requests += 1;
+        let most = u64::from(self.settings.max_saved) * COST_OF_RETRY;
+        self.saved = most.min(self.saved + u64::from(self.settings.retries_per_hundred));
+    }
+
+    /// Takes one retry; `false` when the budget is spent and the failure has to be reported.
+    pub fn try_retry(&mut self) -> bool {
+        if self.saved < COST_OF_RETRY {
+            self.refused += 1;
+            return false;
+        }
+        self.saved -= COST_OF_RETRY;
+        self.retries += 1;
+        true
+    }
+
+    /// Requests counted so far.
+    #[must_use]
+    pub const fn requests(&self) -> u64 {
+        self.requests
+    }
+
+    /// Retries allowed so far.
+    #[must_use]
+    pub const fn retries(&self) -> u64 {
+        self.retries
+    }
+
+    /// Retries refused so far.
+    #[must_use]
+    pub const fn refused(&self) -> u64 {
+        self.refused
+    }
+}
--- /dev/null
+++ b/crates/mgw-route/src/limit/fair_queue.rs
@@ -0,0 +1,1 @@
+//! Queues per workspace, served in proportion to the workspaces' weights.
--- /dev/null
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -0,0 +1,12 @@
+//! When a request may start, and how much is retried.
+
+mod admission;
+mod budget;
+mod fair_queue;
+mod latency;
+mod request;
+
+pub use admission::Admission;
+pub use budget::{RetryBudget, RetryBudgetSettings};
+pub use latency::{LatencyLimit, LatencyLimitSettings};
+pub use request::{AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event};
--- /dev/null
+++ b/crates/mgw-route/src/prefix/mod.rs
@@ -0,0 +1,7 @@
+//! Which targets likely hold a prompt's prefix in their cache.
+
+mod digest;
+mod index;
+
+pub use digest::{PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
+pub use index::{CacheNews, PrefixIndex};
