Path choice along the planned flow

Cause: equal turns waste unlike accelerators; the choice has to follow the largest flow. Ruled out: a flow computed per request (costs too much), following load reports directly (entries would rush to the same target).

--- a/crates/mgw-route/src/graph/bound.rs
+++ b/crates/mgw-route/src/graph/bound.rs
@@ -3,7 +3,8 @@
 use mgw_world::{PlaceName, TargetName};
 use serde::{Deserialize, Serialize};
 
-use crate::Graph;
+use super::balance::{Plan, plan_flow};
+use super::build::{Graph, UNITS_PER_TOKEN};
 
 /// Part of the bound that runs through one target.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -43,6 +44,44 @@
 /// Computes the bound of a graph.
 #[must_use]
 pub fn compute_bound(graph: &Graph) -> Bound {
-    let _ = graph.whole();
-    Bound::default()
+    describe_plan(graph, &plan_flow(graph))
+}
+
+/// Words a planned flow in tokens a second and names.
+pub(crate) fn describe_plan(graph: &Graph, plan: &Plan) -> Bound {
+    let mut targets = Vec::new();
+    for (group, flow) in graph.groups.iter().zip(&plan.flow.groups) {
+        for index in &group.members {
+            let item = &graph.targets[*index];
+            targets.push(TargetShare {
+                target: item.target.name.clone(),
+                tokens_per_s: tokens(*flow) * part_of(item.capacity(), group.capacity),
+            });
+        }
+    }
+    targets.sort_by(|left, right| left.target.cmp(&right.target));
+    let hops = plan.flow.hops.iter();
+    let boundaries = hops.map(|(hop, flow)| BoundaryShare {
+        boundary: hop.boundary,
+        from: graph.places[hop.from].clone(),
+        to: graph.places[hop.to].clone(),
+        tokens_per_s: tokens(*flow),
+    });
+    Bound {
+        tokens_per_s: tokens(plan.flow.total),
+        relaxed_tokens_per_s: tokens(plan.relaxed_total),
+        targets,
+        boundaries: boundaries.collect(),
+    }
+}
+
+fn tokens(units: u64) -> f64 {
+    units as f64 / UNITS_PER_TOKEN as f64
+}
+
+fn part_of(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
 }
--- a/crates/mgw-route/src/graph/build.rs
+++ b/crates/mgw-route/src/graph/build.rs
@@ -1,8 +1,12 @@
 //! The graph of one model version: targets grouped by layers and place.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use mgw_world::{LayerRange, Link, Model, Target};
+use mgw_world::{LayerRange, Link, Model, PlaceName, Target};
+
+/// Flow units in one token a second; whole numbers keep every sum exact.
+pub(crate) const UNITS_PER_TOKEN: u64 = 1_000;
 
 /// A target that may be chosen.
 #[derive(Debug, Clone)]
@@ -13,28 +17,123 @@
     pub warm_share: f64,
 }
 
+impl GraphTarget {
+    /// Flow units that the target carries.
+    pub(crate) fn capacity(&self) -> u64 {
+        let stated = u64::from(self.target.limits.tokens_per_s) * UNITS_PER_TOKEN;
+        (stated as f64 * self.warm_share.clamp(0.0, 1.0)) as u64
+    }
+}
+
+/// Targets with the same layers in the same place: one edge of the flow network.
+#[derive(Debug, Clone)]
+pub(crate) struct Group {
+    /// Layers of each member.
+    pub layers: LayerRange,
+    /// Index of the place.
+    pub place: usize,
+    /// Indices into the targets.
+    pub members: Vec<usize>,
+    /// Sum of the members' capacities in flow units.
+    pub capacity: u64,
+}
+
 /// Targets of one model version and the links between their places.
 #[derive(Debug, Clone, Default)]
 pub struct Graph {
-    layers: u16,
+    pub(crate) layers: u16,
+    pub(crate) targets: Vec<GraphTarget>,
+    pub(crate) places: Vec<PlaceName>,
+    pub(crate) groups: Vec<Group>,
+    /// Groups by their first layer.
+    pub(crate) starts: BTreeMap<u16, Vec<usize>>,
+    /// Flow units that a stated link carries, by the indices of its places.
+    pub(crate) links: BTreeMap<(usize, usize), u64>,
 }
 
 impl Graph {
-    /// Builds the graph of a model from the targets that hold its version and adapter.
+    /// Builds the graph of a model from the targets that hold one version and adapter of it.
     ///
-    /// Between two places without a link in `links` nothing flows; inside a place without one
-    /// the capacity is unlimited.
+    /// A link that isn't stated in `links` is taken as unlimited, so that a gap in the inventory
+    /// doesn't cut a model off. Each direction of a link has its whole capacity.
     #[must_use]
-    pub fn build(model: &Model, targets: &[GraphTarget], links: &[Link]) -> Self {
-        let _ = (targets, links);
+    pub fn build(model: &Model, targets: Vec<GraphTarget>, links: &[Link]) -> Self {
+        let names: BTreeSet<_> = targets.iter().map(|it| it.target.place.clone()).collect();
+        let places: Vec<_> = names.into_iter().collect();
+        let groups = group_targets(model, &targets, &places);
+        let mut starts = BTreeMap::<u16, Vec<usize>>::new();
+        for (index, group) in groups.iter().enumerate() {
+            starts.entry(group.layers.first()).or_default().push(index);
+        }
         Self {
             layers: model.layers,
+            links: convert_links(model, links, &places),
+            targets,
+            places,
+            groups,
+            starts,
         }
     }
 
-    /// The whole range of layers.
+    /// The whole range of layers; none for a model without layers.
     #[must_use]
     pub fn whole(&self) -> Option<LayerRange> {
         LayerRange::new(0, self.layers).ok()
     }
+
+    /// Targets of the graph, in the order in which they were given.
+    #[must_use]
+    pub fn targets(&self) -> &[GraphTarget] {
+        &self.targets
+    }
+
+    /// Groups whose first layer is `layer`.
+    pub(crate) fn starting_at(&self, layer: u16) -> &[usize] {
+        self.starts.get(&layer).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn group_targets(model: &Model, targets: &[GraphTarget], places: &[PlaceName]) -> Vec<Group> {
+    let mut members = BTreeMap::<(LayerRange, usize), Vec<usize>>::new();
+    for (index, item) in targets.iter().enumerate() {
+        let Some(engine) = item.target.engine() else {
+            continue;
+        };
+        let Ok(place) = places.binary_search(&item.target.place) else {
+            continue;
+        };
+        if engine.layers.end() <= model.layers {
+            members
+                .entry((engine.layers, place))
+                .or_default()
+                .push(index);
+        }
+    }
+    let groups = members.into_iter().map(|((layers, place), members)| Group {
+        layers,
+        place,
+        capacity: members.iter().map(|index| targets[*index].capacity()).sum(),
+        members,
+    });
+    groups.collect()
+}
+
+fn convert_links(
+    model: &Model,
+    links: &[Link],
+    places: &[PlaceName],
+) -> BTreeMap<(usize, usize), u64> {
+    let mut converted = BTreeMap::new();
+    for link in links {
+        let from = places.binary_search(&link.from);
+        let to = places.binary_search(&link.to);
+        let (Ok(from), Ok(to)) = (from, to) else {
+            continue;
+        };
+        let bytes = u64::from(model.activation_bytes.max(1));
+        let units = link.bytes_per_s.saturating_mul(UNITS_PER_TOKEN) / bytes;
+        converted.insert((from, to), units);
+        converted.insert((to, from), units);
+    }
+    converted
 }
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -18,5 +18,5 @@
     LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
-pub use prefix::{CacheNews, PREFIX_BLOCK_TOKENS, PrefixDigest, PrefixIndex, digest_prefixes};
+pub use prefix::{CacheNews, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
 pub use router::{Router, RouterSettings, TargetInput, TargetView};
--- a/crates/mgw-route/src/prefix/mod.rs
+++ b/crates/mgw-route/src/prefix/mod.rs
@@ -4,4 +4,5 @@
 mod index;
 
 pub use digest::{PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
-pub use index::{CacheNews, PrefixIndex};
+pub use index::CacheNews;
+pub(crate) use index::PrefixIndex;
--- a/crates/mgw-route/src/router/settings.rs
+++ b/crates/mgw-route/src/router/settings.rs
@@ -17,10 +17,10 @@
     pub max_suspect_ms: Millis,
     /// A target without failure for this long counts as sound again.
     pub forgive_ms: Millis,
-    /// A cached prefix is followed while the target's load is at most this multiple of the average.
+    /// A cached prefix is followed while the target's load is at most this multiple of its share.
     pub affinity_load_factor: f64,
-    /// Most prefixes remembered for one target.
-    pub max_prefixes_per_target: usize,
+    /// Most prefixes remembered, each counted once for each target that holds it.
+    pub max_prefixes: usize,
     /// Settings of each target's latency limit.
     pub latency: LatencyLimitSettings,
 }
@@ -34,7 +34,7 @@
             max_suspect_ms: Millis(30_000),
             forgive_ms: Millis(60_000),
             affinity_load_factor: 1.25,
-            max_prefixes_per_target: 4_096,
+            max_prefixes: 65_536,
             latency: LatencyLimitSettings::default(),
         }
     }
--- a/crates/mgw-route/src/router/view.rs
+++ b/crates/mgw-route/src/router/view.rs
@@ -33,4 +33,6 @@
     pub latency_ms: Option<Millis>,
     /// Out of choice until this point after local failures.
     pub suspect_until: Option<Millis>,
+    /// Whether it takes new work, apart from local failures.
+    pub in_choice: bool,
 }
