--- a/crates/mgw-cli/src/args.rs
+++ b/crates/mgw-cli/src/args.rs
@@ -24,7 +24,13 @@
 #[command(name = "mgw", version, after_help = EXIT_CODES)]
 pub struct Args {
     /// Base URL of a control or an entry; tried in turn
-    #[arg(long, env = "MGW_AT", value_delimiter = ',', global = true, value_name = "URL")]
+    #[arg(
+        long,
+        env = "MGW_AT",
+        value_delimiter = ',',
+        global = true,
+        value_name = "URL"
+    )]
     pub at: Vec<String>,
     /// Your name as the configuration lists it
     #[arg(long, env = "MGW_OPERATOR", global = true, value_name = "NAME")]
--- a/crates/mgw-cli/src/client.rs
+++ b/crates/mgw-cli/src/client.rs
@@ -38,7 +38,11 @@
         });
         Ok(Self {
             http: client(),
-            urls: args.at.iter().map(|url| url.trim_end_matches('/').to_owned()).collect(),
+            urls: args
+                .at
+                .iter()
+                .map(|url| url.trim_end_matches('/').to_owned())
+                .collect(),
             operator: args.operator.clone(),
             key: key.transpose()?,
         })
@@ -66,16 +70,25 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<T, CliError> {
-        let mut last = CliError::Usage { message: "no address given".to_owned() };
+        let mut last = CliError::Usage {
+            message: "no address given".to_owned(),
+        };
         for url in &self.urls {
             match self.call_one(method, url, path, &body).await {
                 Ok(answer) => return Ok(answer),
                 Err(error @ CliError::Unreachable { .. }) => last = error,
-                Err(CliError::Refused { status, message, help })
-                    if status == StatusCode::SERVICE_UNAVAILABLE
-                        || status == StatusCode::NOT_FOUND =>
+                Err(CliError::Refused {
+                    status,
+                    message,
+                    help,
+                }) if status == StatusCode::SERVICE_UNAVAILABLE
+                    || status == StatusCode::NOT_FOUND =>
                 {
-                    last = CliError::Refused { status, message, help };
+                    last = CliError::Refused {
+                        status,
+                        message,
+                        help,
+                    };
                 }
                 Err(error) => return Err(error),
             }
@@ -90,9 +103,13 @@
         path: &str,
         body: &[u8],
     ) -> Result<T, CliError> {
-        let unreachable =
-            |message: String| CliError::Unreachable { url: url.to_owned(), message };
-        let mut request = Request::builder().method(method).uri(format!("{url}{path}"));
+        let unreachable = |message: String| CliError::Unreachable {
+            url: url.to_owned(),
+            message,
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("{url}{path}"));
         if let Some(operator) = &self.operator {
             request = request.header(OPERATOR_HEADER, operator);
         }
@@ -114,7 +131,15 @@
             message: String::from_utf8_lossy(&bytes).into_owned(),
             help: String::new(),
         });
-        let help = if refusal.help.is_empty() { String::new() } else { format!("; {}", refusal.help) };
-        Err(CliError::Refused { status: status.as_u16(), message: refusal.message, help })
+        let help = if refusal.help.is_empty() {
+            String::new()
+        } else {
+            format!("; {}", refusal.help)
+        };
+        Err(CliError::Refused {
+            status: status.as_u16(),
+            message: refusal.message,
+            help,
+        })
     }
 }
--- a/crates/mgw-cli/src/commands/audit.rs
+++ b/crates/mgw-cli/src/commands/audit.rs
@@ -37,18 +37,27 @@
         print_json(&records);
         return Ok(ExitStatus::Success);
     }
-    let mut table =
-        Table::new(&["NUMBER", "UNIX-MS", "OPERATOR", "ACTION", "SUBJECT", "BASE", "REVISION", "DETAIL"]);
+    let mut table = Table::new(&[
+        "NUMBER", "UNIX-MS", "OPERATOR", "ACTION", "SUBJECT", "BASE", "REVISION", "DETAIL",
+    ]);
     for record in records {
-        let revision = record.revision.map_or_else(|| "refused".to_owned(), |made| made.to_string());
+        let revision = record
+            .revision
+            .map_or_else(|| "refused".to_owned(), |made| made.to_string());
         table.push(vec![
             record.number.to_string(),
             record.at_unix_ms.to_string(),
             record.operator.to_string(),
             record.action,
             record.subject,
-            record.base.map_or_else(|| "-".to_owned(), |base| base.to_string()),
-            if record.accepted && record.revision.is_none() { "-".to_owned() } else { revision },
+            record
+                .base
+                .map_or_else(|| "-".to_owned(), |base| base.to_string()),
+            if record.accepted && record.revision.is_none() {
+                "-".to_owned()
+            } else {
+                revision
+            },
             record.detail.lines().next().unwrap_or_default().to_owned(),
         ]);
     }
--- a/crates/mgw-cli/src/commands/config_apply.rs
+++ b/crates/mgw-cli/src/commands/config_apply.rs
@@ -3,9 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use mgw_contract::operator::{
-    ApplyReply, ApplyRequest, CONFIG_PATH, ENTRIES_PATH, EntryStatus,
-};
+use mgw_contract::operator::{ApplyReply, ApplyRequest, CONFIG_PATH, ENTRIES_PATH, EntryStatus};
 use mgw_world::Revision;
 use tokio::time::{Instant, sleep};
 
@@ -33,10 +31,15 @@
     json: bool,
 ) -> Result<ExitStatus, CliError> {
     let text = read_config(change.file)?;
-    let change_id = change
-        .change_id
-        .map_or_else(|| format!("{:032x}", rand::random::<u128>()), ToOwned::to_owned);
-    let request = ApplyRequest { base: change.base, change_id, text };
+    let change_id = change.change_id.map_or_else(
+        || format!("{:032x}", rand::random::<u128>()),
+        ToOwned::to_owned,
+    );
+    let request = ApplyRequest {
+        base: change.base,
+        change_id,
+        text,
+    };
     let reply: ApplyReply = client.post(CONFIG_PATH, &request).await?;
     if json {
         print_json(&reply);
@@ -51,7 +54,11 @@
                 None => Ok(ExitStatus::Success),
             }
         }
-        ApplyReply::Conflict { current, winner_change_id, winner } => {
+        ApplyReply::Conflict {
+            current,
+            winner_change_id,
+            winner,
+        } => {
             if !json {
                 print_line(&format!(
                     "not accepted: revision {current} by {winner} (change {winner_change_id}) came \
@@ -80,8 +87,10 @@
     let until = Instant::now() + Duration::from_secs(limit_s);
     loop {
         let entries: Vec<EntryStatus> = client.get(ENTRIES_PATH).await?;
-        let lagging: Vec<&EntryStatus> =
-            entries.iter().filter(|entry| entry.revision < revision).collect();
+        let lagging: Vec<&EntryStatus> = entries
+            .iter()
+            .filter(|entry| entry.revision < revision)
+            .collect();
         if lagging.is_empty() {
             if !json {
                 print_line(&format!("in force at all {} entries", entries.len()));
@@ -90,7 +99,10 @@
         }
         if Instant::now() >= until {
             for entry in lagging {
-                print_line(&format!("{} has revision {} only", entry.name, entry.revision));
+                print_line(&format!(
+                    "{} has revision {} only",
+                    entry.name, entry.revision
+                ));
             }
             return Ok(ExitStatus::Lagging);
         }
--- a/crates/mgw-cli/src/commands/config_check.rs
+++ b/crates/mgw-cli/src/commands/config_check.rs
@@ -9,8 +9,10 @@
 
 /// Reads a configuration file.
 pub fn read_config(file: &Path) -> Result<String, CliError> {
-    std::fs::read_to_string(file)
-        .map_err(|source| CliError::File { path: file.display().to_string(), source })
+    std::fs::read_to_string(file).map_err(|source| CliError::File {
+        path: file.display().to_string(),
+        source,
+    })
 }
 
 /// Checks a file and lists all its faults.
--- a/crates/mgw-cli/src/commands/entries.rs
+++ b/crates/mgw-cli/src/commands/entries.rs
@@ -13,8 +13,15 @@
         print_json(&entries);
         return Ok(ExitStatus::Success);
     }
-    let mut table =
-        Table::new(&["ENTRY", "PLACE", "URL", "REVISION", "STATE", "IN-FLIGHT", "SILENT"]);
+    let mut table = Table::new(&[
+        "ENTRY",
+        "PLACE",
+        "URL",
+        "REVISION",
+        "STATE",
+        "IN-FLIGHT",
+        "SILENT",
+    ]);
     for entry in entries {
         table.push(vec![
             entry.name.to_string(),
@@ -22,7 +29,9 @@
             entry.url,
             entry.revision.to_string(),
             if entry.leaving { "leaving" } else { "serving" }.to_owned(),
-            entry.in_flight.to_string(),
+            entry
+                .in_flight
+                .map_or_else(|| "-".to_owned(), |count| count.to_string()),
             entry.silent_ms.to_string(),
         ]);
     }
--- a/crates/mgw-cli/src/commands/ledger.rs
+++ b/crates/mgw-cli/src/commands/ledger.rs
@@ -18,7 +18,14 @@
         print_json(&claims);
         return Ok(ExitStatus::Success);
     }
-    let mut table = Table::new(&["WORKSPACE", "SERVICE", "KEY", "STATE", "ENTRY", "CLAIMED-MS"]);
+    let mut table = Table::new(&[
+        "WORKSPACE",
+        "SERVICE",
+        "KEY",
+        "STATE",
+        "ENTRY",
+        "CLAIMED-MS",
+    ]);
     for claim in claims {
         let state = match claim.state {
             LedgerState::InProgress => "in progress".to_owned(),
@@ -44,6 +51,9 @@
     claim: &ResolveRequest,
 ) -> Result<ExitStatus, CliError> {
     let _: serde_json::Value = client.post(LEDGER_PATH, claim).await?;
-    print_line(&format!("recorded: {}", if claim.ran { "done" } else { "not run" }));
+    print_line(&format!(
+        "recorded: {}",
+        if claim.ran { "done" } else { "not run" }
+    ));
     Ok(ExitStatus::Success)
 }
--- a/crates/mgw-cli/src/commands/run.rs
+++ b/crates/mgw-cli/src/commands/run.rs
@@ -4,7 +4,9 @@
 use crate::client::Client;
 use crate::{CliError, ExitStatus};
 
-use super::{audit, config_apply, config_check, config_show, drain, entries, ledger, status, targets};
+use super::{
+    audit, config_apply, config_check, config_show, drain, entries, ledger, status, targets,
+};
 
 /// Runs the command that the arguments name.
 ///
@@ -21,12 +23,25 @@
             config_check::check_config(file, args.json)
         }
         Command::Config(ConfigCommand::Show) => config_show::show_config(&client, args.json).await,
-        Command::Config(ConfigCommand::Apply { file, base, change_id, wait }) => {
-            let change =
-                config_apply::Change { file, base: *base, change_id: change_id.as_deref() };
+        Command::Config(ConfigCommand::Apply {
+            file,
+            base,
+            change_id,
+            wait,
+        }) => {
+            let change = config_apply::Change {
+                file,
+                base: *base,
+                change_id: change_id.as_deref(),
+            };
             config_apply::apply_config(&client, change, *wait, args.json).await
         }
-        Command::Audit { by, action, refused, last } => {
+        Command::Audit {
+            by,
+            action,
+            refused,
+            last,
+        } => {
             let filter = audit::Filter {
                 by: by.as_deref(),
                 action: action.as_deref(),
@@ -42,7 +57,12 @@
         Command::Ledger(LedgerCommand::Show { unknown }) => {
             ledger::list_claims(&client, *unknown, args.json).await
         }
-        Command::Ledger(LedgerCommand::Resolve { workspace, service, key, ran }) => {
+        Command::Ledger(LedgerCommand::Resolve {
+            workspace,
+            service,
+            key,
+            ran,
+        }) => {
             let claim = mgw_contract::operator::ResolveRequest {
                 workspace: workspace.clone(),
                 service: service.clone(),
--- a/crates/mgw-cli/src/commands/status.rs
+++ b/crates/mgw-cli/src/commands/status.rs
@@ -13,14 +13,23 @@
         print_json(&status);
         return Ok(ExitStatus::Success);
     }
-    let leader = status.leader.as_ref().map_or("none known", |leader| leader.as_str());
+    let leader = status
+        .leader
+        .as_ref()
+        .map_or("none known", |leader| leader.as_str());
     print_line(&format!("seen by     {}", status.node));
     print_line(&format!("revision    {}", status.revision));
     print_line(&format!("leader      {leader}"));
-    print_line(&format!("quorum      {}", if status.has_quorum { "yes" } else { "no" }));
+    print_line(&format!(
+        "quorum      {}",
+        if status.has_quorum { "yes" } else { "no" }
+    ));
     print_line(&format!("entries     {}", status.entries));
     print_line(&format!("targets     {}", status.targets));
-    print_line(&format!("unknown     {} ledger claims", status.ledger_unknown));
+    print_line(&format!(
+        "unknown     {} ledger claims",
+        status.ledger_unknown
+    ));
     for (model, figures) in &status.models {
         print_line(&format!(
             "model       {model}: {} of {} tokens/s",
@@ -35,7 +44,9 @@
                 replica.role.clone(),
                 if replica.votes { "yes" } else { "no" }.to_owned(),
                 replica.matched.to_string(),
-                replica.silent_ms.map_or_else(|| "-".to_owned(), |silent| silent.to_string()),
+                replica
+                    .silent_ms
+                    .map_or_else(|| "-".to_owned(), |silent| silent.to_string()),
             ]);
         }
         table.print();
--- a/crates/mgw-cli/src/commands/targets.rs
+++ b/crates/mgw-cli/src/commands/targets.rs
@@ -13,8 +13,15 @@
         print_json(&targets);
         return Ok(ExitStatus::Success);
     }
-    let mut table =
-        Table::new(&["TARGET", "PLACE", "DUTY", "STATE", "IN-CHOICE", "IN-FLIGHT", "AGE"]);
+    let mut table = Table::new(&[
+        "TARGET",
+        "PLACE",
+        "DUTY",
+        "STATE",
+        "IN-CHOICE",
+        "IN-FLIGHT",
+        "AGE",
+    ]);
     for target in targets {
         table.push(vec![
             target.name.to_string(),
--- a/crates/mgw-cli/src/output.rs
+++ b/crates/mgw-cli/src/output.rs
@@ -24,7 +24,14 @@
 impl Table {
     /// A table with its headings.
     pub fn new(headings: &[&str]) -> Self {
-        Self { rows: vec![headings.iter().map(|heading| (*heading).to_owned()).collect()] }
+        Self {
+            rows: vec![
+                headings
+                    .iter()
+                    .map(|heading| (*heading).to_owned())
+                    .collect(),
+            ],
+        }
     }
 
     /// Adds a row.
@@ -41,7 +48,10 @@
         };
         let widths: Vec<usize> = (0..columns).map(width).collect();
         for row in &self.rows {
-            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            let cells = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, width)| format!("{cell:<width$}"));
             print_line(cells.collect::<Vec<_>>().join("  ").trim_end());
         }
     }
--- a/crates/mgw-contract/src/caller.rs
+++ b/crates/mgw-contract/src/caller.rs
@@ -11,6 +11,8 @@
 pub const SERVICES_PATH: &str = "/v1/services/";
 /// Header naming the caller's workspace.
 pub const WORKSPACE_HEADER: &str = "x-mgw-workspace";
+/// Header naming the zone that the caller stands in, on the address call.
+pub const PLACE_HEADER: &str = "x-mgw-place";
 /// Header with the caller's idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Header with the request id, on every answer.
--- a/crates/mgw-contract/src/operator.rs
+++ b/crates/mgw-contract/src/operator.rs
@@ -58,8 +58,8 @@
     pub revision: Revision,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Requests in flight there.
-    pub in_flight: u32,
+    /// Requests in flight there, if the process that answers knows.
+    pub in_flight: Option<u32>,
     /// Time since it was last heard.
     pub silent_ms: Millis,
 }
--- a/crates/mgw-control/src/duties.rs
+++ b/crates/mgw-control/src/duties.rs
@@ -32,8 +32,16 @@
 /// Does the duties of this control until it ends.
 pub async fn run_duties(app: Arc<App>) {
     let mut memory = Memory::default();
-    while app.shutdown.graceful.run_until_cancelled(sleep(ROUND_MS.to_duration())).await.is_some() {
-        let Some(report) = app.replica.describe().await else { return };
+    while app
+        .shutdown
+        .graceful
+        .run_until_cancelled(sleep(ROUND_MS.to_duration()))
+        .await
+        .is_some()
+    {
+        let Some(report) = app.replica.describe().await else {
+            return;
+        };
         show_metrics(&app, &report);
         if report.holds_lease {
             lead(&app, &report, &mut memory).await;
@@ -51,13 +59,18 @@
     metrics.syncs.set(to_gauge(report.syncs));
     let state = app.replica.state.read();
     metrics.applied.set(to_gauge(state.applied()));
-    metrics.unknown_claims.set(i64::from(state.ledger().unknown_count()));
+    metrics
+        .unknown_claims
+        .set(i64::from(state.ledger().unknown_count()));
 }
 
 async fn lead(app: &App, report: &ReplicaReport, memory: &mut Memory) {
     if memory.fenced_term != report.term.0 {
         let fence = FenceNumber(report.term.0);
-        let action = Action::SetFence { fence, leader: app.settings.name.clone() };
+        let action = Action::SetFence {
+            fence,
+            leader: app.settings.name.clone(),
+        };
         if app.replica.submit(action).await.is_ok() {
             memory.fenced_term = report.term.0;
         }
@@ -74,7 +87,10 @@
 /// Declares entries lost that hold claims and are gone, so that nobody waits for them.
 async fn declare_lost_entries(app: &App) {
     let claimants = app.replica.state.read().ledger().claimants();
-    for claimant in claimants.into_iter().filter(|claimant| is_lost(app, claimant)) {
+    for claimant in claimants
+        .into_iter()
+        .filter(|claimant| is_lost(app, claimant))
+    {
         info!(%claimant, "entry is lost; its open claims become unknown");
         if let Err(error) = app.replica.submit(Action::EntryLost { claimant }).await {
             warn!(%error, "couldn't declare the entry lost");
@@ -98,8 +114,14 @@
 
 /// Gives learners a vote, one at a time, in place of an unreachable replica of the same name.
 async fn arrange_members(app: &App, report: &ReplicaReport) {
-    let Some(learner) = report.membership.learners.iter().next() else { return };
-    let former = report.membership.voters.iter().find(|voter| voter.name == learner.name);
+    let Some(learner) = report.membership.learners.iter().next() else {
+        return;
+    };
+    let former = report
+        .membership
+        .voters
+        .iter()
+        .find(|voter| voter.name == learner.name);
     let change = match former {
         Some(former) if report.reachable.contains(former) => return,
         Some(former) => MemberChange::Remove(former.clone()),
@@ -117,7 +139,12 @@
         return;
     }
     memory.joined_at = now;
-    for peer in app.settings.controls.iter().filter(|peer| peer.name != app.settings.name) {
+    for peer in app
+        .settings
+        .controls
+        .iter()
+        .filter(|peer| peer.name != app.settings.name)
+    {
         let request = JoinRequest {
             replica: ReplicaId::clone(&report.id),
             address: app.settings.peer_listen,
--- a/crates/mgw-control/src/founding.rs
+++ b/crates/mgw-control/src/founding.rs
@@ -16,16 +16,19 @@
 ///
 /// # Errors
 /// Names the control that holds a log already.
-pub async fn check_others_empty(
-    settings: &ControlSettings,
-    pool: &PeerPool,
-) -> Result<(), String> {
-    for peer in settings.controls.iter().filter(|peer| peer.name != settings.name) {
+pub async fn check_others_empty(settings: &ControlSettings, pool: &PeerPool) -> Result<(), String> {
+    for peer in settings
+        .controls
+        .iter()
+        .filter(|peer| peer.name != settings.name)
+    {
         loop {
             let answer = pool
-                .call(peer.address, ANSWER_LIMIT_MS, |client, context| async move {
-                    client.founding(context).await
-                })
+                .call(
+                    peer.address,
+                    ANSWER_LIMIT_MS,
+                    |client, context| async move { client.founding(context).await },
+                )
                 .await;
             match answer {
                 Ok(Ok(FoundingState { is_empty: true, .. })) => break,
--- a/crates/mgw-control/src/members.rs
+++ b/crates/mgw-control/src/members.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
-use mgw_world::{Clock, Incarnation, Millis};
+use mgw_world::{Clock, Incarnation, Millis, Revision};
 use parking_lot::Mutex;
 
 use crate::settings::ControlSettings;
@@ -19,7 +19,14 @@
         url: String::new(),
         weight: 0,
         phase: NodePhase::Serving,
+        revision: Revision(0),
     };
     let seeds: Vec<_> = settings.controls.iter().map(|peer| peer.address).collect();
-    Arc::new(Mutex::new(View::new(MemberSettings::default(), me, &seeds, seed, now)))
+    Arc::new(Mutex::new(View::new(
+        MemberSettings::default(),
+        me,
+        &seeds,
+        seed,
+        now,
+    )))
 }
--- a/crates/mgw-control/src/metrics.rs
+++ b/crates/mgw-control/src/metrics.rs
@@ -39,12 +39,19 @@
             )?,
             view_bytes: IntCounter::new("mgw_view_bytes_total", "Bytes of views exchanged.")?,
         };
-        let gauges =
-            [&metrics.leads, &metrics.term, &metrics.applied, &metrics.syncs, &metrics.unknown_claims];
+        let gauges = [
+            &metrics.leads,
+            &metrics.term,
+            &metrics.applied,
+            &metrics.syncs,
+            &metrics.unknown_claims,
+        ];
         for gauge in gauges {
             metrics.registry.register(Box::new(gauge.clone()))?;
         }
-        metrics.registry.register(Box::new(metrics.view_bytes.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.view_bytes.clone()))?;
         Ok(metrics)
     }
 }
--- a/crates/mgw-control/src/operator/auth.rs
+++ b/crates/mgw-control/src/operator/auth.rs
@@ -18,9 +18,15 @@
     pub fn of<B>(request: &Request<B>) -> Self {
         let header = |name| {
             let value = request.headers().get(name);
-            value.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+            value
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
         };
-        Self { operator: OperatorName::from(header(OPERATOR_HEADER)), key: header(OPERATOR_KEY_HEADER) }
+        Self {
+            operator: OperatorName::from(header(OPERATOR_HEADER)),
+            key: header(OPERATOR_KEY_HEADER),
+        }
     }
 
     /// Whether an inventory lists the operator with this key.
--- a/crates/mgw-control/src/operator/read.rs
+++ b/crates/mgw-control/src/operator/read.rs
@@ -17,7 +17,10 @@
     app.replica.confirm_read().await?;
     let state = app.replica.state.read();
     let config = state.config();
-    Ok(ConfigReply { revision: config.revision(), text: config.text().to_owned() })
+    Ok(ConfigReply {
+        revision: config.revision(),
+        text: config.text().to_owned(),
+    })
 }
 
 /// The audit trail, confirmed by a quorum.
@@ -37,14 +40,16 @@
     let now = app.clock.now();
     let view = app.view.lock();
     let nodes = view.nodes(now);
-    let entries = nodes.iter().filter(|node| node.info.role == NodeRole::Entry && node.is_alive);
+    let entries = nodes
+        .iter()
+        .filter(|node| node.info.role == NodeRole::Entry && node.is_alive);
     let describe = |node: &mgw_member::NodeStatus<'_>| EntryStatus {
         name: EntryName::from(node.info.name.as_str()),
         place: node.info.place.clone(),
         url: node.info.url.clone(),
         revision: node.info.revision,
         leaving: node.info.phase == NodePhase::Leaving,
-        in_flight: 0,
+        in_flight: None,
         silent_ms: node.age_ms,
     };
     entries.map(describe).collect()
@@ -59,7 +64,10 @@
         place: status.target.place.clone(),
         duty: match &status.target.duty {
             TargetDuty::Engine(engine) => {
-                format!("{} {} layers {}", engine.model, engine.version, engine.layers)
+                format!(
+                    "{} {} layers {}",
+                    engine.model, engine.version, engine.layers
+                )
             }
             TargetDuty::Plain { service } => service.to_string(),
         },
@@ -92,7 +100,9 @@
         attention.push("no leader is known; changes and claims wait for a quorum".to_owned());
     }
     if ledger_unknown > 0 {
-        attention.push(format!("{ledger_unknown} calls have an unknown outcome; see mgw ledger show"));
+        attention.push(format!(
+            "{ledger_unknown} calls have an unknown outcome; see mgw ledger show"
+        ));
     }
     for place in app.view.lock().places(app.clock.now()) {
         if place.is_cut_off {
--- a/crates/mgw-control/src/operator/web.rs
+++ b/crates/mgw-control/src/operator/web.rs
@@ -54,7 +54,11 @@
                 Err(response) => *response,
             }
         }
-        _ => refuse(StatusCode::NOT_FOUND, format!("no such path: {path}"), "see mgw --help"),
+        _ => refuse(
+            StatusCode::NOT_FOUND,
+            format!("no such path: {path}"),
+            "see mgw --help",
+        ),
     }
 }
 
@@ -82,9 +86,11 @@
             let help = "name and key are those of an operator in the configuration";
             refuse(StatusCode::FORBIDDEN, error.to_string(), help)
         }
-        Err(error @ WriteError::Refused { .. }) => {
-            refuse(StatusCode::CONFLICT, error.to_string(), "see mgw ledger show")
-        }
+        Err(error @ WriteError::Refused { .. }) => refuse(
+            StatusCode::CONFLICT,
+            error.to_string(),
+            "see mgw ledger show",
+        ),
     }
 }
 
@@ -98,5 +104,11 @@
 }
 
 fn refuse(status: StatusCode, message: String, help: &str) -> Response<Body> {
-    json_response(status, &OperatorError { message, help: help.to_owned() })
+    json_response(
+        status,
+        &OperatorError {
+            message,
+            help: help.to_owned(),
+        },
+    )
 }
--- a/crates/mgw-control/src/operator/write.rs
+++ b/crates/mgw-control/src/operator/write.rs
@@ -51,9 +51,20 @@
         }
     };
     if !is_allowed {
-        refuse(app, credentials, "apply", &change.change_id, Some(change.base)).await?;
+        refuse(
+            app,
+            credentials,
+            "apply",
+            &change.change_id,
+            Some(change.base),
+        )
+        .await?;
     }
-    match app.replica.submit(Action::ApplyConfig(Box::new(change))).await? {
+    match app
+        .replica
+        .submit(Action::ApplyConfig(Box::new(change)))
+        .await?
+    {
         Reply::Config(reply) => Ok(reply),
         other => Err(unexpected(&other)),
     }
@@ -68,7 +79,11 @@
     let name = format!("{subject:?}");
     check_operator(app, credentials, "drain", &name).await?;
     let operator = credentials.operator.clone();
-    match app.replica.submit(Action::Drain { operator, subject }).await? {
+    match app
+        .replica
+        .submit(Action::Drain { operator, subject })
+        .await?
+    {
         Reply::Drain { .. } => Ok(()),
         other => Err(unexpected(&other)),
     }
@@ -82,17 +97,21 @@
 ) -> Result<(), WriteError> {
     check_operator(app, credentials, "resolve", request.key.as_str()).await?;
     let operator = credentials.operator.clone();
-    match app.replica.submit(Action::Resolve { operator, request }).await? {
+    match app
+        .replica
+        .submit(Action::Resolve { operator, request })
+        .await?
+    {
         Reply::Resolve(ResolveReply::Resolved { .. }) => Ok(()),
-        Reply::Resolve(ResolveReply::InProgress) => {
-            Err(WriteError::Refused { message: "an entry still holds the claim".to_owned() })
-        }
-        Reply::Resolve(ResolveReply::AlreadyEnded { outcome }) => {
-            Err(WriteError::Refused { message: format!("the call has ended already: {outcome}") })
-        }
-        Reply::Resolve(ResolveReply::NoClaim) => {
-            Err(WriteError::Refused { message: "there is no such claim".to_owned() })
-        }
+        Reply::Resolve(ResolveReply::InProgress) => Err(WriteError::Refused {
+            message: "an entry still holds the claim".to_owned(),
+        }),
+        Reply::Resolve(ResolveReply::AlreadyEnded { outcome }) => Err(WriteError::Refused {
+            message: format!("the call has ended already: {outcome}"),
+        }),
+        Reply::Resolve(ResolveReply::NoClaim) => Err(WriteError::Refused {
+            message: "there is no such claim".to_owned(),
+        }),
         other => Err(unexpected(&other)),
     }
 }
@@ -104,7 +123,11 @@
     subject: &str,
 ) -> Result<(), WriteError> {
     let is_allowed = credentials.are_accepted_by(app.replica.state.read().inventory());
-    if is_allowed { Ok(()) } else { refuse(app, credentials, action, subject, None).await }
+    if is_allowed {
+        Ok(())
+    } else {
+        refuse(app, credentials, action, subject, None).await
+    }
 }
 
 /// Puts the refused call into the audit trail.
@@ -127,5 +150,7 @@
 }
 
 fn unexpected(reply: &Reply) -> WriteError {
-    WriteError::Refused { message: format!("unexpected reply: {reply:?}") }
+    WriteError::Refused {
+        message: format!("unexpected reply: {reply:?}"),
+    }
 }
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -4,9 +4,7 @@
 
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
-use mgw_peer::{
-    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc,
-};
+use mgw_peer::{ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc};
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_state::{Command, ConfigUpdate, Reply};
 use tarpc::context::Context;
@@ -26,7 +24,9 @@
 
 impl PeerServer {
     fn app(&self) -> Result<&Arc<App>, PeerError> {
-        let starting = || PeerError::Refused { message: "the control is starting".to_owned() };
+        let starting = || PeerError::Refused {
+            message: "the control is starting".to_owned(),
+        };
         self.app.get().ok_or_else(starting)
     }
 }
@@ -35,7 +35,11 @@
     async fn exchange(self, _: Context, exchange: Exchange) -> ExchangeReply {
         match self.app() {
             Ok(app) => app.view.lock().take_exchange(&exchange, app.clock.now()),
-            Err(_) => ExchangeReply { from: exchange.from, buckets: Vec::new(), deltas: Vec::new() },
+            Err(_) => ExchangeReply {
+                from: exchange.from,
+                buckets: Vec::new(),
+                deltas: Vec::new(),
+            },
         }
     }
 
@@ -53,10 +57,15 @@
     }
 
     async fn founding(self, _: Context) -> Result<FoundingState, PeerError> {
-        let Ok(app) = self.app() else { return Ok(self.founding) };
+        let Ok(app) = self.app() else {
+            return Ok(self.founding);
+        };
         let report = app.replica.describe().await.ok_or(PeerError::Ending)?;
         let is_empty = report.membership.voters.is_empty() && report.damage.is_none();
-        Ok(FoundingState { replica: report.id, is_empty })
+        Ok(FoundingState {
+            replica: report.id,
+            is_empty,
+        })
     }
 
     async fn join(self, _: Context, request: JoinRequest) -> Result<(), PeerError> {
@@ -67,7 +76,9 @@
         if report.membership.is_member(&request.replica) {
             return Ok(());
         }
-        app.replica.change(MemberChange::AddLearner(request.replica)).await
+        app.replica
+            .change(MemberChange::AddLearner(request.replica))
+            .await
     }
 }
 
@@ -77,7 +88,10 @@
     if app.settings.address_of(name) == Some(request.address) {
         return Ok(());
     }
-    let message = format!("the settings of {} name no control {name} there", app.settings.name);
+    let message = format!(
+        "the settings of {} name no control {name} there",
+        app.settings.name
+    );
     Err(PeerError::Refused { message })
 }
 
@@ -94,7 +108,10 @@
         if is_news || wait.0 == 0 {
             return Ok(ConfigAnswer { update, drains });
         }
-        let changed = timeout(wait.to_duration(), wait_for_config(app, &mut applied, &question));
+        let changed = timeout(
+            wait.to_duration(),
+            wait_for_config(app, &mut applied, &question),
+        );
         let _ = changed.await;
     }
 }
@@ -115,12 +132,22 @@
 
 fn read_config(app: &App, question: &ConfigQuestion) -> (Option<ConfigUpdate>, Vec<DrainRequest>) {
     let state = app.replica.state.read();
-    let entries = state.drained_entries().iter().cloned().map(DrainRequest::Entry);
-    let targets = state.drained_targets().iter().cloned().map(DrainRequest::Target);
+    let entries = state
+        .drained_entries()
+        .iter()
+        .cloned()
+        .map(DrainRequest::Entry);
+    let targets = state
+        .drained_targets()
+        .iter()
+        .cloned()
+        .map(DrainRequest::Target);
     let drains = entries.chain(targets).collect();
     let config = state.config();
     let is_current = config.revision() == question.have
-        && question.digest.is_none_or(|digest| digest == config.digest());
+        && question
+            .digest
+            .is_none_or(|digest| digest == config.digest());
     let update = if is_current {
         None
     } else if question.have >= config.revision() {
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -188,8 +188,14 @@
     }
 
     fn propose(&mut self, action: Action, answer: Answer<Reply>) {
-        let command = Command { at_unix_ms: Clock::wall(), action };
-        match self.replica.propose(encode(&command), self.start.clock.now()) {
+        let command = Command {
+            at_unix_ms: Clock::wall(),
+            action,
+        };
+        match self
+            .replica
+            .propose(encode(&command), self.start.clock.now())
+        {
             Ok((term, index)) => {
                 self.proposals.insert(index, Proposal { term, answer });
             }
@@ -229,8 +235,12 @@
     }
 
     fn hand_over(&mut self) {
-        let Some(successor) = self.replica.best_successor() else { return };
-        let handed = self.replica.transfer(successor.clone(), self.start.clock.now());
+        let Some(successor) = self.replica.best_successor() else {
+            return;
+        };
+        let handed = self
+            .replica
+            .transfer(successor.clone(), self.start.clock.now());
         if handed.is_ok() {
             info!(%successor, "handing leadership over");
         }
@@ -265,7 +275,9 @@
             Payload::Noop | Payload::Membership(_) => None,
         };
         self.start.applied.send_replace(index.0);
-        let Some(proposal) = self.proposals.remove(&index) else { return };
+        let Some(proposal) = self.proposals.remove(&index) else {
+            return;
+        };
         let answer = match reply {
             Some(reply) if proposal.term == entry.term => Ok(reply),
             _ => Err(self.not_leader()),
@@ -295,17 +307,22 @@
     }
 
     fn not_leader(&self) -> PeerError {
-        let leader = self.replica.leader().map(|id| NodeName::from(id.name.as_str()));
+        let leader = self
+            .replica
+            .leader()
+            .map(|id| NodeName::from(id.name.as_str()));
         PeerError::NotLeader { leader }
     }
 
     fn explain(&self, refusal: &QuorumError) -> PeerError {
         match refusal {
             QuorumError::NotLeader { .. } | QuorumError::NotReady => self.not_leader(),
-            QuorumError::Transferring { target } => {
-                PeerError::NotLeader { leader: Some(NodeName::from(target.name.as_str())) }
-            }
-            other => PeerError::Refused { message: other.to_string() },
+            QuorumError::Transferring { target } => PeerError::NotLeader {
+                leader: Some(NodeName::from(target.name.as_str())),
+            },
+            other => PeerError::Refused {
+                message: other.to_string(),
+            },
         }
     }
 
@@ -320,12 +337,18 @@
             silent_ms: None,
         };
         let voters = membership.voters.iter().map(|id| describe_member(id, true));
-        let learners = membership.learners.iter().map(|id| describe_member(id, false));
+        let learners = membership
+            .learners
+            .iter()
+            .map(|id| describe_member(id, false));
         let report = ReplicaReport {
             id: self.replica.id().clone(),
             role: self.replica.role(),
             term: self.replica.term(),
-            leader: self.replica.leader().map(|id| NodeName::from(id.name.as_str())),
+            leader: self
+                .replica
+                .leader()
+                .map(|id| NodeName::from(id.name.as_str())),
             holds_lease: self.replica.is_leader_at(self.start.clock.now()),
             replicas: voters.chain(learners).collect(),
             membership,
--- a/crates/mgw-control/src/replica/handle.rs
+++ b/crates/mgw-control/src/replica/handle.rs
@@ -46,7 +46,8 @@
     /// # Errors
     /// When this control doesn't lead, or no quorum confirmed in time.
     pub async fn submit(&self, action: Action) -> Result<Reply, PeerError> {
-        self.ask(|answer| ReplicaMessage::Submit(Box::new(action), answer)).await
+        self.ask(|answer| ReplicaMessage::Submit(Box::new(action), answer))
+            .await
     }
 
     /// Waits until a quorum confirmed that this control leads, so that `state` holds all that was
@@ -63,7 +64,8 @@
     /// # Errors
     /// When this control doesn't lead or the change isn't possible now.
     pub async fn change(&self, change: MemberChange) -> Result<(), PeerError> {
-        self.ask(|answer| ReplicaMessage::Change(change, answer)).await
+        self.ask(|answer| ReplicaMessage::Change(change, answer))
+            .await
     }
 
     /// Describes the replica; none when the process is ending.
@@ -73,9 +75,14 @@
         answered.await.ok()
     }
 
-    async fn ask<T>(&self, message: impl FnOnce(Answer<T>) -> ReplicaMessage) -> Result<T, PeerError> {
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(Answer<T>) -> ReplicaMessage,
+    ) -> Result<T, PeerError> {
         let (answer, answered) = oneshot::channel();
-        self.actor.cast(message(answer)).map_err(|_| PeerError::Ending)?;
+        self.actor
+            .cast(message(answer))
+            .map_err(|_| PeerError::Ending)?;
         match timeout(self.commit_limit_ms.to_duration(), answered).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => Err(PeerError::NotConfirmed),
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use mgw_peer::{
-    FoundingState, PeerPool, Spread, bind_peer_listener, run_spread, serve_peers,
+    FoundingState, PeerPool, Spread, answer_peers, bind_peer_listener, run_spread, serve_peers,
 };
 use mgw_quorum::{Recovered, Replica, ReplicaId, Storage};
 use mgw_serve::Shutdown;
@@ -90,7 +90,11 @@
         "starting"
     );
     let is_empty = server.founding.is_empty;
-    let serving_peers = tokio::spawn(serve_peers(peers, server.clone(), ended.clone()));
+    let serving_peers = tokio::spawn(serve_peers(
+        peers,
+        answer_peers!(server.clone()),
+        ended.clone(),
+    ));
     if found && is_empty {
         let checking = check_others_empty(&settings, &pool);
         match shutdown.graceful.run_until_cancelled(checking).await {
@@ -124,11 +128,19 @@
     let clock = Clock::monotonic();
     let id: ReplicaId = storage.id().clone();
     let seed = rand::random();
-    let others = settings.controls.iter().filter(|peer| peer.name != settings.name);
+    let others = settings
+        .controls
+        .iter()
+        .filter(|peer| peer.name != settings.name);
     let addresses = others.map(|peer| (peer.name.to_string(), peer.address));
     let senders = Senders::start(&pool, addresses);
-    let replica =
-        Replica::new(id, settings.quorum.to_settings(), recovered, clock.now(), seed);
+    let replica = Replica::new(
+        id,
+        settings.quorum.to_settings(),
+        recovered,
+        clock.now(),
+        seed,
+    );
     let (applied_sender, applied) = watch::channel(0);
     let state: SharedState = start_state();
     let start = ReplicaStart {
@@ -146,7 +158,12 @@
     tokio::spawn(tick(actor.clone()));
     let commit_limit_ms = settings.quorum.commit_limit_ms;
     Ok(Arc::new(App {
-        replica: ReplicaHandle { actor, state, applied, commit_limit_ms },
+        replica: ReplicaHandle {
+            actor,
+            state,
+            applied,
+            commit_limit_ms,
+        },
         view: start_view(&settings, seed, clock.now()),
         metrics: Metrics::new().map_err(|error| start_error(&error))?,
         settings,
@@ -173,7 +190,10 @@
         count_bytes: Arc::new(move |bytes| view_bytes.inc_by(bytes)),
     };
     tokio::spawn(run_spread(spread, ended.clone()));
-    vec![tokio::spawn(serving), tokio::spawn(run_duties(Arc::clone(app)))]
+    vec![
+        tokio::spawn(serving),
+        tokio::spawn(run_duties(Arc::clone(app))),
+    ]
 }
 
 async fn tick(actor: ActorRef<ReplicaMessage>) {
@@ -187,7 +207,9 @@
     let _ = replica.actor.cast(ReplicaMessage::HandOver);
     let mut waited = Millis::ZERO;
     while waited < HAND_OVER_LIMIT_MS {
-        let Some(report) = replica.describe().await else { return };
+        let Some(report) = replica.describe().await else {
+            return;
+        };
         let leads = report.role == mgw_quorum::Role::Leader;
         if !leads || report.membership.voters.len() == 1 {
             return;
@@ -211,18 +233,28 @@
 
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| RunError::Listen { address: address.to_string(), source })
+    bound.map_err(|source| RunError::Listen {
+        address: address.to_string(),
+        source,
+    })
 }
 
 async fn listen_peers(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
     let bound = bind_peer_listener(address).await;
-    bound.map_err(|source| RunError::Listen { address: address.to_string(), source })
+    bound.map_err(|source| RunError::Listen {
+        address: address.to_string(),
+        source,
+    })
 }
 
 fn data_error(error: &impl ToString) -> RunError {
-    RunError::Data { message: error.to_string() }
+    RunError::Data {
+        message: error.to_string(),
+    }
 }
 
 fn start_error(error: &impl ToString) -> RunError {
-    RunError::Start { message: error.to_string() }
+    RunError::Start {
+        message: error.to_string(),
+    }
 }
--- /dev/null
+++ b/crates/mgw-entry/src/announce.rs
@@ -0,0 +1,57 @@
+//! Announcements of targets.
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use mgw_contract::operator::OperatorError;
+use mgw_contract::target::{AnnounceReply, Announcement};
+use mgw_member::AnnounceOutcome;
+use mgw_route::CacheNews;
+use mgw_serve::http::{Body, json_response, read_json};
+
+use crate::app::App;
+
+/// Takes an announcement in and answers with the lease.
+pub async fn handle_announcement(app: &App, request: Request<Incoming>) -> Response<Body> {
+    let announcement: Announcement = match read_json(request.into_body()).await {
+        Ok(announcement) => announcement,
+        Err(error) => {
+            let help = "send an announcement as the interface page describes".to_owned();
+            let refusal = OperatorError {
+                message: error.to_string(),
+                help,
+            };
+            return json_response(StatusCode::BAD_REQUEST, &refusal);
+        }
+    };
+    let now = app.clock.now();
+    let target = &announcement.target;
+    let (outcome, lease_ms, renew_ms) = {
+        let mut view = app.members.view.lock();
+        let outcome = view.announce(&announcement, now);
+        (outcome, view.settings().lease_ms, view.settings().renew_ms)
+    };
+    let news = app.router.lock().update_cache(
+        &target.name,
+        target.incarnation,
+        &announcement.cache_events,
+    );
+    let (incarnation, drain) = match outcome {
+        AnnounceOutcome::Renewed { drain } => (target.incarnation, drain),
+        AnnounceOutcome::Outdated { known } => (known, false),
+    };
+    let alternatives = app
+        .other_entries()
+        .into_iter()
+        .map(|entry| entry.url)
+        .collect();
+    let reply = AnnounceReply {
+        name: target.name.clone(),
+        incarnation,
+        lease_ms,
+        renew_ms,
+        alternatives,
+        drain,
+        resend_cache: news != CacheNews::Current,
+    };
+    json_response(StatusCode::OK, &reply)
+}
--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -1,5 +1,6 @@
 //! What the parts of an entry share.
 
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -8,11 +9,13 @@
 use mgw_pipe::StepTimes;
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
-use mgw_world::{Clock, RequestId, TargetName, WorkspaceName};
+use mgw_serve::http::{HttpClient, client, unpooled_client};
+use mgw_world::{Clock, Millis, ModelName, RequestId, TargetName, WorkspaceName};
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::config::ConfigHolder;
@@ -21,8 +24,33 @@
 use crate::gate::Gate;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::services::PlainBalance;
 use crate::settings::EntrySettings;
 
+/// How many samples of token counts make the rate that is shown.
+const RATE_SAMPLES: usize = 30;
+/// Age of the last answer of a leader up to which a quorum counts as within reach.
+const QUORUM_AGE_MS: Millis = Millis(4_000);
+
+/// Tokens generated for a model.
+#[derive(Debug, Default)]
+struct TokenCount {
+    total: u64,
+    samples: VecDeque<(Millis, u64)>,
+}
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlight {
+    app: Arc<App>,
+    id: RequestId,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.app.in_flight.lock().remove(&self.id);
+    }
+}
+
 /// What the parts of an entry share.
 pub struct App {
     /// Settings of the process.
@@ -51,8 +79,22 @@
     pub engines: EngineClient,
     /// Client of the controls.
     pub controls: Controls,
-    /// Requests that run.
+    /// Client of plain services.
+    pub plain_client: HttpClient,
+    /// Client of plain services for calls that run at most once; each has a connection of its own.
+    pub once_client: HttpClient,
+    /// Calls in flight at plain services.
+    pub plain: PlainBalance,
+    /// Tasks that must end before the process does.
     pub runs: TaskTracker,
+    /// Requests in flight.
+    pub in_flight: Mutex<BTreeSet<RequestId>>,
+    /// Targets that an operator asked to leave.
+    pub drained_targets: Mutex<BTreeSet<TargetName>>,
+    /// Cancelled when this entry shall leave.
+    pub leaving: CancellationToken,
+    tokens_by_model: Mutex<BTreeMap<ModelName, TokenCount>>,
+    quorum_at: Mutex<Option<Millis>>,
     refuses: AtomicBool,
     ids: Mutex<ChaCha12Rng>,
 }
@@ -68,7 +110,10 @@
         seed: u64,
     ) -> Result<Arc<Self>, prometheus::Error> {
         let clock = Clock::monotonic();
-        let router_settings = RouterSettings { seed, ..RouterSettings::default() };
+        let router_settings = RouterSettings {
+            seed,
+            ..RouterSettings::default()
+        };
         Ok(Arc::new(Self {
             metrics: Metrics::new()?,
             config: ConfigHolder::new(settings.data.clone()),
@@ -80,7 +125,15 @@
             times: Mutex::new(StepTimes::new(settings.times.clone())),
             engines: EngineClient::default(),
             controls: Controls::new(&settings.controls),
+            plain_client: client(),
+            once_client: unpooled_client(),
+            plain: PlainBalance::default(),
             runs: TaskTracker::new(),
+            in_flight: Mutex::default(),
+            drained_targets: Mutex::default(),
+            leaving: shutdown.graceful.child_token(),
+            tokens_by_model: Mutex::default(),
+            quorum_at: Mutex::default(),
             refuses: AtomicBool::new(false),
             ids: Mutex::new(ChaCha12Rng::seed_from_u64(seed)),
             settings,
@@ -116,7 +169,8 @@
     /// Entries other than this one that a caller may use.
     #[must_use]
     pub fn other_entries(&self) -> Vec<EntryAddress> {
-        self.members.other_entries(self.clock.now())
+        self.members
+            .other_entries(self.ids.lock().random(), self.clock.now())
     }
 
     /// Takes in the time of a step.
@@ -136,4 +190,78 @@
     pub fn suspect(&self, target: &TargetName) {
         self.router.lock().suspect(target, self.clock.now());
     }
+
+    /// Counts a request as in flight.
+    #[must_use]
+    pub fn count_in_flight(self: &Arc<Self>, id: RequestId) -> InFlight {
+        self.in_flight.lock().insert(id);
+        InFlight {
+            app: Arc::clone(self),
+            id,
+        }
+    }
+
+    /// Starts the leaving of this entry.
+    pub fn start_leaving(&self) {
+        self.leaving.cancel();
+    }
+
+    /// Notes that a leader confirmed by a quorum answered.
+    pub fn note_quorum(&self) {
+        *self.quorum_at.lock() = Some(self.clock.now());
+    }
+
+    /// Time since a leader confirmed by a quorum answered.
+    #[must_use]
+    pub fn quorum_age(&self) -> Millis {
+        self.quorum_at
+            .lock()
+            .map_or(Millis::MAX, |at| self.clock.now() - at)
+    }
+
+    /// Whether a quorum answered lately.
+    #[must_use]
+    pub fn has_quorum(&self) -> bool {
+        self.quorum_age() <= QUORUM_AGE_MS
+    }
+
+    /// Counts a token handed to a caller.
+    pub fn count_token(&self, model: &ModelName) {
+        self.metrics.tokens.inc();
+        if let Some(count) = self.tokens_by_model.lock().get_mut(model) {
+            count.total += 1;
+            return;
+        }
+        self.tokens_by_model
+            .lock()
+            .entry(model.clone())
+            .or_default()
+            .total += 1;
+    }
+
+    /// Takes a sample of the token counts, from which rates are shown.
+    pub fn sample_tokens(&self) {
+        let now = self.clock.now();
+        for count in self.tokens_by_model.lock().values_mut() {
+            count.samples.push_back((now, count.total));
+            if count.samples.len() > RATE_SAMPLES {
+                count.samples.pop_front();
+            }
+        }
+    }
+
+    /// Tokens a second over the last samples, by model.
+    #[must_use]
+    pub fn token_rate(&self) -> BTreeMap<ModelName, u64> {
+        let rate = |count: &TokenCount| {
+            let (first, last) = (count.samples.front()?, count.samples.back()?);
+            let span = (last.0 - first.0).0;
+            (span > 0).then(|| (last.1 - first.1) * 1000 / span)
+        };
+        let counts = self.tokens_by_model.lock();
+        counts
+            .iter()
+            .map(|(model, count)| (model.clone(), rate(count).unwrap_or(0)))
+            .collect()
+    }
 }
--- a/crates/mgw-entry/src/completions/answer.rs
+++ b/crates/mgw-entry/src/completions/answer.rs
@@ -41,7 +41,11 @@
             message: self.message,
             tokens: self.tokens,
             retry_after_ms: if comes_back { retry_after_ms } else { None },
-            retry_at: if comes_back { app.other_entries() } else { Vec::new() },
+            retry_at: if comes_back {
+                app.other_entries()
+            } else {
+                Vec::new()
+            },
         }
     }
 }
--- a/crates/mgw-entry/src/completions/handle.rs
+++ b/crates/mgw-entry/src/completions/handle.rs
@@ -74,15 +74,25 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Box<FinalFields>> {
     if app.refuses_new_work() {
-        return Err(not_run(id, Reason::Leaving, "this entry is leaving; use another one"));
+        return Err(not_run(
+            id,
+            Reason::Leaving,
+            "this entry is leaving; use another one",
+        ));
     }
     let checked = check_request(app, id, request).await?;
     app.retries.lock().count_request();
     let admitted = admit_request(app, &checked).await?;
     let path = choose_path(app, &checked)?;
     let (items, received) = mpsc::channel(app.settings.callers.stream_tokens);
-    let run = RunRequest { order: checked.order(), path, items };
-    spawn_run(Arc::clone(app), run, admitted);
+    let model = checked.model.name.clone();
+    let run = RunRequest {
+        order: checked.order(),
+        model,
+        path,
+        items,
+    };
+    spawn_run(app, run, admitted);
     if checked.call.stream {
         return Ok(stream_answer(Arc::clone(app), id, received));
     }
@@ -90,13 +100,15 @@
 }
 
 /// Runs a request as a task of its own, counted until it has ended.
-fn spawn_run(app: Arc<App>, run: RunRequest, admitted: Admitted) {
-    let tracker = app.runs.clone();
-    tracker.spawn(async move {
+fn spawn_run(app: &Arc<App>, run: RunRequest, admitted: Admitted) {
+    let counted = app.count_in_flight(run.order.request);
+    let app = Arc::clone(app);
+    app.runs.clone().spawn(async move {
         app.metrics.in_flight.inc();
         run_request(Arc::clone(&app), run).await;
         app.metrics.in_flight.dec();
         drop(admitted);
+        drop(counted);
     });
 }
 
@@ -107,8 +119,9 @@
 ) -> Result<Checked, Box<FinalFields>> {
     let bad = |message: String| not_run(id, Reason::BadRequest, message);
     let named = app.named_workspace(&request);
-    let call: CompletionRequest =
-        read_json(request.into_body()).await.map_err(|error| bad(error.to_string()))?;
+    let call: CompletionRequest = read_json(request.into_body())
+        .await
+        .map_err(|error| bad(error.to_string()))?;
     let config = app.config.load();
     let name = named.or_else(|| call.workspace.clone()).unwrap_or_default();
     let Some(workspace) = config.find_workspace(&name) else {
@@ -119,24 +132,33 @@
     };
     let limits = &app.settings.callers;
     if call.max_tokens == 0 || call.max_tokens > limits.max_tokens {
-        return Err(bad(format!("max_tokens: must be from 1 to {}", limits.max_tokens)));
+        return Err(bad(format!(
+            "max_tokens: must be from 1 to {}",
+            limits.max_tokens
+        )));
     }
     let prompt = tokenize(&call.prompt);
     if prompt.len() > limits.max_prompt_tokens {
-        return Err(bad(format!("prompt: holds over {} tokens", limits.max_prompt_tokens)));
+        return Err(bad(format!(
+            "prompt: holds over {} tokens",
+            limits.max_prompt_tokens
+        )));
     }
     let span = call.deadline_ms.unwrap_or(limits.default_deadline_ms);
     let deadline_ms = app.clock.now() + span;
-    Ok(Checked { id, workspace, model, prompt, deadline_ms, call })
+    Ok(Checked {
+        id,
+        workspace,
+        model,
+        prompt,
+        deadline_ms,
+        call,
+    })
 }
 
-async fn admit_request(
-    app: &Arc<App>,
-    checked: &Checked,
-) -> Result<Admitted, Box<FinalFields>> {
+async fn admit_request(app: &Arc<App>, checked: &Checked) -> Result<Admitted, Box<FinalFields>> {
     let tokens = checked.tokens();
-    let per_token =
-        u64::from(checked.model.kv_bytes_per_layer) * u64::from(checked.model.layers);
+    let per_token = u64::from(checked.model.kv_bytes_per_layer) * u64::from(checked.model.layers);
     let request = AdmissionRequest {
         id: checked.id,
         workspace: checked.workspace.name.clone(),
@@ -146,11 +168,13 @@
         tokens,
         kv_bytes: u64::from(tokens) * per_token,
     };
-    admit(app, &checked.model.name, request).await.map_err(|refused| {
-        let mut fields = not_run(checked.id, refused.reason, "not admitted; nothing ran");
-        fields.retry_after_ms = Some(refused.retry_after_ms);
-        fields
-    })
+    admit(app, &checked.model.name, request)
+        .await
+        .map_err(|refused| {
+            let mut fields = not_run(checked.id, refused.reason, "not admitted; nothing ran");
+            fields.retry_after_ms = Some(refused.retry_after_ms);
+            fields
+        })
 }
 
 fn choose_path(app: &Arc<App>, checked: &Checked) -> Result<PathLease, Box<FinalFields>> {
--- a/crates/mgw-entry/src/completions/mod.rs
+++ b/crates/mgw-entry/src/completions/mod.rs
@@ -5,6 +5,5 @@
 mod run;
 mod stream;
 
-pub use answer::{FinalFields, refuse_request, status_of};
+pub use answer::{FinalFields, refuse_request};
 pub use handle::handle_completion;
-pub use run::{RunItem, RunRequest, run_request};
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -6,7 +6,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use mgw_contract::caller::{Outcome, Reason};
 use mgw_pipe::{Action, Event, Order, Pipeline, Stage};
-use mgw_world::{Millis, TargetName};
+use mgw_world::{Millis, ModelName, TargetName};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, warn};
@@ -38,6 +38,8 @@
 pub struct RunRequest {
     /// What shall be generated.
     pub order: Order,
+    /// Model that the tokens are counted for.
+    pub model: ModelName,
     /// The chosen path; given back when the run ends.
     pub path: PathLease,
     /// Where the answer goes.
@@ -46,6 +48,7 @@
 
 struct Run {
     app: Arc<App>,
+    model: ModelName,
     pipeline: Pipeline,
     path: PathLease,
     items: mpsc::Sender<RunItem>,
@@ -54,9 +57,21 @@
 
 /// Runs a request until its final answer was handed over or the caller went away.
 pub async fn run_request(app: Arc<App>, request: RunRequest) {
-    let RunRequest { order, path, items } = request;
+    let RunRequest {
+        order,
+        model,
+        path,
+        items,
+    } = request;
     let pipeline = Pipeline::new(order, path.stages(), app.settings.pipe.clone());
-    let mut run = Run { app, pipeline, path, items, calls: FuturesUnordered::new() };
+    let mut run = Run {
+        app,
+        model,
+        pipeline,
+        path,
+        items,
+        calls: FuturesUnordered::new(),
+    };
     let patience = run.patience();
     let now = run.app.clock.now();
     let actions = run.pipeline.start(now, &patience);
@@ -77,7 +92,10 @@
     async fn wait(&mut self) -> Vec<Action> {
         let patience = self.patience();
         let now = self.app.clock.now();
-        let pause = self.pipeline.next_wakeup().map_or(Millis::ZERO, |wakeup| wakeup - now);
+        let pause = self
+            .pipeline
+            .next_wakeup()
+            .map_or(Millis::ZERO, |wakeup| wakeup - now);
         let has_wakeup = self.pipeline.next_wakeup().is_some();
         let event = tokio::select! {
             Some(event) = self.calls.next() => event,
@@ -106,24 +124,38 @@
     /// Performs an action; returns an event when its result is known at once.
     async fn perform_one(&mut self, action: Action) -> Option<Event> {
         let engines = self.app.engines.clone();
+        let slow_ms = self.app.settings.callers.slow_reader_ms;
         match action {
             Action::Step { call, stage, step } => {
                 let app = Arc::clone(&self.app);
                 self.calls.push(Box::pin(send_step(app, call, stage, step)));
             }
-            Action::Ask { call, stage, session } => self.calls.push(Box::pin(async move {
+            Action::Ask {
+                call,
+                stage,
+                session,
+            } => self.calls.push(Box::pin(async move {
                 match engines.standing(stage.address, session).await {
                     Ok(standing) => Event::Standing { call, standing },
                     Err(_) => Event::CallFailed { call },
                 }
             })),
-            Action::Export { call, stage, session } => self.calls.push(Box::pin(async move {
+            Action::Export {
+                call,
+                stage,
+                session,
+            } => self.calls.push(Box::pin(async move {
                 match engines.export(stage.address, session).await {
                     Ok(image) => Event::Exported { call, image },
                     Err(_) => Event::CallFailed { call },
                 }
             })),
-            Action::Import { call, stage, session, image } => {
+            Action::Import {
+                call,
+                stage,
+                session,
+                image,
+            } => {
                 self.calls.push(Box::pin(async move {
                     match engines.import(stage.address, session, &image).await {
                         Ok(()) => Event::Imported { call },
@@ -138,31 +170,35 @@
                     }
                 });
             }
-            Action::Replace { call, old, layers, excluded } => {
+            Action::Replace {
+                call,
+                old,
+                layers,
+                excluded,
+            } => {
                 warn!(target = %old.target, %layers, "stage failed; looking for a replacement");
                 let stages = self.path.replace(&old, layers, &excluded);
                 self.app.metrics.stage_rebuilds.inc();
                 return Some(Event::Replacement { call, stages });
             }
             Action::Emit { index, token } => {
-                self.app.metrics.tokens.inc();
-                return self.emit(RunItem::Token { index, token }).await;
+                self.app.count_token(&self.model);
+                return emit(&self.items, RunItem::Token { index, token }, slow_ms).await;
             }
             Action::Finish { outcome, reason } => {
-                let _ = self.emit(RunItem::End { outcome, reason }).await;
+                let _ = emit(&self.items, RunItem::End { outcome, reason }, slow_ms).await;
             }
         }
         None
     }
+}
 
-    /// Hands an item to the caller's side, which is held back by a slow reader up to a limit.
-    async fn emit(&self, item: RunItem) -> Option<Event> {
-        let limit = self.app.settings.callers.slow_reader_ms.to_duration();
-        match timeout(limit, self.items.send(item)).await {
-            Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(Event::Cancelled { reason: Reason::Cancelled }),
-            Err(_) => Some(Event::Cancelled { reason: Reason::SlowReader }),
-        }
+/// Hands an item to the caller's side, which is held back by a slow reader up to a limit.
+async fn emit(items: &mpsc::Sender<RunItem>, item: RunItem, limit: Millis) -> Option<Event> {
+    match timeout(limit.to_duration(), items.send(item)).await {
+        Ok(Ok(())) => None,
+        Ok(Err(_)) => Some(Event::Cancelled { reason: Reason::Cancelled }),
+        Err(_) => Some(Event::Cancelled { reason: Reason::SlowReader }),
     }
 }
 
@@ -185,7 +221,10 @@
         Err(StepError::NoAnswer(error)) => {
             warn!(target = %stage.target, %error, "step got no answer");
             app.suspect(&stage.target);
-            Event::StepFailed { call, sent: error.may_have_been_sent() }
+            Event::StepFailed {
+                call,
+                sent: error.may_have_been_sent(),
+            }
         }
     }
 }
--- a/crates/mgw-entry/src/completions/stream.rs
+++ b/crates/mgw-entry/src/completions/stream.rs
@@ -32,14 +32,24 @@
         Outcome::NotRun => format!("the request did not run: {reason}"),
         Outcome::Unknown => format!("the answer is not whole: {reason}"),
     };
-    let fields = FinalFields { id, outcome, reason, message, tokens, retry_after_ms: None };
+    let fields = FinalFields {
+        id,
+        outcome,
+        reason,
+        message,
+        tokens,
+        retry_after_ms: None,
+    };
     let answer = fields.complete(app);
     app.metrics.count_outcome(answer.outcome, answer.reason);
     answer
 }
 
 /// A run whose end was lost; this happens only when the process is forced to end.
-const LOST_END: RunItem = RunItem::End { outcome: Outcome::Unknown, reason: Reason::Leaving };
+const LOST_END: RunItem = RunItem::End {
+    outcome: Outcome::Unknown,
+    reason: Reason::Leaving,
+};
 
 /// Streams the items of a run as server-sent events.
 pub fn stream_answer(
@@ -56,7 +66,12 @@
             let (bytes, next) = match item {
                 RunItem::Token { index, token } => {
                     let text = token_text(token);
-                    let chunk = CompletionChunk { id, index, text, token };
+                    let chunk = CompletionChunk {
+                        id,
+                        index,
+                        text,
+                        token,
+                    };
                     (encode_event(&chunk), Some((items, tokens + 1)))
                 }
                 RunItem::End { outcome, reason } => {
@@ -103,9 +118,17 @@
     };
     let count = u32::try_from(tokens.len()).unwrap_or(u32::MAX);
     let answer = finish_answer(app, id, count, outcome, reason);
-    let status = if outcome == Outcome::Done { StatusCode::OK } else { status_of(reason) };
+    let status = if outcome == Outcome::Done {
+        StatusCode::OK
+    } else {
+        status_of(reason)
+    };
     let text = tokens.iter().map(|token| token_text(*token)).collect();
-    let reply = CompletionReply { text, tokens, answer };
+    let reply = CompletionReply {
+        text,
+        tokens,
+        answer,
+    };
     let mut response = json_response(status, &reply);
     set_answer_headers(&mut response, &reply.answer);
     response
--- a/crates/mgw-entry/src/engines/calls.rs
+++ b/crates/mgw-entry/src/engines/calls.rs
@@ -20,7 +20,9 @@
 }
 
 /// A step that brought no output.
-#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display, derive_more::Error, derive_more::From)]
+#[derive(
+    Debug, Clone, PartialEq, Eq, displaydoc::Display, derive_more::Error, derive_more::From,
+)]
 pub enum StepError {
     /// the engine refused the step: {0}
     Refused(StepRefusal),
--- a/crates/mgw-entry/src/engines/client.rs
+++ b/crates/mgw-entry/src/engines/client.rs
@@ -21,7 +21,9 @@
 
 impl Default for EngineClient {
     fn default() -> Self {
-        Self { http: shared_client() }
+        Self {
+            http: shared_client(),
+        }
     }
 }
 
@@ -37,7 +39,9 @@
     ) -> Result<StageOutput, StepError> {
         let batch = StepBatch { steps: vec![step] };
         let body = postcard::to_stdvec(&batch).map_err(|error| broken(&error))?;
-        let bytes = self.call(Method::POST, address, STEPS_PATH, full(body)).await?;
+        let bytes = self
+            .call(Method::POST, address, STEPS_PATH, full(body))
+            .await?;
         let mut reply: StepBatchReply = decode(&bytes)?;
         let Some(first) = reply.replies.pop() else {
             return Err(broken(&"the reply holds no result").into());
@@ -55,8 +59,13 @@
         session: SessionKey,
     ) -> Result<Option<SessionStanding>, CallError> {
         let path = format!("{SESSIONS_PATH}{session}");
-        match self.call(Method::GET, address, &path, full(Bytes::new())).await {
-            Ok(bytes) => serde_json::from_slice(&bytes).map(Some).map_err(|error| broken(&error)),
+        match self
+            .call(Method::GET, address, &path, full(Bytes::new()))
+            .await
+        {
+            Ok(bytes) => serde_json::from_slice(&bytes)
+                .map(Some)
+                .map_err(|error| broken(&error)),
             Err(CallError::Status { status }) if status == StatusCode::NOT_FOUND => Ok(None),
             Err(error) => Err(error),
         }
@@ -68,7 +77,8 @@
     /// When the engine gives no usable answer.
     pub async fn free(&self, address: SocketAddr, session: SessionKey) -> Result<(), CallError> {
         let path = format!("{SESSIONS_PATH}{session}");
-        self.call(Method::DELETE, address, &path, full(Bytes::new())).await?;
+        self.call(Method::DELETE, address, &path, full(Bytes::new()))
+            .await?;
         Ok(())
     }
 
@@ -82,7 +92,9 @@
         session: SessionKey,
     ) -> Result<KvImage, CallError> {
         let path = format!("{KV_PATH}{session}");
-        let bytes = self.call(Method::GET, address, &path, full(Bytes::new())).await?;
+        let bytes = self
+            .call(Method::GET, address, &path, full(Bytes::new()))
+            .await?;
         decode(&bytes)
     }
 
@@ -109,17 +121,27 @@
         path: &str,
         body: Body,
     ) -> Result<Bytes, CallError> {
-        let uri: Uri = format!("http://{address}{path}").parse().map_err(|error| broken(&error))?;
+        let uri: Uri = format!("http://{address}{path}")
+            .parse()
+            .map_err(|error| broken(&error))?;
         let request = Request::builder().method(method).uri(uri).body(body);
         let request = request.map_err(|error| broken(&error))?;
         let response = self.http.request(request).await.map_err(|error| {
-            if error.is_connect() { CallError::NotConnected } else { broken(&error) }
+            if error.is_connect() {
+                CallError::NotConnected
+            } else {
+                broken(&error)
+            }
         })?;
         let status = response.status();
         if !status.is_success() {
-            return Err(CallError::Status { status: status.as_u16() });
+            return Err(CallError::Status {
+                status: status.as_u16(),
+            });
         }
-        read_body(response.into_body()).await.map_err(|error| broken(&error))
+        read_body(response.into_body())
+            .await
+            .map_err(|error| broken(&error))
     }
 }
 
@@ -128,5 +150,7 @@
 }
 
 fn broken(error: &impl ToString) -> CallError {
-    CallError::Broken { message: error.to_string() }
+    CallError::Broken {
+        message: error.to_string(),
+    }
 }
--- /dev/null
+++ b/crates/mgw-entry/src/follow.rs
@@ -0,0 +1,93 @@
+//! Follows the accepted configuration.
+
+use std::sync::Arc;
+
+use mgw_contract::operator::DrainRequest;
+use mgw_peer::{ConfigAnswer, ConfigQuestion};
+use mgw_world::{Millis, Revision};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::app::App;
+
+/// How long a question waits for a newer revision.
+const WAIT_MS: Millis = Millis(1_000);
+/// Pause after a control gave no answer.
+const AGAIN_MS: Millis = Millis(100);
+
+/// Asks the controls for newer revisions until the process ends.
+pub async fn follow_config(app: Arc<App>) {
+    let mut drains = Vec::new();
+    let mut ask_full = false;
+    loop {
+        let config = app.config.load();
+        let question = ConfigQuestion {
+            have: if ask_full {
+                Revision(0)
+            } else {
+                config.revision
+            },
+            digest: if ask_full { None } else { app.config.digest() },
+            drains: drains.clone(),
+            wait_ms: WAIT_MS,
+        };
+        match app.controls.ask_config(question).await {
+            Ok(answer) => {
+                app.note_quorum();
+                drains = answer.drains.clone();
+                ask_full = !take_answer(&app, answer);
+            }
+            Err(_) => sleep(AGAIN_MS.to_duration()).await,
+        }
+        let age = i64::try_from(app.quorum_age().0).unwrap_or(i64::MAX);
+        app.metrics.config_age_ms.set(age);
+    }
+}
+
+/// Puts an answer in force; false when the whole configuration is needed.
+fn take_answer(app: &App, answer: ConfigAnswer) -> bool {
+    follow_drains(app, &answer.drains);
+    let Some(update) = answer.update else {
+        return true;
+    };
+    match app.config.take(update) {
+        Ok(changed) => {
+            if changed {
+                put_in_force(app);
+            }
+            true
+        }
+        Err(error) => {
+            warn!(%error, "couldn't take the configuration; asking for the whole of it");
+            false
+        }
+    }
+}
+
+fn put_in_force(app: &App) {
+    let config = app.config.load();
+    {
+        let mut router = app.router.lock();
+        router.update_models(config.inventory.models.iter().cloned());
+        router.update_links(config.inventory.links.iter().cloned());
+    }
+    app.members.view.lock().set_revision(config.revision);
+    app.metrics
+        .revision
+        .set(i64::try_from(config.revision.0).unwrap_or(i64::MAX));
+    info!(revision = %config.revision, "configuration in force");
+}
+
+fn follow_drains(app: &App, drains: &[DrainRequest]) {
+    let mut targets = app.drained_targets.lock();
+    targets.clear();
+    for drain in drains {
+        match drain {
+            DrainRequest::Target(name) => {
+                targets.insert(name.clone());
+            }
+            DrainRequest::Entry(name) if *name == app.settings.name => app.start_leaving(),
+            DrainRequest::Entry(_) => {}
+        }
+    }
+}
--- a/crates/mgw-entry/src/gate.rs
+++ b/crates/mgw-entry/src/gate.rs
@@ -53,9 +53,17 @@
             for event in admission.poll(now) {
                 let (id, verdict) = match event {
                     Event::Start { id } => (id, Ok(())),
-                    Event::GiveUp { id, reason, retry_after_ms } => {
-                        (id, Err(NotAdmitted { reason, retry_after_ms }))
-                    }
+                    Event::GiveUp {
+                        id,
+                        reason,
+                        retry_after_ms,
+                    } => (
+                        id,
+                        Err(NotAdmitted {
+                            reason,
+                            retry_after_ms,
+                        }),
+                    ),
                 };
                 if let Some(waiting) = self.waiting.remove(&id) {
                     // A caller that went away in this moment frees its place by its guard.
@@ -68,7 +76,10 @@
     /// When [`Self::poll`] must be called next.
     #[must_use]
     pub fn next_poll(&self) -> Option<Millis> {
-        self.admissions.values().filter_map(Admission::next_poll).min()
+        self.admissions
+            .values()
+            .filter_map(Admission::next_poll)
+            .min()
     }
 
     /// Requests that wait.
@@ -79,15 +90,22 @@
 
     fn offer(&mut self, model: &ModelName, request: AdmissionRequest, now: Millis) -> Offer {
         let Some(admission) = self.admissions.get_mut(model) else {
-            let verdict = NotAdmitted { reason: Reason::NoPath, retry_after_ms: Millis(1000) };
+            let verdict = NotAdmitted {
+                reason: Reason::NoPath,
+                retry_after_ms: Millis(1000),
+            };
             return Offer::Decided(Err(verdict));
         };
         let id = request.id;
         match admission.offer(request, now) {
             Decision::Start => Offer::Decided(Ok(())),
-            Decision::Refused { reason, retry_after_ms } => {
-                Offer::Decided(Err(NotAdmitted { reason, retry_after_ms }))
-            }
+            Decision::Refused {
+                reason,
+                retry_after_ms,
+            } => Offer::Decided(Err(NotAdmitted {
+                reason,
+                retry_after_ms,
+            })),
             Decision::Queued => {
                 let (sender, receiver) = oneshot::channel();
                 self.waiting.insert(id, sender);
@@ -120,7 +138,10 @@
 impl Drop for Admitted {
     fn drop(&mut self) {
         let now = self.app.clock.now();
-        self.app.gate.lock().leave(&self.model, self.id, self.has_started, now);
+        self.app
+            .gate
+            .lock()
+            .leave(&self.model, self.id, self.has_started, now);
     }
 }
 
@@ -135,13 +156,20 @@
 ) -> Result<Admitted, NotAdmitted> {
     let id = request.id;
     let offer = app.gate.lock().offer(model, request, app.clock.now());
-    let mut admitted =
-        Admitted { app: Arc::clone(app), model: model.clone(), id, has_started: false };
+    let mut admitted = Admitted {
+        app: Arc::clone(app),
+        model: model.clone(),
+        id,
+        has_started: false,
+    };
     let verdict = match offer {
         Offer::Decided(verdict) => verdict,
         Offer::Waits(receiver) => {
             app.gate_changed.notify_one();
-            let lost = NotAdmitted { reason: Reason::Leaving, retry_after_ms: Millis(100) };
+            let lost = NotAdmitted {
+                reason: Reason::Leaving,
+                retry_after_ms: Millis(100),
+            };
             receiver.await.unwrap_or(Err(lost))
         }
     };
--- a/crates/mgw-entry/src/lib.rs
+++ b/crates/mgw-entry/src/lib.rs
@@ -1,1 +1,25 @@
-//! Serves callers and targets and drives pipelines.
+//! Serves callers and targets and drives pipelines: `mgw-entry`.
+
+mod addresses;
+mod announce;
+mod app;
+mod completions;
+mod config;
+mod controls;
+mod engines;
+mod follow;
+mod gate;
+mod leave;
+mod members;
+mod metrics;
+mod operator;
+mod paths;
+mod peers;
+mod refresh;
+mod run;
+mod services;
+mod settings;
+mod web;
+
+pub use run::{RunError, run_entry};
+pub use settings::{CallerLimits, EntrySettings, LeavingSettings, Peer};
--- a/crates/mgw-entry/src/metrics.rs
+++ b/crates/mgw-entry/src/metrics.rs
@@ -4,8 +4,9 @@
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the step time buckets in seconds.
-const STEP_BUCKETS_S: [f64; 12] =
-    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+const STEP_BUCKETS_S: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
 
 /// All metrics of an entry, with the registry that holds them.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/mgw-entry/src/operator.rs
@@ -0,0 +1,125 @@
+//! Calls of operators that an entry answers by itself: what it sees of the system.
+
+use std::collections::BTreeMap;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use mgw_contract::operator::{
+    ENTRIES_PATH, EntryStatus, ModelStatus, OperatorError, STATUS_PATH, StatusReply, TARGETS_PATH,
+    TargetStatus,
+};
+use mgw_contract::target::Readiness;
+use mgw_member::{NodePhase, NodeRole, VouchState, judge_availability};
+use mgw_serve::http::{Body, json_response};
+use mgw_world::{EntryName, TargetDuty, TargetName};
+
+use crate::app::App;
+
+/// Answers an operator's call.
+pub async fn handle_operator(app: &App, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, STATUS_PATH) => json_response(StatusCode::OK, &read_status(app)),
+        (&Method::GET, ENTRIES_PATH) => json_response(StatusCode::OK, &read_entries(app)),
+        (&Method::GET, TARGETS_PATH) => json_response(StatusCode::OK, &read_targets(app)),
+        (_, path) => {
+            let refusal = OperatorError {
+                message: format!("an entry doesn't answer {path}"),
+                help: "ask a control".to_owned(),
+            };
+            json_response(StatusCode::NOT_FOUND, &refusal)
+        }
+    }
+}
+
+fn read_entries(app: &App) -> Vec<EntryStatus> {
+    let now = app.clock.now();
+    let view = app.members.view.lock();
+    let nodes = view.nodes(now);
+    let entries = nodes
+        .iter()
+        .filter(|node| node.info.role == NodeRole::Entry && node.is_alive);
+    let describe = |node: &mgw_member::NodeStatus<'_>| {
+        let is_me = node.info.name.as_str() == app.settings.name.as_str();
+        EntryStatus {
+            name: EntryName::from(node.info.name.as_str()),
+            place: node.info.place.clone(),
+            url: node.info.url.clone(),
+            revision: node.info.revision,
+            leaving: node.info.phase == NodePhase::Leaving,
+            in_flight: is_me.then(|| u32::try_from(app.in_flight.lock().len()).unwrap_or(u32::MAX)),
+            silent_ms: node.age_ms,
+        }
+    };
+    entries.map(describe).collect()
+}
+
+fn read_targets(app: &App) -> Vec<TargetStatus> {
+    let now = app.clock.now();
+    let routed = app.router.lock().targets();
+    let in_flight: BTreeMap<TargetName, u32> = routed
+        .into_iter()
+        .map(|target| (target.name, target.in_flight))
+        .collect();
+    let view = app.members.view.lock();
+    let describe = |status: &mgw_member::TargetStatus<'_>| TargetStatus {
+        name: status.target.name.clone(),
+        place: status.target.place.clone(),
+        duty: match &status.target.duty {
+            TargetDuty::Engine(engine) => {
+                format!(
+                    "{} {} layers {}",
+                    engine.model, engine.version, engine.layers
+                )
+            }
+            TargetDuty::Plain { service } => service.to_string(),
+        },
+        readiness: match status.state {
+            VouchState::Announced(readiness) => readiness,
+            VouchState::Drained | VouchState::Lapsed => Readiness::Leaving,
+        },
+        in_flight: in_flight
+            .get(&status.target.name)
+            .copied()
+            .unwrap_or_default(),
+        age_ms: status.age_ms,
+        in_choice: status.unchoosable.is_none(),
+    };
+    view.targets(now).iter().map(describe).collect()
+}
+
+fn read_status(app: &App) -> StatusReply {
+    let now = app.clock.now();
+    let config = app.config.load();
+    let entries = read_entries(app);
+    let targets = read_targets(app);
+    let availability = judge_availability(&app.members.view.lock(), now);
+    let reached = app.token_rate();
+    let mut models = BTreeMap::new();
+    for model in &config.inventory.models {
+        let bound = app
+            .router
+            .lock()
+            .bound(&model.name, &model.version, None, now);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bound_tokens_per_s = bound.map_or(0, |bound| bound.tokens_per_s as u64);
+        let reached_tokens_per_s = reached.get(&model.name).copied().unwrap_or_default();
+        let status = ModelStatus {
+            bound_tokens_per_s,
+            reached_tokens_per_s,
+        };
+        models.insert(model.name.to_string(), status);
+    }
+    StatusReply {
+        node: app.members.view.lock().me().name.clone(),
+        revision: config.revision,
+        leader: None,
+        has_quorum: app.has_quorum(),
+        replicas: Vec::new(),
+        entries: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+        targets: u32::try_from(targets.iter().filter(|target| target.in_choice).count())
+            .unwrap_or(u32::MAX),
+        models,
+        ledger_unknown: 0,
+        attention: vec![format!("this entry's availability: {availability}")],
+    }
+}
--- a/crates/mgw-entry/src/paths.rs
+++ b/crates/mgw-entry/src/paths.rs
@@ -22,7 +22,10 @@
     /// When no path can be chosen now.
     pub fn choose(app: &Arc<App>, request: &PathRequest) -> Result<Self, NoPath> {
         let path = app.router.lock().choose_path(request, app.clock.now())?;
-        Ok(Self { app: Arc::clone(app), path })
+        Ok(Self {
+            app: Arc::clone(app),
+            path,
+        })
     }
 
     /// The stages for a pipeline.
@@ -44,8 +47,11 @@
             return Vec::new();
         }
         let now = self.app.clock.now();
-        let replaced =
-            self.app.router.lock().replace_stage(&mut self.path, layers, excluded, now);
+        let replaced = self
+            .app
+            .router
+            .lock()
+            .replace_stage(&mut self.path, layers, excluded, now);
         match replaced {
             Ok(stages) => to_pipe_stages(&stages, &self.path.version),
             Err(error) => {
--- /dev/null
+++ b/crates/mgw-entry/src/run.rs
@@ -0,0 +1,125 @@
+//! Start and end of an entry.
+
+use std::sync::Arc;
+
+use mgw_peer::{Spread, answer_peers, bind_peer_listener, run_spread, serve_peers};
+use mgw_serve::Shutdown;
+use mgw_world::Millis;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use crate::app::App;
+use crate::follow::follow_config;
+use crate::leave::leave;
+use crate::peers::PeerServer;
+use crate::refresh::run_refresh;
+use crate::settings::EntrySettings;
+use crate::web::handle_request;
+
+/// Longest pause between two looks at the requests that wait.
+const POLL_MS: Millis = Millis(20);
+
+/// Why an entry can't run.
+#[derive(Debug, displaydoc::Display, derive_more::Error)]
+pub enum RunError {
+    /// can't listen at {address}: {source}
+    Listen {
+        /// The address.
+        address: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// can't start: {message}
+    Start {
+        /// What is wrong.
+        message: String,
+    },
+}
+
+/// Runs an entry until it is asked to end and all its requests have ended.
+///
+/// # Errors
+/// When an address can't be used.
+pub async fn run_entry(settings: EntrySettings) -> Result<(), RunError> {
+    let start_error = |error: &dyn std::fmt::Display| RunError::Start {
+        message: error.to_string(),
+    };
+    let shutdown = Shutdown::listen().map_err(|error| start_error(&error))?;
+    let http = listen(settings.listen).await?;
+    let peers = bind_peer_listener(settings.peer_listen)
+        .await
+        .map_err(|source| RunError::Listen {
+            address: settings.peer_listen.to_string(),
+            source,
+        })?;
+    info!(
+        role = "entry",
+        name = %settings.name,
+        vm = %settings.vm,
+        place = %settings.place,
+        region = %settings.region,
+        listen = %settings.listen,
+        peer_listen = %settings.peer_listen,
+        "starting"
+    );
+    let app = App::new(settings, shutdown, rand::random()).map_err(|error| start_error(&error))?;
+    let ended = CancellationToken::new();
+    start_parts(&app, peers, &ended);
+    let for_requests = Arc::clone(&app);
+    let handler = move |request| handle_request(Arc::clone(&for_requests), request);
+    let forced = app.shutdown.forced.clone();
+    let serving = tokio::spawn(mgw_serve::http::serve(http, handler, ended.clone(), forced));
+    leave(&app).await;
+    app.runs.close();
+    app.shutdown.unless_forced(app.runs.wait()).await;
+    ended.cancel();
+    let _ = serving.await;
+    info!("ended");
+    Ok(())
+}
+
+fn start_parts(app: &Arc<App>, peers: TcpListener, ended: &CancellationToken) {
+    let view_bytes = app.metrics.view_bytes.clone();
+    let spread = Spread {
+        view: Arc::clone(&app.members.view),
+        pool: Arc::clone(app.controls.pool()),
+        clock: app.clock.clone(),
+        count_bytes: Arc::new(move |bytes| view_bytes.inc_by(bytes)),
+    };
+    let server = PeerServer {
+        app: Arc::clone(app),
+    };
+    tokio::spawn(serve_peers(
+        peers,
+        answer_peers!(server.clone()),
+        ended.clone(),
+    ));
+    tokio::spawn(run_spread(spread, ended.clone()));
+    tokio::spawn(follow_config(Arc::clone(app)));
+    tokio::spawn(run_refresh(Arc::clone(app)));
+    tokio::spawn(poll_gate(Arc::clone(app)));
+}
+
+/// Lets waiting requests start or gives them up when their time has come.
+async fn poll_gate(app: Arc<App>) {
+    loop {
+        let now = app.clock.now();
+        app.gate.lock().poll(now);
+        let next = app.gate.lock().next_poll();
+        let pause = next.map_or(POLL_MS, |next| (next - now).clamp(Millis(1), POLL_MS));
+        tokio::select! {
+            () = sleep(pause.to_duration()) => {}
+            () = app.gate_changed.notified() => {}
+        }
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RunError::Listen {
+        address: address.to_string(),
+        source,
+    })
+}
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -4,7 +4,7 @@
 
 use mgw_pipe::{PipeSettings, TimeSettings};
 use mgw_settings::LogSettings;
-use mgw_world::{EntryName, Link, Millis, NodeName, PlaceName, RegionName, VmName};
+use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
 use serde::Deserialize;
 
 /// Another process of the system.
@@ -27,6 +27,8 @@
     pub slow_reader_ms: Millis,
     /// Deadline of a request that names none.
     pub default_deadline_ms: Millis,
+    /// Time that a call to a plain service may take.
+    pub service_limit_ms: Millis,
     /// Most tokens of one answer.
     pub max_tokens: u32,
     /// Most tokens of a prompt.
@@ -39,6 +41,7 @@
             stream_tokens: 64,
             slow_reader_ms: Millis(5_000),
             default_deadline_ms: Millis(60_000),
+            service_limit_ms: Millis(30_000),
             max_tokens: 4096,
             max_prompt_tokens: 32_768,
         }
@@ -49,13 +52,18 @@
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LeavingSettings {
+    /// How long other entries may still name this one after it said that it leaves.
+    pub hear_ms: Millis,
     /// Longest time that a graceful shutdown takes.
     pub limit_ms: Millis,
 }
 
 impl Default for LeavingSettings {
     fn default() -> Self {
-        Self { limit_ms: Millis(120_000) }
+        Self {
+            hear_ms: Millis(4_000),
+            limit_ms: Millis(120_000),
+        }
     }
 }
 
@@ -81,15 +89,15 @@
     /// Folder for the revision last in force; none on a machine without a disk.
     #[serde(default)]
     pub data: Option<std::path::PathBuf>,
+    /// Share of callers that this entry takes, relative to the other entries.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
     /// Other entries to start the exchange of views with.
     #[serde(default)]
     pub peers: Vec<Peer>,
     /// Controls.
     #[serde(default)]
     pub controls: Vec<Peer>,
-    /// Links, until a configuration names them.
-    #[serde(default)]
-    pub links: Vec<Link>,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
@@ -107,10 +115,16 @@
     pub leaving: LeavingSettings,
 }
 
+const fn default_weight() -> u32 {
+    1
+}
+
 impl EntrySettings {
     /// Base URL given to callers.
     #[must_use]
     pub fn url(&self) -> String {
-        self.url.clone().unwrap_or_else(|| format!("http://{}", self.listen))
+        self.url
+            .clone()
+            .unwrap_or_else(|| format!("http://{}", self.listen))
     }
 }
--- a/crates/mgw-member/src/node.rs
+++ b/crates/mgw-member/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mgw_world::{Incarnation, NodeName, PlaceName};
+use mgw_world::{Incarnation, NodeName, PlaceName, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Short key of a node, derived from its name alike on every node.
@@ -136,6 +136,8 @@
     pub weight: u32,
     /// Whether it takes callers.
     pub phase: NodePhase,
+    /// Revision of the configuration in force there; zero at a control.
+    pub revision: Revision,
 }
 
 impl NodeInfo {
--- a/crates/mgw-member/src/view/core.rs
+++ b/crates/mgw-member/src/view/core.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use mgw_world::{Incarnation, Millis, TargetName};
+use mgw_world::{Incarnation, Millis, Revision, TargetName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Tells all nodes which revision of the configuration is in force here.
+    pub fn set_revision(&mut self, revision: Revision) {
+        let own = self.own_mut();
+        if own.info.revision != revision {
+            own.info.revision = revision;
+            own.version += 1;
+        }
+    }
+
     /// Whether the view was once as complete as that of another node, or no other node answered
     /// for long enough that this is the first one.
     #[must_use]
--- a/crates/mgw-peer/src/codec.rs
+++ b/crates/mgw-peer/src/codec.rs
@@ -17,7 +17,9 @@
     type Error = std::io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, Self::Error> {
-        postcard::to_stdvec(item).map(Bytes::from).map_err(std::io::Error::other)
+        postcard::to_stdvec(item)
+            .map(Bytes::from)
+            .map_err(std::io::Error::other)
     }
 }
 
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -6,10 +6,18 @@
 mod serve;
 mod spread;
 
+pub use codec::Postcard;
 pub use pool::{CallFailure, PeerPool};
 pub use rpc::{
     ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, PeerRpcClient,
     PeerRpcRequest, PeerRpcResponse,
 };
-pub use serve::{bind_peer_listener, serve_peers};
+pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
 pub use spread::{Spread, run_spread};
+
+/// Used by [`answer_peers`].
+#[doc(hidden)]
+pub mod reexport {
+    pub use futures::StreamExt;
+    pub use tarpc::server::Channel;
+}
--- a/crates/mgw-peer/src/pool.rs
+++ b/crates/mgw-peer/src/pool.rs
@@ -85,12 +85,13 @@
         }
         let connecting = TcpStream::connect(address);
         let connected = timeout(CONNECT_TIMEOUT_MS.to_duration(), connecting).await;
-        let stream = connected
-            .map_err(|_| CallFailure::NotConnected)?
-            .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused => CallFailure::NothingListens,
-                _ => CallFailure::NotConnected,
-            })?;
+        let stream =
+            connected
+                .map_err(|_| CallFailure::NotConnected)?
+                .map_err(|error| match error.kind() {
+                    ErrorKind::ConnectionRefused => CallFailure::NothingListens,
+                    _ => CallFailure::NotConnected,
+                })?;
         let _ = stream.set_nodelay(true);
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
--- a/crates/mgw-peer/src/serve.rs
+++ b/crates/mgw-peer/src/serve.rs
@@ -2,14 +2,21 @@
 
 use std::net::SocketAddr;
 
-use futures::StreamExt;
-use tarpc::server::{BaseChannel, Channel};
-use tokio::net::TcpListener;
+use tarpc::serde_transport::Transport;
+use tarpc::server::BaseChannel;
+use tarpc::{ClientMessage, Response};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
-use crate::PeerRpc;
 use crate::codec::{MAX_FRAME_BYTES, Postcard};
+use crate::{PeerRpcRequest, PeerRpcResponse};
+
+/// The connection of one other process.
+pub type PeerTransport =
+    Transport<TcpStream, ClientMessage<PeerRpcRequest>, Response<PeerRpcResponse>, Postcard>;
+/// The calls of one other process.
+pub type PeerChannel = BaseChannel<PeerRpcRequest, PeerRpcResponse, PeerTransport>;
 
 /// Opens the port for other processes.
 ///
@@ -19,25 +26,39 @@
     TcpListener::bind(address).await
 }
 
-/// Serves the calls of other processes until the token is cancelled.
-pub async fn serve_peers<S>(listener: TcpListener, server: S, ended: CancellationToken)
-where
-    S: PeerRpc + Clone + Send + 'static,
-{
+/// Accepts the connections of other processes until the token is cancelled, and hands each to
+/// `answer`, which starts the answering and returns at once.
+pub async fn serve_peers(
+    listener: TcpListener,
+    answer: impl Fn(PeerChannel),
+    ended: CancellationToken,
+) {
     while let Some(accepted) = ended.run_until_cancelled(listener.accept()).await {
-        let Ok((stream, _peer)) = accepted else { continue };
+        let Ok((stream, _peer)) = accepted else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
-        let framed =
-            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Postcard);
-        let channel = BaseChannel::with_defaults(transport);
-        let requests = channel.execute(server.clone().serve());
-        let ended = ended.clone();
-        tokio::spawn(async move {
-            let serving = requests.for_each(|response| async move {
-                tokio::spawn(response);
-            });
-            ended.run_until_cancelled(serving).await;
-        });
+        answer(BaseChannel::with_defaults(transport));
     }
 }
+
+/// Makes the `answer` of [`serve_peers`] from a server that implements [`crate::PeerRpc`].
+///
+/// A macro, since only a concrete server's answers are known to be sendable between threads.
+#[macro_export]
+macro_rules! answer_peers {
+    ($server:expr) => {{
+        let server = $server;
+        move |channel: $crate::PeerChannel| {
+            use $crate::reexport::{Channel, StreamExt};
+            let requests = channel.execute($crate::PeerRpc::serve(server.clone()));
+            tokio::spawn(requests.for_each(|answer| async move {
+                tokio::spawn(answer);
+            }));
+        }
+    }};
+}
--- a/crates/mgw-peer/src/spread.rs
+++ b/crates/mgw-peer/src/spread.rs
@@ -42,7 +42,11 @@
         for exchange in due {
             tokio::spawn(send_exchange(spread.clone(), exchange));
         }
-        if ended.run_until_cancelled(sleep(pause.to_duration())).await.is_none() {
+        if ended
+            .run_until_cancelled(sleep(pause.to_duration()))
+            .await
+            .is_none()
+        {
             return;
         }
     }
@@ -50,7 +54,11 @@
 
 async fn send_exchange(spread: Spread, out: OutgoingExchange) {
     let limit = spread.view.lock().settings().exchange_timeout_ms;
-    let OutgoingExchange { ticket, peer_address, exchange } = out;
+    let OutgoingExchange {
+        ticket,
+        peer_address,
+        exchange,
+    } = out;
     let sent_bytes = encoded_bytes(&exchange);
     let answer = spread
         .pool
--- a/crates/mgw-serve/src/http.rs
+++ b/crates/mgw-serve/src/http.rs
@@ -117,6 +117,17 @@
         .build(connector())
 }
 
+/// A client that opens a connection for each request, so that a failed connection is proof that no
+/// byte of the request was sent.
+#[must_use]
+pub fn unpooled_client() -> HttpClient {
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(0)
+        .retry_canceled_requests(false)
+        .build(connector())
+}
+
 /// A client that shares one HTTP/2 connection for each address.
 ///
 /// It never repeats a request by itself, see [`client`].
