Stand-ins for engine, plain service and weight store

A thin whole path needs targets whose executed work can be counted. Decisions (sessions, batches, prefix cache, orders) do no I/O. Answering lost answers by cutting the connection was ruled out: bodies of mgw-serve can't fail, so a lost answer is one that never comes.

--- a/crates/mgw-contract/src/tokens.rs
+++ b/crates/mgw-contract/src/tokens.rs
@@ -52,3 +52,44 @@
     text.push(' ');
     text
 }
+
+/// Tokens in one block of a prefix cache.
+pub const PREFIX_BLOCK_TOKENS: usize = 16;
+
+/// Digest of a prefix that is one block longer than the prefix with digest `shorter`; the empty
+/// prefix has digest zero.
+///
+/// ```
+/// use mgw_contract::tokens::extend_prefix;
+/// let one = extend_prefix(0, &[1, 2]);
+/// assert_ne!(one, extend_prefix(0, &[2, 1]));
+/// assert_ne!(one, extend_prefix(one, &[1, 2]));
+/// ```
+#[must_use]
+pub fn extend_prefix(shorter: u64, block: &[u32]) -> u64 {
+    let mut low = crc32fast::Hasher::new();
+    low.update(&shorter.to_le_bytes());
+    for token in block {
+        low.update(&token.to_le_bytes());
+    }
+    let low = low.finalize();
+    let mut high = crc32fast::Hasher::new_with_initial(low);
+    high.update(&shorter.to_be_bytes());
+    for token in block {
+        high.update(&token.to_be_bytes());
+    }
+    u64::from(high.finalize()) << u32::BITS | u64::from(low)
+}
+
+/// Digests of all prefixes of whole blocks, shortest first.
+#[must_use]
+pub fn prefix_digests(tokens: &[u32]) -> Vec<u64> {
+    let mut digest = 0;
+    let blocks = tokens.chunks_exact(PREFIX_BLOCK_TOKENS);
+    blocks
+        .map(|block| {
+            digest = extend_prefix(digest, block);
+            digest
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/mgw-standin/src/announce/announcer.rs
@@ -0,0 +1,135 @@
+//! The loop that announces a stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, StatusCode};
+use mgw_contract::target::{ANNOUNCE_PATH, AnnounceReply, Announcement};
+use mgw_serve::http::{HttpClient, client, full, read_json};
+use mgw_world::{Incarnation, Millis, Target};
+
+use super::entries::EntryList;
+use super::reports::ReportFilter;
+use crate::settings::Settings;
+use crate::standin::Standin;
+
+/// Time within which an entry must answer.
+const ANSWER_TIMEOUT_MS: Millis = Millis(1000);
+/// Delay before the next entry is tried.
+const RETRY_MS: Millis = Millis(100);
+
+struct Announcer {
+    standin: Arc<Standin>,
+    settings: Settings,
+    address: SocketAddr,
+    entries: EntryList,
+    reports: ReportFilter,
+    client: HttpClient,
+    sequence: u64,
+    incarnation: Incarnation,
+}
+
+/// Announces a stand-in that listens at `address`, as long as the process runs.
+pub async fn announce_forever(standin: Arc<Standin>, settings: Settings, address: SocketAddr) {
+    let mut announcer = Announcer {
+        entries: EntryList::new(settings.entries.clone()),
+        reports: ReportFilter::new(settings.reports),
+        client: client(),
+        sequence: 0,
+        incarnation: standin.host().incarnation(),
+        address,
+        settings,
+        standin,
+    };
+    if announcer.entries.is_empty() {
+        return;
+    }
+    loop {
+        let pause_ms = announcer.announce().await;
+        tokio::select! {
+            () = tokio::time::sleep(pause_ms.to_duration()) => {}
+            () = announcer.standin.host().announce_soon.notified() => {}
+        }
+    }
+}
+
+impl Announcer {
+    /// Announces once and returns when to announce again.
+    async fn announce(&mut self) -> Millis {
+        let renew_ms = self.settings.reports.renew_ms;
+        if self.standin.host().faults().drop_announcements {
+            return renew_ms;
+        }
+        let announcement = self.compose();
+        if let Some(reply) = self.send(&announcement).await {
+            return self.take_reply(reply);
+        }
+        let entry = self.entries.current().unwrap_or_default();
+        tracing::debug!(
+            entry,
+            "the entry didn't take the announcement; trying the next"
+        );
+        self.standin.return_events(announcement.cache_events);
+        self.entries.skip();
+        RETRY_MS.min(renew_ms)
+    }
+
+    fn compose(&mut self) -> Announcement {
+        let host = self.standin.host();
+        if host.incarnation() != self.incarnation {
+            self.incarnation = host.incarnation();
+            self.sequence = 0;
+        }
+        self.sequence += 1;
+        let load = self.standin.load();
+        Announcement {
+            target: Target {
+                name: self.settings.name.clone(),
+                incarnation: self.incarnation,
+                vm: self.settings.vm.clone(),
+                place: self.settings.place.clone(),
+                address: self.address,
+                duty: self.standin.duty(),
+                limits: self.standin.limits(),
+            },
+            sequence: self.sequence,
+            readiness: self.standin.readiness(),
+            load: self.reports.filter_load(host.clock.now(), load),
+            cache_events: self.reports.filter_events(self.standin.take_events()),
+        }
+    }
+
+    async fn send(&self, announcement: &Announcement) -> Option<AnnounceReply> {
+        let url = format!("{}{ANNOUNCE_PATH}", self.entries.current()?);
+        let text = serde_json::to_vec(announcement).ok()?;
+        let request = Request::post(url)
+            .header(CONTENT_TYPE, "application/json")
+            .body(full(text))
+            .ok()?;
+        let exchange = async {
+            let response = self.client.request(request).await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            read_json(response.into_body()).await.ok()
+        };
+        let timeout = tokio::time::timeout(ANSWER_TIMEOUT_MS.to_duration(), exchange);
+        timeout.await.ok().flatten()
+    }
+
+    fn take_reply(&mut self, reply: AnnounceReply) -> Millis {
+        self.entries.learn(reply.alternatives);
+        if reply.incarnation > self.standin.host().incarnation() {
+            self.standin.host().renew_incarnation(reply.incarnation);
+            return Millis::ZERO;
+        }
+        if reply.drain {
+            self.standin.leave();
+        }
+        if reply.resend_cache {
+            self.standin.resend_cache();
+        }
+        reply.renew_ms
+    }
+}
--- /dev/null
+++ b/crates/mgw-standin/src/engine/load.rs
@@ -0,0 +1,53 @@
+//! Loading of weights after an order.
+
+use std::sync::Arc;
+
+use hyper::{Request, StatusCode};
+use mgw_contract::engine::EngineOrder;
+use mgw_serve::http::{client, full, read_body};
+use mgw_world::Millis;
+
+use super::shell::EngineShell;
+
+/// Interval between looks whether the running steps have ended.
+const RUNNING_CHECK_MS: Millis = Millis(1);
+/// Delay before a layer is fetched again.
+const FETCH_RETRY_MS: Millis = Millis(500);
+
+/// Loads what an order asks for; the engine is then another incarnation.
+pub(super) async fn load(engine: Arc<EngineShell>, order: EngineOrder) {
+    if let Some(store) = &engine.settings.weights_url {
+        fetch_weights(store, &order).await;
+    }
+    tokio::time::sleep(engine.settings.load_ms.to_duration()).await;
+    while engine.core().sessions().is_running() {
+        tokio::time::sleep(RUNNING_CHECK_MS.to_duration()).await;
+    }
+    let loaded = engine.core().finish_load(&order);
+    if loaded {
+        engine.host.renew_incarnation(engine.host.incarnation());
+        engine.host.announce_soon.notify_one();
+        tracing::info!(layers = %order.layers, version = %order.version, "weights loaded");
+    }
+}
+
+async fn fetch_weights(store: &str, order: &EngineOrder) {
+    let client = client();
+    for layer in order.layers.first()..order.layers.end() {
+        let url = format!("{store}/weights/{}/{}/{layer}", order.model, order.version);
+        loop {
+            let Ok(request) = Request::get(&url).body(full("")) else {
+                tracing::error!(url, "not a URL");
+                return;
+            };
+            if let Ok(response) = client.request(request).await
+                && response.status() == StatusCode::OK
+                && read_body(response.into_body()).await.is_ok()
+            {
+                break;
+            }
+            tracing::warn!(url, "can't fetch a layer; trying again");
+            tokio::time::sleep(FETCH_RETRY_MS.to_duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-standin/src/engine/routes.rs
@@ -0,0 +1,167 @@
+//! HTTP calls to an engine.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use mgw_contract::engine::{
+    EngineOrder, KV_PATH, KvImage, ORDERS_PATH, SESSIONS_PATH, STATE_PATH, STEPS_PATH, SessionKey,
+    StepBatch, StepBatchReply, StepRefusal,
+};
+use mgw_serve::http::{Body, full_response, json_response, read_body, read_json};
+use mgw_world::Attempt;
+use serde::Serialize;
+
+use super::load::load;
+use super::shell::EngineShell;
+use crate::common_routes::error_response;
+use crate::journal::JournalEvent;
+
+const POSTCARD: &str = "application/octet-stream";
+
+/// Answers a call.
+pub async fn handle(engine: Arc<EngineShell>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, STEPS_PATH) => run_steps(&engine, request.into_body()).await,
+        (&Method::GET, STATE_PATH) => {
+            let checks_fence = !engine.host.faults().ignore_fencing;
+            json_response(StatusCode::OK, &engine.core().state(checks_fence))
+        }
+        (&Method::POST, ORDERS_PATH) => take_order(&engine, request.into_body()).await,
+        _ => handle_session(&engine, &path, request).await,
+    }
+}
+
+async fn handle_session(
+    engine: &EngineShell,
+    path: &str,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if let Some(key) = path.strip_prefix(SESSIONS_PATH).and_then(parse_key) {
+        return match *request.method() {
+            Method::GET => show_standing(engine, key),
+            Method::DELETE => free(engine, key),
+            _ => error_response(StatusCode::METHOD_NOT_ALLOWED, "use GET or DELETE"),
+        };
+    }
+    if let Some(key) = path.strip_prefix(KV_PATH).and_then(parse_key) {
+        return match *request.method() {
+            Method::GET => export(engine, key),
+            Method::PUT => import(engine, key, request.into_body()).await,
+            _ => error_response(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
+        };
+    }
+    error_response(StatusCode::NOT_FOUND, "no such path")
+}
+
+/// Reads `REQUEST/ATTEMPT`.
+fn parse_key(text: &str) -> Option<SessionKey> {
+    let (request, attempt) = text.split_once('/')?;
+    Some(SessionKey {
+        request: request.parse().ok()?,
+        attempt: Attempt(attempt.parse().ok()?),
+    })
+}
+
+async fn run_steps(engine: &EngineShell, body: Incoming) -> Response<Body> {
+    let Ok(bytes) = read_body(body).await else {
+        return error_response(StatusCode::BAD_REQUEST, "the body broke off");
+    };
+    let batch: StepBatch = match postcard::from_bytes(&bytes) {
+        Ok(batch) => batch,
+        Err(error) => return error_response(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let steps = batch.steps.into_iter();
+    let replies = join_all(steps.map(|step| engine.run_step(step))).await;
+    engine.host.delay_answer().await;
+    postcard_response(&StepBatchReply { replies })
+}
+
+fn postcard_response<T: Serialize>(value: &T) -> Response<Body> {
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => full_response(StatusCode::OK, POSTCARD, bytes),
+        Err(error) => error_response(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+fn show_standing(engine: &EngineShell, key: SessionKey) -> Response<Body> {
+    match engine.core().sessions().standing(key) {
+        Some(standing) => json_response(StatusCode::OK, &standing),
+        None => error_response(StatusCode::NOT_FOUND, "no such session"),
+    }
+}
+
+fn free(engine: &EngineShell, key: SessionKey) -> Response<Body> {
+    if engine.free(key) {
+        full_response(StatusCode::NO_CONTENT, "application/json", "")
+    } else {
+        error_response(StatusCode::NOT_FOUND, "no such session")
+    }
+}
+
+fn export(engine: &EngineShell, key: SessionKey) -> Response<Body> {
+    let image = engine.core().export(key);
+    match image {
+        Some(image) => postcard_response(&image),
+        None => error_response(StatusCode::NOT_FOUND, "no such session"),
+    }
+}
+
+async fn import(engine: &EngineShell, key: SessionKey, body: Incoming) -> Response<Body> {
+    let Ok(bytes) = read_body(body).await else {
+        return error_response(StatusCode::BAD_REQUEST, "the body broke off");
+    };
+    let image: KvImage = match postcard::from_bytes(&bytes) {
+        Ok(image) => image,
+        Err(error) => return error_response(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let now = engine.host.clock.now();
+    let result = engine.core().import(key, &image, now);
+    match result {
+        Ok(standing) => {
+            engine.host.record([JournalEvent::Import {
+                session: key,
+                layers: image.layers,
+                next: image.next,
+            }]);
+            json_response(StatusCode::OK, &standing)
+        }
+        Err(refusal) => error_response(refusal_status(&refusal), refusal.to_string()),
+    }
+}
+
+const fn refusal_status(refusal: &StepRefusal) -> StatusCode {
+    match refusal {
+        StepRefusal::WrongInput => StatusCode::BAD_REQUEST,
+        StepRefusal::Full | StepRefusal::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::CONFLICT,
+    }
+}
+
+async fn take_order(engine: &Arc<EngineShell>, body: Incoming) -> Response<Body> {
+    let order: EngineOrder = match read_json(body).await {
+        Ok(order) => order,
+        Err(error) => return error_response(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    if order.target != engine.host.name {
+        return error_response(StatusCode::CONFLICT, "the order is for another engine");
+    }
+    if order.layers.end() > engine.settings.model_layers {
+        return error_response(StatusCode::BAD_REQUEST, "the model has fewer layers");
+    }
+    let checks_fence = !engine.host.faults().ignore_fencing;
+    let decision = engine.core().take_order(&order, checks_fence);
+    if decision.starts_load {
+        engine.host.record([JournalEvent::Order {
+            fence: order.fence,
+            sequence: order.sequence,
+            layers: order.layers,
+            version: order.version.clone(),
+        }]);
+        engine.host.announce_soon.notify_one();
+        tokio::spawn(load(Arc::clone(engine), order));
+    }
+    json_response(StatusCode::OK, &decision.reply)
+}
--- a/crates/mgw-standin/src/lib.rs
+++ b/crates/mgw-standin/src/lib.rs
@@ -1,1 +1,29 @@
 //! Stand-ins for a model engine, a plain service and the weight store.
+//!
+//! They speak the wire types of `mgw-contract` and journal everything that they execute, so that a
+//! test can count what really ran. The toy model's answer depends on every layer run, so that a
+//! load tool can verify a whole answer.
+
+mod announce;
+pub mod check;
+pub mod cli;
+mod common_routes;
+pub mod engine;
+mod faults;
+mod host;
+pub mod journal;
+pub mod model;
+pub mod plain;
+mod run;
+pub mod settings;
+mod standin;
+mod weights;
+
+pub use announce::{EntryList, ReportFilter};
+pub use check::{CheckSettings, Report, Violation, check_journals, check_lines};
+pub use common_routes::{CallError, JOURNAL_PATH};
+pub use faults::{FAULT_PATH, Fault, Faults};
+pub use host::Host;
+pub use run::{Running, StartError, start};
+pub use standin::{Duty, Standin};
+pub use weights::WEIGHTS_PATH;
--- /dev/null
+++ b/crates/mgw-standin/src/plain.rs
@@ -0,0 +1,101 @@
+//! The stand-in for a plain service: answers every path and journals what ran.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use mgw_contract::caller::{IDEMPOTENCY_KEY_HEADER, WORKSPACE_HEADER};
+use mgw_contract::target::LoadReport;
+use mgw_serve::http::{Body, json_response, read_body};
+use serde::{Deserialize, Serialize};
+
+use crate::common_routes::error_response;
+use crate::host::Host;
+use crate::journal::JournalEvent;
+use crate::settings::PlainSettings;
+
+/// Answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainReply {
+    /// Path that was called.
+    pub path: String,
+    /// Number of the call at this process, from one.
+    pub count: u64,
+    /// Body of the call as text.
+    pub echo: String,
+}
+
+/// One instance of a plain service.
+#[derive(Debug)]
+pub struct PlainShell {
+    /// What it shares with the other roles.
+    pub host: Arc<Host>,
+    /// Its settings.
+    pub settings: PlainSettings,
+    count: AtomicU64,
+    in_flight: AtomicU32,
+}
+
+impl PlainShell {
+    /// An instance that ran nothing yet.
+    #[must_use]
+    pub const fn new(host: Arc<Host>, settings: PlainSettings) -> Self {
+        Self {
+            host,
+            settings,
+            count: AtomicU64::new(0),
+            in_flight: AtomicU32::new(0),
+        }
+    }
+
+    /// The present load.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight.load(Ordering::Relaxed),
+            ..LoadReport::default()
+        }
+    }
+
+    /// Answers a call. A call that was read is run and journaled even if its caller goes away.
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let Ok(bytes) = read_body(body).await else {
+            return error_response(StatusCode::BAD_REQUEST, "the body broke off");
+        };
+        let path = head.uri.path().to_owned();
+        let echo = String::from_utf8_lossy(&bytes).into_owned();
+        let running = tokio::spawn(Arc::clone(&self).run(path, echo, head.headers));
+        let reply = running.await;
+        self.host.delay_answer().await;
+        match reply {
+            Ok(reply) => json_response(StatusCode::OK, &reply),
+            Err(error) => error_response(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    async fn run(self: Arc<Self>, path: String, echo: String, headers: HeaderMap) -> PlainReply {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let slow_factor = u64::from(self.host.faults().slow_factor);
+        let call_ms = self.settings.call_ms.times(slow_factor);
+        tokio::time::sleep(call_ms.to_duration()).await;
+        self.host.while_hanging().await;
+        let count = self.count.fetch_add(1, Ordering::SeqCst) + 1;
+        self.host.record([JournalEvent::Call {
+            service: self.settings.service.clone(),
+            path: path.clone(),
+            key: read_header(&headers, IDEMPOTENCY_KEY_HEADER),
+            workspace: read_header(&headers, WORKSPACE_HEADER),
+            count,
+        }]);
+        self.host.count_steps(1);
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        PlainReply { path, count, echo }
+    }
+}
+
+fn read_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
