--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts the whole system on loopback from examples/local: three controls, six entries, nine engine
-# stand-ins and a plain service; sends one drill-scenario request and prints the streamed answer.
+# stand-ins and three instances of a plain service; sends one drill-scenario request and prints the streamed answer.
 #
 #   scripts/local.sh          keep running until Ctrl-C
 #   scripts/local.sh --once   exit 0 after the whole answer and a clean shutdown
@@ -54,7 +54,7 @@
     sed "s/127\.0\.0\.1:17/127.0.0.1:$prefix/g" "$file" >"$folder/$(basename "$file")"
 done
 cp examples/inventory.toml "$folder/inventory.toml"
-cp examples/operator.key "$folder/operator.key"
+printf %s example-key-anika-not-for-production >"$folder/operator.key"
 
 declare -A pids=()
 start() { # name, program, arguments
@@ -86,7 +86,7 @@
 stop_all() {
     trap - INT TERM EXIT
     stop_group $(names_like 'entry-*')
-    stop_group $(names_like 'eng-*') $(names_like 'train-*')
+    stop_group $(names_like '*-engine-*') $(names_like '*-train-app')
     stop_group $(names_like 'control-*')
     rm -rf "$lock"
 }
@@ -99,13 +99,18 @@
     exit 1
 }
 
-for i in 1 2 3; do start "control-$i" mgw-control --config "control-$i.toml" --found; done
+start control-1 mgw-control --config control-1.toml --found
+for i in 2 3; do start "control-$i" mgw-control --config "control-$i.toml"; done
 for i in 1 2 3 4 5 6; do start "entry-$i" mgw-entry --config "entry-$i.toml"; done
-for i in 1 2 3 4 5 6 7 8 9; do start "eng-$i" mgw-standin --config "eng-$i.toml"; done
-start train-1 mgw-standin --config train-1.toml
+standins=()
+for file in "$folder"/*-engine-*.toml "$folder"/*-train-app.toml; do
+    name=$(basename "$file" .toml)
+    standins+=("$name")
+    start "$name" mgw-standin --config "$name.toml"
+done
 
 export MGW_AT="http://127.0.0.1:${prefix}101,http://127.0.0.1:${prefix}102,http://127.0.0.1:${prefix}103"
-export MGW_OPERATOR=ops MGW_KEY_FILE="$folder/operator.key"
+export MGW_OPERATOR=anika MGW_KEY_FILE="$folder/operator.key"
 
 # Repeats a command until it succeeds, as long as all processes run.
 until_ready() { # what, command...
@@ -123,7 +128,7 @@
 }
 targets_are_in_choice() {
     "$bin/mgw" --at "http://127.0.0.1:${prefix}201" targets >"$folder/targets.txt" \
-        && [ "$(grep -cE ' (ready) +yes ' "$folder/targets.txt")" = 10 ]
+        && [ "$(grep -cE ' (ready) +yes ' "$folder/targets.txt")" = ${#standins[@]} ]
 }
 
 until_ready "first configuration" \
@@ -133,16 +138,16 @@
 
 entries=()
 for i in 1 2 3 4 5 6; do entries+=(--entry "http://127.0.0.1:${prefix}20$i"); done
-"$bin/mgw-load" once "${entries[@]}" --workspace tower-one --model drill --max-tokens 24 --verify \
+"$bin/mgw-load" once "${entries[@]}" --workspace classrooms --model drill --max-tokens 24 --verify \
     --prompt "Draft an evacuation drill scenario for a twelve floor office tower in Port of Spain" \
     || fail "the request"
 
 say ""
 say "send your own:"
-say "  curl -N http://127.0.0.1:${prefix}201/v1/completions -H 'x-mgw-workspace: tower-one' \\"
+say "  curl -N http://127.0.0.1:${prefix}201/v1/completions -H 'x-mgw-workspace: classrooms' \\"
 say "    -d '{\"model\":\"drill\",\"prompt\":\"which extinguisher class\",\"max_tokens\":16,\"stream\":true}'"
 say "operate it:"
-say "  export MGW_AT=$MGW_AT MGW_OPERATOR=ops MGW_KEY_FILE=$MGW_KEY_FILE; $bin/mgw status"
+say "  export MGW_AT=$MGW_AT MGW_OPERATOR=anika MGW_KEY_FILE=$MGW_KEY_FILE; $bin/mgw status"
 
 if ! $once; then
     say "running in $folder; Ctrl-C ends it"
@@ -151,5 +156,5 @@
 
 stop_all
 [ -z "$unclean" ] || { say "not ended cleanly:$unclean; logs are in $folder"; exit 1; }
-"$bin/mgw-standin" check-journals "$folder"/eng-*.journal
+"$bin/mgw-standin" check-journals "$folder"/*.journal
 rm -rf "$folder"
