--- a/crates/mgw-state/src/inventory/check.rs
+++ b/crates/mgw-state/src/inventory/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mgw_settings::{Finding, line_of_key};
-use mgw_world::{ModelName, ServiceKind};
+use mgw_world::{ModelName, Service, ServiceKind};
 
 use super::{ExpectedDuty, Holding, Inventory, Rules};
 
@@ -145,11 +145,11 @@
 
 fn check_targets(checker: &mut Checker<'_>, inventory: &Inventory) {
     let vms = inventory.vms.iter().map(|vm| vm.name.as_str()).collect();
-    let services = inventory
+    let plain = inventory
         .services
         .iter()
-        .map(|service| service.name.as_str());
-    let services = services.collect();
+        .filter(|service| is_plain(service));
+    let services = plain.map(|service| service.name.as_str()).collect();
     let layers = inventory
         .models
         .iter()
@@ -168,12 +168,16 @@
         match &target.duty {
             ExpectedDuty::Engine(holding) => check_holding(checker, &key, holding, &layers),
             ExpectedDuty::Plain { service } => {
-                checker.check_reference(key, "service", service.as_str(), &services);
+                checker.check_reference(key, "plain service", service.as_str(), &services);
             }
         }
     }
 }
 
+const fn is_plain(service: &Service) -> bool {
+    matches!(service.kind, ServiceKind::Plain { .. })
+}
+
 fn check_holding(
     checker: &mut Checker<'_>,
     key: &str,
--- a/crates/mgw-state/src/ledger/book.rs
+++ b/crates/mgw-state/src/ledger/book.rs
@@ -23,12 +23,15 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     claims: BTreeMap<ClaimKey, Claim>,
-    /// Ended claims by the time from which their window runs.
-    ended: BTreeSet<(UnixMillis, ClaimKey)>,
+    /// Ended claims whose key carries a time, by the time from which their window runs.
+    ended_timed: BTreeSet<(UnixMillis, ClaimKey)>,
+    /// The other ended claims; they are forgotten only into a tombstone.
+    ended_plain: BTreeSet<(UnixMillis, ClaimKey)>,
     /// Highest incarnation of each entry that was declared lost.
     lost: BTreeMap<EntryName, Incarnation>,
     /// Keys made at this time or before are refused; never goes back, also when the window grows.
     low_water: UnixMillis,
+    /// Digests of forgotten keys that carry no time.
     tombstones: BTreeSet<Tombstone>,
 }
 
@@ -93,27 +96,22 @@
 
     /// Forgets ended claims that have left the window.
     pub(crate) fn advance(&mut self, now: UnixMillis, rules: &LedgerRules) {
-        let horizon = UnixMillis(now.0.saturating_sub(rules.window_ms.0));
+        let Some(horizon) = now.0.checked_sub(rules.window_ms.0).map(UnixMillis) else {
+            return;
+        };
         self.low_water = self.low_water.max(horizon);
-        while let Some((since, key)) = self.ended.first() {
-            if *since > horizon || !self.may_forget(key, rules) {
-                return;
-            }
-            let Some((_, key)) = self.ended.pop_first() else {
+        while let Some(key) = pop_until(&mut self.ended_timed, horizon) {
+            self.claims.remove(&key);
+        }
+        while self.tombstones.len() < to_count(rules.max_tombstones) {
+            let Some(key) = pop_until(&mut self.ended_plain, horizon) else {
                 return;
             };
-            if read_key_time(&key.key).is_none() {
-                self.tombstones.insert(to_tombstone(&key));
-            }
+            self.tombstones.insert(to_tombstone(&key));
             self.claims.remove(&key);
         }
     }
 
-    /// A key without a time is forgotten only into a tombstone.
-    fn may_forget(&self, key: &ClaimKey, rules: &LedgerRules) -> bool {
-        read_key_time(&key.key).is_some() || self.tombstones.len() < to_count(rules.max_tombstones)
-    }
-
     pub(crate) fn claim(
         &mut self,
         asked: ClaimRequest,
@@ -272,17 +270,35 @@
 
     /// The window of a key that carries a later time than its outcome runs from that time.
     fn start_window(&mut self, key: ClaimKey, now: UnixMillis) {
-        let since = read_key_time(&key.key).map_or(now, |made_at| made_at.max(now));
-        self.ended.insert((since, key));
+        match read_key_time(&key.key) {
+            Some(made_at) => self.ended_timed.insert((made_at.max(now), key)),
+            None => self.ended_plain.insert((now, key)),
+        };
     }
 
+    /// Time until the next claim is forgotten; none when none can be.
     fn next_free(&self, now: UnixMillis, rules: &LedgerRules) -> Option<Millis> {
-        let (since, _) = self.ended.first()?;
-        let free_at = since.0.saturating_add(rules.window_ms.0);
+        let has_room = self.tombstones.len() < to_count(rules.max_tombstones);
+        let plain = self.ended_plain.first().filter(|_| has_room);
+        let next = self.ended_timed.first().into_iter().chain(plain);
+        let since = next.map(|(since, _)| since.0).min()?;
+        let free_at = since.saturating_add(rules.window_ms.0);
         Some(Millis(free_at.saturating_sub(now.0)))
     }
 }
 
+/// Takes the first key whose time is at or before the horizon.
+fn pop_until(
+    ended: &mut BTreeSet<(UnixMillis, ClaimKey)>,
+    horizon: UnixMillis,
+) -> Option<ClaimKey> {
+    let (since, _) = ended.first()?;
+    if *since > horizon {
+        return None;
+    }
+    ended.pop_first().map(|(_, key)| key)
+}
+
 fn answer_known(claim: &Claim, asked: &ClaimRequest) -> ClaimReply {
     let request = claim.request;
     if claim.digest != asked.digest {
--- /dev/null
+++ b/crates/mgw-state/tests/changes.rs
@@ -0,0 +1,238 @@
+//! Changes of configuration: races, resends, faults, differences and the entries' view.
+
+mod common;
+
+use common::{Driver, accepted, change, inventory_text};
+use mgw_contract::operator::ApplyReply;
+use mgw_state::{AuditFilter, ConfigUpdate, ConfigView, State, StateError};
+use mgw_world::Revision;
+
+fn conflict(current: u64, winner_change_id: &str) -> ApplyReply {
+    ApplyReply::Conflict {
+        current: Revision(current),
+        winner_change_id: winner_change_id.to_owned(),
+        winner: "anika".into(),
+    }
+}
+
+/// Sends changes `(id, base, workspace)` in turn and compares the answers.
+macro_rules! change_cases {
+    ($($name:ident: $rules:expr, [$(($id:expr, $base:expr, $workspace:expr) => $reply:expr),* $(,)?];)*) => {
+        $(#[test]
+        fn $name() {
+            let mut driver = Driver::default();
+            $(
+                let text = inventory_text($workspace, $rules);
+                assert_eq!(driver.change($id, $base, &text), $reply, "{} on {}", $id, $base);
+            )*
+        })*
+    };
+}
+
+change_cases! {
+    one_of_two_equal_numbers_wins: "", [
+        ("a", 0, "one") => accepted(1),
+        ("b", 0, "two") => conflict(1, "a"),
+    ];
+    loser_hears_what_won_on_its_base: "", [
+        ("a", 0, "one") => accepted(1),
+        ("b", 1, "two") => accepted(2),
+        ("c", 0, "three") => conflict(2, "a"),
+    ];
+    resend_gets_the_first_answer: "", [
+        ("a", 0, "one") => accepted(1),
+        ("a", 0, "one") => accepted(1),
+        ("b", 1, "two") => accepted(2),
+        ("a", 0, "one") => accepted(1),
+    ];
+    resend_of_a_loser_gets_the_first_answer: "", [
+        ("a", 0, "one") => accepted(1),
+        ("b", 0, "two") => conflict(1, "a"),
+        ("c", 1, "three") => accepted(2),
+        ("b", 0, "two") => conflict(1, "a"),
+    ];
+    resend_past_the_memory_changes_nothing: "rules = { remembered_changes = 2 }", [
+        ("a", 0, "one") => accepted(1),
+        ("b", 1, "two") => accepted(2),
+        ("c", 2, "three") => accepted(3),
+        ("a", 0, "one") => conflict(3, "c"),
+    ];
+    base_from_the_future_is_refused: "", [
+        ("a", 0, "one") => accepted(1),
+        ("b", 5, "two") => conflict(1, "a"),
+    ];
+}
+
+#[test]
+fn change_id_with_other_text_is_an_error() {
+    let mut driver = Driver::with_rules("");
+    let other = driver.change("first", 0, &inventory_text("other", ""));
+    let ApplyReply::Invalid { findings } = other else {
+        panic!("accepted: {other:?}");
+    };
+    assert_eq!(findings[0].key, "change_id");
+    let same_text = driver.change("first", 1, &inventory_text("w", ""));
+    assert!(matches!(same_text, ApplyReply::Invalid { .. }));
+    assert_eq!(driver.state.revision(), Revision(1));
+}
+
+#[test]
+fn faulty_change_is_refused_and_its_id_stays_free() {
+    let mut driver = Driver::default();
+    let bad = driver.change("a", 0, "regions = 1\nworkspaces = 3");
+    let ApplyReply::Invalid { findings } = bad else {
+        panic!("accepted: {bad:?}");
+    };
+    let keys: Vec<_> = findings
+        .iter()
+        .map(|one| (one.line, one.key.as_str()))
+        .collect();
+    assert_eq!(keys, [(1, "regions"), (2, "workspaces")]);
+    assert_eq!(driver.change("a", 0, &inventory_text("w", "")), accepted(1));
+}
+
+#[test]
+fn hundreds_of_changes_survive_a_restart_and_catch_up_by_differences() {
+    let mut driver = Driver::with_rules("rules = { kept_diffs = 100 }");
+    let mut near = ConfigView::new(Revision(0));
+    let mut far = ConfigView::new(Revision(0));
+    far.take(driver.state.config().full_update())
+        .expect("newer");
+    for number in 1..=400 {
+        let text = inventory_text(&format!("w{number}"), "rules = { kept_diffs = 100 }");
+        assert_eq!(
+            driver.change(&format!("c{number}"), number, &text),
+            accepted(number + 1)
+        );
+        if number == 350 {
+            near.take(driver.state.config().full_update())
+                .expect("newer");
+        }
+    }
+    let restored = State::restore(&driver.state.snapshot()).expect("whole");
+    assert_eq!(restored, driver.state);
+    let config = restored.config();
+    let update = config.update_since(near.held());
+    assert!(matches!(&update, ConfigUpdate::Diffs(diffs) if diffs.len() == 50));
+    assert_eq!(near.take(update), Ok(true));
+    let update = config.update_since(far.held());
+    assert!(matches!(update, ConfigUpdate::Full { .. }));
+    assert_eq!(far.take(update), Ok(true));
+    assert_eq!(near.inventory(), config.inventory());
+    assert_eq!(far.inventory(), config.inventory());
+    let update = config.update_since(near.held());
+    assert_eq!(near.take(update), Ok(false));
+    assert_eq!(
+        driver.change(
+            "c7",
+            7,
+            &inventory_text("w7", "rules = { kept_diffs = 100 }")
+        ),
+        accepted(8)
+    );
+}
+
+#[test]
+fn view_refuses_what_would_take_it_back_or_apart() {
+    let mut driver = Driver::with_rules("");
+    let first = driver.state.config().full_update();
+    driver.change("b", 1, &inventory_text("two", ""));
+    let second = driver.state.config().update_since(Revision(1));
+    driver.change("c", 2, &inventory_text("three", ""));
+    let third = driver.state.config().update_since(Revision(2));
+    let newest = driver.state.config().full_update();
+
+    let mut view = ConfigView::new(Revision(3));
+    assert_eq!(
+        view.take(first.clone()),
+        Err(StateError::Older {
+            held: Revision(3),
+            offered: Revision(1)
+        })
+    );
+    assert!(!view.is_ready());
+    assert_eq!(
+        view.take(third.clone()),
+        Err(StateError::WrongBase {
+            held: Revision(0),
+            base: Revision(2)
+        })
+    );
+    assert_eq!(view.take(newest), Ok(true));
+    assert!(view.is_ready());
+    assert_eq!(view.take(third.clone()), Ok(false));
+    assert!(view.take(second).is_err());
+    view.note_accepted(Revision(4));
+    assert!(!view.is_ready());
+
+    let mut late = ConfigView::new(Revision(0));
+    late.take(first).expect("the first");
+    assert!(matches!(
+        late.take(third.clone()),
+        Err(StateError::WrongBase { .. })
+    ));
+    let ConfigUpdate::Diffs(mut diffs) = third else {
+        panic!("not a difference");
+    };
+    diffs[0].base = Revision(1);
+    diffs[0].digest.0[0] ^= 1;
+    assert_eq!(
+        late.take(ConfigUpdate::Diffs(diffs)),
+        Err(StateError::WrongDigest)
+    );
+    assert_eq!(late.held(), Revision(1));
+}
+
+#[test]
+fn audit_trail_has_accepted_and_refused_changes_with_their_difference() {
+    let mut driver = Driver::with_rules("rules = { audit_records = 3 }");
+    driver.now_ms = 50;
+    let text = "operators = [{ name = \"anika\", key_sha256 = \"";
+    let text = format!("{text}{}\" }}]\n", "ab".repeat(32));
+    let text = format!(
+        "{text}workspaces = [{{ name = \"w\", weight = 9 }}, {{ name = \"x\", weight = 1 }}]\nrules = {{ audit_records = 3 }}"
+    );
+    driver.change("second", 1, &text);
+    driver.change("loser", 1, &text);
+    driver.run(change("loser", 1, &text));
+    driver.change("faulty", 2, "");
+    let audit = driver.state.audit();
+    assert_eq!(audit.total(), 4);
+    let kept: Vec<_> = audit
+        .iter()
+        .map(|record| (record.number, record.accepted))
+        .collect();
+    assert_eq!(kept, [(2, true), (3, false), (4, false)]);
+    let filter = AuditFilter {
+        accepted: Some(true),
+        ..AuditFilter::default()
+    };
+    let records = audit.select(&filter);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].base, Some(Revision(1)));
+    assert_eq!(records[0].revision, Some(Revision(2)));
+    assert_eq!(records[0].at_unix_ms.0, 50);
+    assert_eq!(
+        records[0].detail,
+        "~workspaces.w: weight 1 -> 9; +workspaces.x; ~operators.anika: key_sha256 changed"
+    );
+    let filter = AuditFilter {
+        subject: Some("loser".to_owned()),
+        ..AuditFilter::default()
+    };
+    assert!(
+        audit.select(&filter)[0]
+            .detail
+            .contains("`second` of anika won")
+    );
+    let filter = AuditFilter {
+        limit: Some(1),
+        ..AuditFilter::default()
+    };
+    assert_eq!(audit.select(&filter)[0].subject, "faulty");
+    let filter = AuditFilter {
+        operator: Some("ravi".into()),
+        ..AuditFilter::default()
+    };
+    assert!(audit.select(&filter).is_empty());
+}
--- /dev/null
+++ b/crates/mgw-state/tests/ledger.rs
@@ -0,0 +1,299 @@
+//! The ledger under races, lost entries, reused and expired keys, and at its bounds.
+
+mod common;
+
+use common::{Driver, claim, claim_key, timed_key};
+use mgw_contract::caller::Outcome;
+use mgw_contract::operator::LedgerState;
+use mgw_state::{Action, ClaimReply, RecordReply, RecordedResponse, Reply, ResolveReply};
+use mgw_world::{Millis, RequestId};
+
+const SMALL: &str = "rules.ledger = { window_ms = 100, max_claims = 2, max_tombstones = 1 }";
+
+const FIRST: RequestId = RequestId(1);
+
+#[test]
+fn racing_claims_grant_exactly_one() {
+    let mut driver = Driver::with_rules("");
+    let first = claim("k", "body", 1, "e1", 1);
+    let second = claim("k", "body", 2, "e2", 1);
+    assert_eq!(driver.claim(first.clone()), ClaimReply::Granted);
+    assert_eq!(
+        driver.claim(second.clone()),
+        ClaimReply::InProgress { request: FIRST }
+    );
+    assert_eq!(driver.claim(first.clone()), ClaimReply::Granted);
+    assert_eq!(
+        driver.record(&second, Outcome::Done),
+        RecordReply::NotHolder
+    );
+    assert_eq!(
+        driver.release(&second),
+        Reply::Record(RecordReply::NotHolder)
+    );
+    assert_eq!(driver.record(&first, Outcome::Done), RecordReply::Recorded);
+    assert_eq!(driver.record(&first, Outcome::Done), RecordReply::Recorded);
+    let again = RecordReply::AlreadyEnded {
+        outcome: Outcome::Done,
+    };
+    assert_eq!(driver.record(&first, Outcome::NotRun), again);
+    assert_eq!(driver.release(&first), Reply::Record(again));
+}
+
+#[test]
+fn recorded_answer_comes_back_with_bounded_body() {
+    let mut driver = Driver::with_rules("rules.ledger = { max_body_bytes = 4 }");
+    let rules = driver.state.inventory().rules.ledger;
+    for (key, body, kept) in [("k1", "four", true), ("k2", "fiver", false)] {
+        let asked = claim(key, "body", 1, "e1", 1);
+        driver.claim(asked.clone());
+        let response = RecordedResponse::new(201, "text/plain", body.as_bytes(), &rules);
+        assert_eq!(response.body.is_some(), kept);
+        let mut report = common::report(&asked, Outcome::Done);
+        report.response = Some(response.clone());
+        driver.run(Action::RecordOutcome(report));
+        let ended = ClaimReply::Ended {
+            request: FIRST,
+            outcome: Outcome::Done,
+            response: Some(response),
+        };
+        assert_eq!(driver.claim(claim(key, "body", 9, "e2", 1)), ended);
+    }
+}
+
+#[test]
+fn key_with_another_body_is_a_conflict_in_every_state() {
+    let mut driver = Driver::with_rules("");
+    let first = claim("k", "body", 1, "e1", 1);
+    let other = claim("k", "other", 2, "e2", 1);
+    let conflict = ClaimReply::Conflict { request: FIRST };
+    driver.claim(first);
+    assert_eq!(driver.claim(other.clone()), conflict);
+    driver.lose("e1", 1);
+    assert_eq!(driver.claim(other.clone()), conflict);
+    driver.resolve("k", true);
+    assert_eq!(driver.claim(other), conflict);
+    let mut other_service = claim("k", "other", 3, "e2", 1);
+    other_service.key.service = "billing".into();
+    assert_eq!(driver.claim(other_service), ClaimReply::Granted);
+}
+
+#[test]
+fn entry_lost_between_claim_and_outcome_leaves_unknown_until_an_operator_resolves() {
+    let mut driver = Driver::with_rules(SMALL);
+    let first = claim("k", "body", 1, "e1", 1);
+    let retry = claim("k", "body", 2, "e2", 1);
+    driver.claim(first.clone());
+    assert_eq!(
+        driver.resolve("k", true),
+        Reply::Resolve(ResolveReply::InProgress)
+    );
+    assert_eq!(driver.lose("e1", 1), Reply::EntryLost { unknown: 1 });
+    assert_eq!(driver.lose("e1", 1), Reply::EntryLost { unknown: 0 });
+    let unknown = ClaimReply::Unknown { request: FIRST };
+    assert_eq!(driver.claim(retry.clone()), unknown);
+    assert_eq!(driver.claim(first.clone()), unknown);
+    assert_eq!(driver.record(&first, Outcome::Done), RecordReply::Unknown);
+    assert_eq!(driver.release(&first), Reply::Record(RecordReply::Unknown));
+    assert_eq!(
+        driver.state.ledger().late_report(&first.key),
+        Some(Outcome::Done)
+    );
+    driver.now_ms = 1_000_000;
+    assert_eq!(driver.claim(retry.clone()), unknown);
+    let resolved = Reply::Resolve(ResolveReply::Resolved {
+        outcome: Outcome::NotRun,
+    });
+    assert_eq!(driver.resolve("k", false), resolved);
+    assert_eq!(driver.resolve("k", false), resolved);
+    let ended = Reply::Resolve(ResolveReply::AlreadyEnded {
+        outcome: Outcome::NotRun,
+    });
+    assert_eq!(driver.resolve("k", true), ended);
+    let ended = ClaimReply::Ended {
+        request: FIRST,
+        outcome: Outcome::NotRun,
+        response: None,
+    };
+    assert_eq!(driver.claim(retry), ended);
+    assert_eq!(
+        driver.resolve("other", true),
+        Reply::Resolve(ResolveReply::NoClaim)
+    );
+    let filter = mgw_state::AuditFilter {
+        action: Some("resolve".to_owned()),
+        ..Default::default()
+    };
+    let trail = driver.state.audit().select(&filter);
+    let accepted: Vec<_> = trail.iter().map(|record| record.accepted).collect();
+    assert_eq!(accepted, [false, true, true, false, false]);
+}
+
+#[test]
+fn lost_incarnation_claims_nothing_more_and_a_new_one_loses_the_old() {
+    let mut driver = Driver::with_rules("");
+    driver.claim(claim("k1", "body", 1, "e1", 3));
+    driver.lose("e1", 3);
+    assert_eq!(
+        driver.claim(claim("k2", "body", 2, "e1", 3)),
+        ClaimReply::EntryLost
+    );
+    assert_eq!(
+        driver.claim(claim("k2", "body", 2, "e1", 2)),
+        ClaimReply::EntryLost
+    );
+    assert_eq!(
+        driver.claim(claim("k2", "body", 2, "e1", 4)),
+        ClaimReply::Granted
+    );
+    assert_eq!(
+        driver.claim(claim("k3", "body", 3, "e1", 6)),
+        ClaimReply::Granted
+    );
+    let record = driver
+        .state
+        .ledger()
+        .record(&claim_key("k2"))
+        .expect("held");
+    assert_eq!(record.state, LedgerState::Unknown);
+    assert_eq!(driver.state.ledger().unknown_count(), 2);
+    assert_eq!(
+        driver.state.ledger().claimants(),
+        [common::claimant("e1", 6)]
+    );
+}
+
+#[test]
+fn released_claim_may_be_claimed_again() {
+    let mut driver = Driver::with_rules("");
+    let first = claim("k", "body", 1, "e1", 1);
+    driver.claim(first.clone());
+    assert_eq!(driver.release(&first), Reply::Record(RecordReply::Recorded));
+    assert_eq!(driver.release(&first), Reply::Record(RecordReply::NoClaim));
+    assert_eq!(driver.record(&first, Outcome::Done), RecordReply::NoClaim);
+    assert_eq!(
+        driver.claim(claim("k", "other", 2, "e2", 1)),
+        ClaimReply::Granted
+    );
+}
+
+#[test]
+fn reported_unknown_waits_for_an_operator() {
+    let mut driver = Driver::with_rules("");
+    let first = claim("k", "body", 1, "e1", 1);
+    driver.claim(first.clone());
+    assert_eq!(
+        driver.record(&first, Outcome::Unknown),
+        RecordReply::Recorded
+    );
+    assert_eq!(driver.record(&first, Outcome::Done), RecordReply::Unknown);
+    let retry = driver.claim(claim("k", "body", 2, "e2", 1));
+    assert_eq!(retry, ClaimReply::Unknown { request: FIRST });
+}
+
+#[test]
+fn full_ledger_refuses_and_forgets_nothing_inside_the_window() {
+    let mut driver = Driver::with_rules(SMALL);
+    let keys = [
+        timed_key(1_000, 1),
+        timed_key(1_000, 2),
+        timed_key(1_040, 3),
+    ];
+    driver.now_ms = 1_000;
+    let first = claim(&keys[0], "body", 1, "e1", 1);
+    let second = claim(&keys[1], "body", 2, "e1", 1);
+    let third = claim(&keys[2], "body", 3, "e1", 1);
+    driver.claim(first.clone());
+    driver.claim(second);
+    assert_eq!(
+        driver.claim(third.clone()),
+        ClaimReply::Full {
+            retry_after_ms: None
+        }
+    );
+    driver.now_ms = 1_010;
+    driver.record(&first, Outcome::Done);
+    driver.now_ms = 1_040;
+    let full = ClaimReply::Full {
+        retry_after_ms: Some(Millis(70)),
+    };
+    assert_eq!(driver.claim(third.clone()), full);
+    driver.now_ms = 1_109;
+    assert!(matches!(
+        driver.claim(third.clone()),
+        ClaimReply::Full { .. }
+    ));
+    assert!(matches!(
+        driver.claim(first.clone()),
+        ClaimReply::Ended { .. }
+    ));
+    driver.now_ms = 1_110;
+    assert_eq!(driver.claim(third), ClaimReply::Granted);
+    assert_eq!(driver.claim(first), ClaimReply::Expired);
+}
+
+#[test]
+fn key_past_the_window_is_refused_rather_than_run_again() {
+    let mut driver = Driver::with_rules("rules.ledger = { window_ms = 100 }");
+    driver.now_ms = 1_000;
+    let old = claim(&timed_key(900, 1), "body", 1, "e1", 1);
+    assert_eq!(driver.claim(old), ClaimReply::Expired);
+    let future_key = timed_key(5_000, 2);
+    let future = claim(&future_key, "body", 2, "e1", 1);
+    let plain = claim("plain", "body", 3, "e1", 1);
+    for asked in [&future, &plain] {
+        assert_eq!(driver.claim(asked.clone()), ClaimReply::Granted);
+        driver.record(asked, Outcome::Done);
+    }
+    driver.now_ms = 1_100;
+    assert_eq!(driver.claim(plain.clone()), ClaimReply::Expired);
+    assert!(matches!(
+        driver.claim(future.clone()),
+        ClaimReply::Ended { .. }
+    ));
+    driver.now_ms = 5_099;
+    assert!(matches!(
+        driver.claim(future.clone()),
+        ClaimReply::Ended { .. }
+    ));
+    driver.now_ms = 5_100;
+    assert_eq!(driver.claim(future.clone()), ClaimReply::Expired);
+    driver.now_ms = 0;
+    assert_eq!(driver.claim(future), ClaimReply::Expired);
+    assert_eq!(driver.claim(plain), ClaimReply::Expired);
+}
+
+#[test]
+fn wider_window_brings_no_forgotten_key_back() {
+    let mut driver = Driver::with_rules("rules.ledger = { window_ms = 100 }");
+    driver.now_ms = 1_000;
+    let asked = claim(&timed_key(1_000, 1), "body", 1, "e1", 1);
+    driver.claim(asked.clone());
+    driver.record(&asked, Outcome::Done);
+    driver.now_ms = 1_100;
+    driver.run(Action::AdvanceTime);
+    assert!(driver.state.ledger().is_empty());
+    let wider = common::inventory_text("w", "rules.ledger = { window_ms = 9000 }");
+    assert_eq!(driver.change("wider", 1, &wider), common::accepted(2));
+    assert_eq!(driver.claim(asked), ClaimReply::Expired);
+}
+
+#[test]
+fn full_tombstones_hold_claims_rather_than_forget_them() {
+    let mut driver = Driver::with_rules(SMALL);
+    let claims = [
+        claim("k1", "body", 1, "e1", 1),
+        claim("k2", "body", 2, "e1", 1),
+    ];
+    for asked in &claims {
+        driver.claim(asked.clone());
+        driver.record(asked, Outcome::Done);
+    }
+    driver.now_ms = 1_000;
+    assert_eq!(driver.claim(claims[0].clone()), ClaimReply::Expired);
+    assert_eq!(driver.state.ledger().tombstone_count(), 1);
+    assert!(matches!(
+        driver.claim(claims[1].clone()),
+        ClaimReply::Ended { .. }
+    ));
+}
