--- a/crates/mgw-cli/src/commands/audit.rs
+++ b/crates/mgw-cli/src/commands/audit.rs
@@ -6,6 +6,9 @@
 use crate::output::{Table, print_json};
 use crate::{CliError, ExitStatus};
 
+/// Longest detail in the text form, in characters.
+const DETAIL_CHARS: usize = 96;
+
 /// Which records are listed.
 #[derive(Debug, Clone, Copy)]
 pub struct Filter<'a> {
@@ -58,9 +61,17 @@
             } else {
                 revision
             },
-            record.detail.lines().next().unwrap_or_default().to_owned(),
+            shorten(record.detail.lines().next().unwrap_or_default()),
         ]);
     }
     table.print();
     Ok(ExitStatus::Success)
 }
+
+/// Cuts a long detail; `--json` prints the whole of it.
+fn shorten(detail: &str) -> String {
+    if detail.chars().count() <= DETAIL_CHARS {
+        return detail.to_owned();
+    }
+    detail.chars().take(DETAIL_CHARS).chain("...".chars()).collect()
+}
--- a/crates/mgw-control/src/duties.rs
+++ b/crates/mgw-control/src/duties.rs
@@ -7,7 +7,7 @@
 use mgw_state::{Action, ClaimantId};
 use mgw_world::{FenceNumber, Millis};
 use tokio::time::sleep;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::app::App;
 use crate::replica::{MemberChange, ReplicaReport};
@@ -128,8 +128,8 @@
         None => MemberChange::Promote(learner.clone()),
     };
     match app.replica.change(change).await {
-        Ok(()) | Err(PeerError::Refused { .. }) => {}
-        Err(error) => warn!(%error, "couldn't change the members"),
+        Ok(()) => {}
+        Err(error) => debug!(%error, "the members can't be changed yet"),
     }
 }
 
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -123,7 +123,7 @@
             ReplicaMessage::Submit(action, answer) => self.propose(*action, answer),
             ReplicaMessage::Read(answer) => self.start_read(answer),
             ReplicaMessage::Change(change, answer) => {
-                let _ = answer.send(self.change_members(change));
+                let _ = answer.send(self.change_members(&change));
             }
             ReplicaMessage::HandOver => self.hand_over(),
             ReplicaMessage::Describe(answer) => self.describe(answer),
@@ -218,9 +218,9 @@
         }
     }
 
-    fn change_members(&mut self, change: MemberChange) -> Result<(), PeerError> {
+    fn change_members(&mut self, change: &MemberChange) -> Result<(), PeerError> {
         let now = self.start.clock.now();
-        let changed = match &change {
+        let changed = match change {
             MemberChange::AddLearner(id) => self.replica.add_learner(id.clone(), now),
             MemberChange::Promote(id) => self.replica.promote(id.clone(), now),
             MemberChange::Remove(id) => self.replica.remove(id, now),
--- a/crates/mgw-entry/src/run.rs
+++ b/crates/mgw-entry/src/run.rs
@@ -93,7 +93,7 @@
     };
     tokio::spawn(serve_peers(
         peers,
-        answer_peers!(server.clone()),
+        answer_peers!(server),
         ended.clone(),
     ));
     tokio::spawn(run_spread(spread, ended.clone()));
--- a/crates/mgw-entry/src/services/once.rs
+++ b/crates/mgw-entry/src/services/once.rs
@@ -272,7 +272,7 @@
     let tracker = app.runs.clone();
     tracker.spawn(async move {
         let submitting = app.controls.submit(action, &app.clock, LATE_LIMIT_MS);
-        if let Some(Err(error)) = app.shutdown.unless_forced(submitting).await {
+        if let Some(Err(error)) = Box::pin(app.shutdown.unless_forced(submitting)).await {
             warn!(%error, "couldn't tell the ledger of a call's end");
         }
     });
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -133,7 +133,12 @@
 
 until_ready "first configuration" \
     "$bin/mgw" config apply "$folder/inventory.toml" --base 0 --change-id first --wait 10
+all_controls_vote() {
+    [ "$("$bin/mgw" status | grep -cE '^control-[0-9] +(leader|follower) +yes ')" = 3 ]
+}
+
 until_ready "targets" targets_are_in_choice
+until_ready "controls" all_controls_vote
 say "ready: $(wc -l <"$folder/targets.txt" | tr -d ' ') lines in $folder/targets.txt"
 
 entries=()
