Search random orders of messages, crashes and member changes

Change: a seeded search with proptest over 3,000 plans a setting, invariants checked at each step, and injected faults that it must find.

--- a/crates/mgw-quorum/src/replica/election.rs
+++ b/crates/mgw-quorum/src/replica/election.rs
@@ -46,7 +46,8 @@
     }
 
     fn finish_pre_vote(&mut self) {
-        if self.membership().has_quorum(&self.votes) {
+        let is_skipped = self.is_fault(InjectedFault::SkipPreVote);
+        if is_skipped || self.membership().has_quorum(&self.votes) {
             self.start_vote(false);
         }
     }
--- a/crates/mgw-quorum/src/replica/follower.rs
+++ b/crates/mgw-quorum/src/replica/follower.rs
@@ -2,8 +2,8 @@
 
 use super::state::{Incoming, Replica};
 use crate::{
-    Append, AppendOutcome, AppendReply, Entry, Index, InstallChunk, InstallReply, Message,
-    ReplicaId, Snapshot,
+    Append, AppendOutcome, AppendReply, Entry, Index, InjectedFault, InstallChunk, InstallReply,
+    Message, ReplicaId, Snapshot,
 };
 
 impl Replica {
@@ -39,10 +39,14 @@
         }
         let prev_index = append.prev_index.max(self.log.base());
         let is_known = append.prev_index < self.log.base()
-            || self.log.term_at(prev_index) == Some(append.prev_term);
+            || self.log.term_at(prev_index) == Some(append.prev_term)
+            || self.skips_prev_check(prev_index);
         if !is_known {
             return AppendOutcome::Conflict(self.conflict_hint(prev_index));
         }
+        if self.is_fault(InjectedFault::TruncateAlways) && prev_index >= self.commit {
+            self.truncate(prev_index.next());
+        }
         for entry in append.entries {
             self.accept_entry(entry);
         }
@@ -50,6 +54,10 @@
         AppendOutcome::Matched(verified)
     }
 
+    fn skips_prev_check(&self, prev_index: Index) -> bool {
+        self.is_fault(InjectedFault::SkipPrevCheck) && prev_index <= self.log.last_index()
+    }
+
     fn conflict_hint(&self, prev_index: Index) -> Index {
         let last = self.log.last_index();
         if prev_index > last {
--- a/crates/mgw-quorum/src/replica/leader.rs
+++ b/crates/mgw-quorum/src/replica/leader.rs
@@ -222,6 +222,7 @@
             return;
         }
         let last = self.log.last_index();
+        let ignores_conflict = self.is_fault(InjectedFault::IgnoreConflict);
         let Some(progress) = self.hear_member(from, reply.round, reply.sent_ms) else {
             return;
         };
@@ -230,6 +231,7 @@
                 progress.matched = progress.matched.max(index);
                 progress.next = progress.next.max(index.next());
             }
+            AppendOutcome::Conflict(_) if ignores_conflict => {}
             AppendOutcome::Conflict(index) => {
                 progress.next = index.min(last).max(progress.matched).next();
             }
--- a/crates/mgw-quorum/src/replica/members.rs
+++ b/crates/mgw-quorum/src/replica/members.rs
@@ -2,7 +2,7 @@
 
 use super::leader::Transfer;
 use super::state::Replica;
-use crate::{Index, Membership, Message, Payload, QuorumError, ReplicaId};
+use crate::{Index, InjectedFault, Membership, Message, Payload, QuorumError, ReplicaId};
 use mgw_world::Millis;
 use std::collections::BTreeSet;
 
@@ -116,7 +116,7 @@
 
     fn check_change(&self) -> Result<(), QuorumError> {
         self.check_leading()?;
-        if !self.has_committed_in_term() {
+        if !self.has_committed_in_term() && !self.is_fault(InjectedFault::EarlyChange) {
             return Err(QuorumError::NotReady);
         }
         let index = self.log.last_change();
@@ -134,7 +134,7 @@
             .map_or(Index::ZERO, |progress| progress.matched);
         let lag_entries = self.log.last_index().0 - matched.0.min(self.log.last_index().0);
         let is_behind = matched == Index::ZERO || lag_entries > self.settings.promote_lag_entries;
-        if is_behind {
+        if is_behind && !self.is_fault(InjectedFault::PromoteBehind) {
             return Err(QuorumError::LearnerBehind {
                 id: id.clone(),
                 matched,
@@ -144,7 +144,8 @@
     }
 
     fn check_reachable(&self, members: &Membership) -> Result<(), QuorumError> {
-        if members.has_quorum(&self.reachable_members()) {
+        let is_skipped = self.is_fault(InjectedFault::SkipReachableCheck);
+        if is_skipped || members.has_quorum(&self.reachable_members()) {
             Ok(())
         } else {
             Err(QuorumError::QuorumAtRisk)
--- a/crates/mgw-quorum/src/replica/reads.rs
+++ b/crates/mgw-quorum/src/replica/reads.rs
@@ -67,7 +67,9 @@
     #[must_use]
     pub fn lease_until(&self) -> Option<Millis> {
         let leadership = self.leadership.as_ref()?;
-        if leadership.is_handed_over() || !self.has_committed_in_term() {
+        let is_handed_over =
+            leadership.is_handed_over() && !self.is_fault(InjectedFault::KeepLeaseInTransfer);
+        if is_handed_over || !self.has_committed_in_term() {
             return None;
         }
         let sent_ms = self.quorum_sent_ms()?;
--- a/crates/mgw-quorum/src/replica/state.rs
+++ b/crates/mgw-quorum/src/replica/state.rs
@@ -318,6 +318,7 @@
     /// Whether this replica still keeps its promise to a leader that it heard.
     pub(super) fn is_sticky(&self, transfer: bool) -> bool {
         let promise_until = self.heard_leader_at + self.settings.election_min_ms;
-        !transfer && (self.leadership.is_some() || self.now < promise_until)
+        let is_kept = !transfer && !self.is_fault(InjectedFault::VoteDespiteLease);
+        is_kept && (self.leadership.is_some() || self.now < promise_until)
     }
 }
--- a/crates/mgw-quorum/src/settings.rs
+++ b/crates/mgw-quorum/src/settings.rs
@@ -25,6 +25,15 @@
     VoteTwice,
     IgnoreQuorumLoss,
     SkipReadRound,
+    SkipPrevCheck,
+    IgnoreConflict,
+    TruncateAlways,
+    SkipReachableCheck,
+    KeepLeaseInTransfer,
+    PromoteBehind,
+    EarlyChange,
+    SkipPreVote,
+    VoteDespiteLease,
 }
 
 /// Timeouts and sizes of a replica. All voters use the same timeouts.
--- /dev/null
+++ b/crates/mgw-quorum/tests/search.rs
@@ -0,0 +1,208 @@
+//! Seeded random search over message orders, crashes, partitions and member changes.
+
+mod common;
+
+use common::{Check, Cluster, with_fault};
+use mgw_quorum::{InjectedFault, ReadMode, Settings};
+use mgw_world::Millis;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
+
+const STEPS_MAX: usize = 120;
+const SEARCH_CASES: u32 = 3_000;
+const BROKEN_CASES: u32 = 20_000;
+const SHRINKS_MAX: u32 = 2_000;
+
+#[derive(Debug, Clone)]
+enum Action {
+    Run(u64),
+    Advance(u64),
+    Sync(usize),
+    Deliver(usize),
+    DeliverAll,
+    Lose(usize),
+    Double(usize),
+    Propose(usize),
+    Read(usize),
+    Crash(usize, usize),
+    Start(usize),
+    Freeze(usize),
+    Cut(usize, usize),
+    Isolate(usize),
+    Heal,
+    Compact(usize),
+    Transfer(usize),
+    Join,
+    Promote(usize),
+    Remove(usize),
+    Wipe(usize),
+}
+
+fn any_action() -> impl Strategy<Value = Action> {
+    use Action as A;
+    let at = 0..5_usize;
+    let pick = 0..64_usize;
+    prop_oneof![
+        8 => (10..400_u64).prop_map(A::Run),
+        8 => (5..350_u64).prop_map(A::Advance),
+        6 => at.clone().prop_map(A::Sync),
+        10 => pick.clone().prop_map(A::Deliver),
+        6 => Just(A::DeliverAll),
+        2 => pick.clone().prop_map(A::Lose),
+        2 => pick.prop_map(A::Double),
+        8 => at.clone().prop_map(A::Propose),
+        4 => at.clone().prop_map(A::Read),
+        4 => (at.clone(), 0..3_usize).prop_map(|(at, kept)| A::Crash(at, kept)),
+        5 => at.clone().prop_map(A::Start),
+        2 => at.clone().prop_map(A::Freeze),
+        2 => (at.clone(), at.clone()).prop_map(|(from, to)| A::Cut(from, to)),
+        2 => at.clone().prop_map(A::Isolate),
+        3 => Just(A::Heal),
+        1 => at.clone().prop_map(A::Compact),
+        1 => at.clone().prop_map(A::Transfer),
+        1 => Just(A::Join),
+        2 => at.clone().prop_map(A::Promote),
+        1 => at.clone().prop_map(A::Remove),
+        1 => at.prop_map(A::Wipe),
+    ]
+}
+
+fn step(cluster: &mut Cluster, action: &Action) -> Check {
+    let count = cluster.nodes.len();
+    let queued = cluster.net.len().max(1);
+    match *action {
+        Action::Run(span_ms) => cluster.run(span_ms)?,
+        Action::Advance(span_ms) => {
+            cluster.now += Millis(span_ms);
+            for at in 0..count {
+                cluster.tick(at)?;
+            }
+        }
+        Action::Sync(at) => cluster.sync(at % count)?,
+        Action::Deliver(pick) => cluster.deliver(pick % queued)?,
+        Action::DeliverAll => {
+            for _ in 0..cluster.net.len() {
+                cluster.deliver(0)?;
+            }
+        }
+        Action::Lose(pick) => drop(cluster.net.remove(pick % queued)),
+        Action::Double(pick) => {
+            let copy = cluster.net.get(pick % queued).cloned();
+            cluster.net.extend(copy);
+        }
+        Action::Propose(at) => {
+            cluster.trace += 1;
+            let command = cluster.trace.to_le_bytes();
+            cluster.propose(at % count, &command)?;
+        }
+        Action::Read(at) => drop(cluster.read(at % count)?),
+        Action::Crash(at, kept) => cluster.crash(at % count, kept),
+        Action::Start(at) => {
+            cluster.start(at % count);
+            cluster.nodes[at % count].frozen = false;
+        }
+        Action::Freeze(at) => cluster.nodes[at % count].frozen = true,
+        Action::Cut(from, to) => drop(cluster.cut.insert((from % count, to % count))),
+        Action::Isolate(at) => cluster.isolate(at % count),
+        Action::Heal => cluster.cut.clear(),
+        Action::Compact(at) => {
+            let compact = |replica: &mut mgw_quorum::Replica, now| {
+                let index = replica.applied_index();
+                replica.compact(index, index.0.to_le_bytes().to_vec(), now)
+            };
+            cluster.act(at % count, compact)?;
+        }
+        _ => change_members(cluster, action)?,
+    }
+    cluster.check()
+}
+
+fn change_members(cluster: &mut Cluster, action: &Action) -> Check {
+    let count = cluster.nodes.len();
+    let pick = match *action {
+        Action::Wipe(at) | Action::Transfer(at) | Action::Promote(at) | Action::Remove(at) => at,
+        _ => 0,
+    };
+    let id = cluster.nodes[pick % count].id.clone();
+    if matches!(action, Action::Wipe(_)) {
+        cluster.crash(pick % count, 0);
+        cluster.next_disk += 1;
+        cluster.nodes[pick % count].id.disk = cluster.next_disk;
+        cluster.nodes[pick % count].disk = mgw_quorum::Recovered::default();
+        cluster.start(pick % count);
+    }
+    if matches!(action, Action::Join) && count < 5 {
+        cluster.add_empty();
+    }
+    let strangers: Vec<_> = cluster.nodes.iter().map(|node| node.id.clone()).collect();
+    for leader in 0..count {
+        let id = id.clone();
+        let strangers = strangers.clone();
+        cluster.act(leader, |replica, now| match action {
+            Action::Transfer(_) => replica.transfer(id, now).is_ok(),
+            Action::Promote(_) => replica.promote(id, now).is_ok(),
+            Action::Remove(_) => replica.remove(&id, now).is_ok(),
+            _ => strangers.into_iter().any(|id| replica.add_learner(id, now).is_ok()),
+        })?;
+    }
+    Ok(())
+}
+
+fn search(settings: &Settings, cases: u32, shrinks: u32, seed: u8) -> Result<(), TestError<(u64, Vec<Action>)>> {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: shrinks,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let plans = (0..1_000_u64, vec(any_action(), 20..STEPS_MAX));
+    runner.run(&plans, |(seed, actions)| {
+        let voters = if seed % 3 == 0 { 5 } else { 3 };
+        let mut cluster = Cluster::new(voters, settings.clone(), seed);
+        for action in &actions {
+            step(&mut cluster, action).map_err(TestCaseError::fail)?;
+        }
+        Ok(())
+    })
+}
+
+macro_rules! holds {
+    ($($name:ident: $settings:expr, seed $seed:literal;)+) => {$(
+        #[test]
+        fn $name() {
+            if let Err(error) = search(&$settings, SEARCH_CASES, SHRINKS_MAX, $seed) {
+                panic!("{error}");
+            }
+        }
+    )+};
+}
+
+holds! {
+    invariants_hold_with_read_index: Settings::default(), seed 1;
+    invariants_hold_with_leases: Settings { read_mode: ReadMode::Lease, ..Settings::default() }, seed 2;
+    invariants_hold_with_small_chunks: Settings { chunk_bytes: 3, append_entries_max: 2, ..Settings::default() }, seed 3;
+}
+
+macro_rules! finds {
+    ($($name:ident: $fault:ident;)+) => {$(
+        #[test]
+        fn $name() {
+            let found = search(&with_fault(InjectedFault::$fault), BROKEN_CASES, 0, 4);
+            assert!(matches!(found, Err(TestError::Fail(..))), "the fault stays hidden");
+        }
+    )+};
+}
+
+finds! {
+    finds_acknowledgement_before_sync: AckBeforeSync;
+    finds_votes_for_stale_logs: SkipLogCheck;
+    finds_doubled_votes: VoteTwice;
+    finds_reads_without_a_round: SkipReadRound;
+    finds_appends_without_a_match: SkipPrevCheck;
+    finds_truncation_of_matching_entries: TruncateAlways;
+    finds_a_lease_kept_in_a_transfer: KeepLeaseInTransfer;
+    finds_votes_during_a_lease: VoteDespiteLease;
+}
