Open-loop load tool

Callers of the system choose its entries themselves, so the tool does too: it asks for addresses, keeps them while they are valid, and sends a request again only if it certainly didn't run. Arrivals and prompts follow from the seed alone; latencies count from the planned arrival, so a stalled system can't hide its queue. Closed-loop clients were ruled out: they slow down with the system under test.

--- /dev/null
+++ b/crates/mgw-load/src/run.rs
@@ -0,0 +1,119 @@
+//! The open loop: requests are sent when they arrive, whatever became of the ones before.
+
+use std::sync::Arc;
+
+use mgw_contract::caller::CompletionRequest;
+use mgw_contract::tokens::tokenize;
+use mgw_serve::http::client;
+use mgw_standin::model::{model_seed, reference_answer};
+use mgw_world::Millis;
+use tokio::task::JoinSet;
+use tokio::time::{Duration, Instant, sleep_until};
+
+use crate::addresses::AddressBook;
+use crate::arrivals::{Arrival, plan_arrivals};
+use crate::caller::{Ask, Caller, Progress};
+use crate::results::RequestResult;
+use crate::settings::Settings;
+use crate::timeline::{InjectError, inject_all};
+
+/// Time between the plan and the first arrival.
+const LEAD_MS: Millis = Millis(50);
+
+/// All results of a run.
+#[derive(Debug)]
+pub struct RunResults {
+    /// Results in the order of their ends.
+    pub requests: Vec<RequestResult>,
+    /// Faults that couldn't be injected.
+    pub inject_errors: Vec<InjectError>,
+}
+
+/// Runs an experiment to its end.
+pub async fn run(settings: Arc<Settings>) -> RunResults {
+    let arrivals = plan_arrivals(&settings);
+    let client = client();
+    let callers: Vec<Arc<Caller>> = (0..settings.callers as usize)
+        .map(|turn| {
+            let book = AddressBook::new(settings.entries.clone(), turn);
+            Caller::new(client.clone(), book)
+        })
+        .collect();
+    let start = Instant::now() + LEAD_MS.to_duration();
+    let faults = {
+        let settings = Arc::clone(&settings);
+        let client = client.clone();
+        tokio::spawn(async move { inject_all(&settings, &client, start).await })
+    };
+    let mut running = JoinSet::new();
+    let mut requests = Vec::with_capacity(arrivals.len());
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        sleep_until(start + Duration::from_micros(arrival.at_us)).await;
+        let caller = Arc::clone(&callers[number % callers.len()]);
+        let settings = Arc::clone(&settings);
+        running.spawn(run_request(caller, settings, arrival, start));
+        while let Some(Ok(result)) = running.try_join_next() {
+            requests.push(result);
+        }
+    }
+    while let Some(ended) = running.join_next().await {
+        requests.extend(ended.ok());
+    }
+    RunResults {
+        requests,
+        inject_errors: faults.await.unwrap_or_default(),
+    }
+}
+
+/// What a caller asks for with a prompt.
+#[must_use]
+pub fn compose_ask(settings: &Settings, arrival: &Arrival, arrived: Instant) -> Ask {
+    let expected = settings.verify.then(|| {
+        let seed = model_seed(&settings.model, &settings.model_version);
+        let prompt = tokenize(&arrival.prompt);
+        reference_answer(seed, settings.model_layers, &prompt, settings.max_tokens)
+    });
+    Ask {
+        request: CompletionRequest {
+            model: settings.model.clone(),
+            prompt: arrival.prompt.clone(),
+            max_tokens: settings.max_tokens,
+            stream: true,
+            workspace: arrival.workspace.clone(),
+            deadline_ms: None,
+        },
+        workspace: arrival.workspace.clone(),
+        expected,
+        tries: settings.tries,
+        deadline: arrived + settings.deadline_ms.to_duration(),
+    }
+}
+
+async fn run_request(
+    caller: Arc<Caller>,
+    settings: Arc<Settings>,
+    arrival: Arrival,
+    start: Instant,
+) -> RequestResult {
+    let arrived = start + Duration::from_micros(arrival.at_us);
+    let ask = compose_ask(&settings, &arrival, arrived);
+    let mut progress = Progress::default();
+    let verdict = caller.complete(&ask, &mut progress, |_| {}).await;
+    let since_start = |time: &Instant| micros(time.saturating_duration_since(start));
+    let prompt_tokens = tokenize(&arrival.prompt).len();
+    RequestResult {
+        workspace: arrival.workspace,
+        id: progress.answer.id(),
+        verdict,
+        answer: progress.answer.answer.clone(),
+        sent: progress.sent,
+        prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+        arrived_us: arrival.at_us,
+        token_us: progress.token_times.iter().map(since_start).collect(),
+        ended_us: since_start(&Instant::now()),
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
