--- /dev/null
+++ b/crates/mgw-standin/tests/announcements.rs
@@ -0,0 +1,199 @@
+//! Announcements: lag and loss of reports, and what an entry's answer changes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::{Arc, Mutex};
+
+use hyper::StatusCode;
+use mgw_contract::target::{
+    ANNOUNCE_PATH, AnnounceReply, Announcement, CacheEvent, LoadReport, Readiness,
+};
+use mgw_serve::http::{json_response, read_json, serve};
+use mgw_standin::settings::{ReportSettings, Settings};
+use mgw_standin::{ReportFilter, start};
+use mgw_world::{Incarnation, Millis};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+const fn load(in_flight: u32) -> LoadReport {
+    LoadReport {
+        in_flight,
+        kv_bytes_used: 0,
+        tokens_per_s: 0,
+    }
+}
+
+#[test]
+fn loads_are_reported_late() {
+    for (lag_ms, expected) in [(0, [1, 2, 3, 4]), (500, [0, 1, 2, 3]), (2000, [0, 0, 0, 0])] {
+        let mut filter = ReportFilter::new(ReportSettings {
+            load_lag_ms: Millis(lag_ms),
+            ..ReportSettings::default()
+        });
+        let reported = (1..=4).map(|number: u32| {
+            let now = Millis(u64::from(number) * 500);
+            filter.filter_load(now, load(number)).in_flight
+        });
+        assert_eq!(reported.collect::<Vec<_>>(), expected, "lag {lag_ms}");
+    }
+}
+
+#[test]
+fn reports_are_lost_by_the_seed() {
+    let settings = ReportSettings {
+        load_lost_percent: 50,
+        events_lost_percent: 50,
+        seed: 3,
+        ..ReportSettings::default()
+    };
+    let events: Vec<CacheEvent> = (1..=100)
+        .map(|sequence| CacheEvent {
+            sequence,
+            prefix: sequence,
+            tokens: 16,
+            stored: true,
+        })
+        .collect();
+    let run = || {
+        let mut filter = ReportFilter::new(settings);
+        let loads = (1..=100).map(|number| filter.filter_load(Millis(0), load(number)).in_flight);
+        let loads: Vec<u32> = loads.collect();
+        (loads, filter.filter_events(events.clone()))
+    };
+    let (loads, kept) = run();
+    assert_eq!((loads.clone(), kept.clone()), run());
+    let fresh = (1..)
+        .zip(&loads)
+        .filter(|(number, load)| number == *load)
+        .count();
+    assert!((30..70).contains(&fresh), "{fresh} loads");
+    assert!((30..70).contains(&kept.len()), "{} events", kept.len());
+}
+
+type Heard = Arc<Mutex<Vec<Announcement>>>;
+
+/// An entry that answers announcements by `reply`.
+async fn start_entry(
+    reply: impl Fn(&Announcement) -> AnnounceReply + Clone + Send + Sync + 'static,
+) -> (String, Heard) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let heard = Heard::default();
+    let handler = {
+        let heard = Arc::clone(&heard);
+        move |request: hyper::Request<hyper::body::Incoming>| {
+            let heard = Arc::clone(&heard);
+            let reply = reply.clone();
+            async move {
+                assert_eq!(request.uri().path(), ANNOUNCE_PATH);
+                let announcement: Announcement = read_json(request.into_body()).await.unwrap();
+                let answer = reply(&announcement);
+                heard.lock().unwrap().push(announcement);
+                json_response(StatusCode::OK, &answer)
+            }
+        }
+    };
+    let token = CancellationToken::new();
+    tokio::spawn(serve(listener, handler, token.clone(), token));
+    (url, heard)
+}
+
+fn answer(announcement: &Announcement) -> AnnounceReply {
+    AnnounceReply {
+        name: announcement.target.name.clone(),
+        incarnation: announcement.target.incarnation,
+        lease_ms: Millis(1000),
+        renew_ms: Millis(5),
+        alternatives: Vec::new(),
+        drain: false,
+        resend_cache: false,
+    }
+}
+
+async fn wait_for(heard: &Heard, found: impl Fn(&Announcement) -> bool) -> Announcement {
+    loop {
+        if let Some(announcement) = heard.lock().unwrap().iter().find(|heard| found(heard)) {
+            return announcement.clone();
+        }
+        tokio::time::sleep(Millis(1).to_duration()).await;
+    }
+}
+
+fn settings(entries: &[&str]) -> Settings {
+    Settings {
+        entries: entries.iter().map(|url| (*url).to_owned()).collect(),
+        ..Settings::default()
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_does_not_answer_is_skipped_and_sequences_grow() {
+    let (url, heard) = start_entry(answer).await;
+    let running = start(settings(&["http://127.0.0.1:1", &url]))
+        .await
+        .unwrap();
+    let fourth = wait_for(&heard, |announcement| announcement.sequence >= 4).await;
+    assert_eq!(fourth.target.address, running.address);
+    assert_eq!(fourth.readiness, Readiness::Ready);
+    let heard = heard.lock().unwrap();
+    assert!(
+        heard
+            .windows(2)
+            .all(|pair| pair[0].sequence < pair[1].sequence)
+    );
+}
+
+#[tokio::test]
+async fn a_drained_target_says_that_it_leaves() {
+    let (url, heard) = start_entry(|announcement| AnnounceReply {
+        drain: true,
+        ..answer(announcement)
+    })
+    .await;
+    let _running = start(settings(&[&url])).await.unwrap();
+    wait_for(&heard, |heard| heard.readiness == Readiness::Leaving).await;
+}
+
+#[tokio::test]
+async fn a_newer_known_incarnation_is_passed() {
+    let (url, heard) = start_entry(|announcement| AnnounceReply {
+        incarnation: announcement.target.incarnation.max(Incarnation(1 << 50)),
+        ..answer(announcement)
+    })
+    .await;
+    let _running = start(settings(&[&url])).await.unwrap();
+    let newer = wait_for(&heard, |heard| {
+        heard.target.incarnation > Incarnation(1 << 50)
+    })
+    .await;
+    assert_eq!(newer.sequence, 1);
+}
+
+#[tokio::test]
+async fn alternatives_are_used_when_the_entry_is_gone() {
+    let (second, heard) = start_entry(answer).await;
+    let told = second.clone();
+    let fails_later = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (first, _) = start_entry(move |announcement| AnnounceReply {
+        alternatives: vec![told.clone()],
+        renew_ms: if fails_later.swap(true, std::sync::atomic::Ordering::SeqCst) {
+            panic!("this entry is gone")
+        } else {
+            Millis(1)
+        },
+        ..answer(announcement)
+    })
+    .await;
+    let _running = start(settings(&[&first])).await.unwrap();
+    wait_for(&heard, |_| true).await;
+}
+
+#[tokio::test]
+async fn a_leaving_stand_in_ends_by_itself() {
+    let (url, heard) = start_entry(answer).await;
+    let running = start(settings(&[&url])).await.unwrap();
+    let asked = CancellationToken::new();
+    asked.cancel();
+    running.run_until(asked).await;
+    wait_for(&heard, |heard| heard.readiness == Readiness::Leaving).await;
+}
