--- /dev/null
+++ b/crates/mgw-route/examples/support/mod.rs
@@ -0,0 +1,11 @@
+//! A small discrete-event measurement of path choice: batching targets, closed-loop sessions.
+//!
+//! Shared by the example `policies` and by the tests, so that both measure the same thing.
+
+mod fleet;
+mod policy;
+mod sim;
+
+pub use fleet::Shape;
+pub use policy::Policy;
+pub use sim::{Run, run};
