--- a/crates/mgw-route/examples/support/mod.rs
+++ b/crates/mgw-route/examples/support/mod.rs
@@ -8,4 +8,6 @@
 
 pub use fleet::Shape;
 pub use policy::Policy;
+#[allow(unused_imports, reason = "the tests name the type")]
+pub use sim::Outcome;
 pub use sim::{Run, run};
--- a/crates/mgw-route/src/graph/balance.rs
+++ b/crates/mgw-route/src/graph/balance.rs
@@ -53,20 +53,14 @@
     let mut flow = first;
     for _ in 0..LINK_ROUNDS {
         let used = sum_links(&flow);
-        let over =
-            |link: &(usize, usize)| graph.links.get(link).is_some_and(|cap| used[link] > *cap);
-        let is_feasible = !used.keys().any(over);
-        if is_feasible
-            && best
-                .as_ref()
-                .is_none_or(|(held, _)| held.total < flow.total)
-        {
+        divide_links(graph, caps, &flow, &used);
+        let largest = best.as_ref().map_or(0, |(held, _)| held.total);
+        if is_feasible(graph, &used) && (best.is_none() || flow.total > largest) {
             best = Some((flow.clone(), caps.clone()));
         }
         if best.is_some() && !has_full_shared_link(graph, &flow, &used) {
             break;
         }
-        divide_links(graph, caps, &flow, &used);
         flow = network.solve(caps);
     }
     let Some((best_flow, best_caps)) = best else {
@@ -76,6 +70,14 @@
     best_flow
 }
 
+fn is_feasible(graph: &Graph, used: &BTreeMap<(usize, usize), u64>) -> bool {
+    let fits = |(link, units): (&(usize, usize), &u64)| {
+        let cap = graph.links.get(link);
+        cap.is_none_or(|cap| units <= cap)
+    };
+    used.iter().all(fits)
+}
+
 fn sum_links(flow: &Flow) -> BTreeMap<(usize, usize), u64> {
     let mut used = BTreeMap::new();
     for (hop, units) in &flow.hops {
@@ -97,21 +99,22 @@
     })
 }
 
-/// Divides each link by the present use; what is left over goes to its users in equal parts.
+/// Divides each link by the present use; what is left over goes to its boundaries in equal parts.
+///
+/// Links that the flow doesn't use are divided too: otherwise the next flow might use one of them
+/// at several boundaries beyond its capacity.
 fn divide_links(graph: &Graph, caps: &mut Caps, flow: &Flow, used: &BTreeMap<(usize, usize), u64>) {
-    for (link, units) in used {
-        let Some(cap) = graph.links.get(link).copied() else {
-            continue;
-        };
+    for (link, cap) in &graph.links {
+        let units = used.get(link).copied().unwrap_or(0);
         let hops = caps.hops.iter_mut();
         let mine: Vec<_> = hops
             .filter(|(hop, _)| (hop.from, hop.to) == *link)
             .collect();
-        let spare = cap.saturating_sub(*units) / mine.len().max(1) as u64;
+        let spare = cap.saturating_sub(units) / mine.len().max(1) as u64;
         for (hop, hop_cap) in mine {
             let use_here = flow.hops.get(hop).copied().unwrap_or(0);
-            let scaled =
-                u128::from(use_here) * u128::from(cap.min(*units)) / u128::from((*units).max(1));
+            let kept = u128::from(use_here) * u128::from((*cap).min(units));
+            let scaled = kept / u128::from(units.max(1));
             *hop_cap = u64::try_from(scaled).unwrap_or(u64::MAX) + spare;
         }
     }
