--- a/crates/mgw-pipe/src/recover.rs
+++ b/crates/mgw-pipe/src/recover.rs
@@ -33,11 +33,15 @@
         match &self.stages[index].phase {
             Phase::Idle => {}
             Phase::Stepping { extended: true, .. } => {
+                self.may_have_run = true;
                 self.exclude(index);
                 self.replace(index, true, now, actions);
             }
             Phase::Stepping { .. } => self.ask(index, true, now, actions),
-            Phase::Asking { .. } => self.give_up_target(index, now, actions),
+            Phase::Asking { .. } => {
+                self.may_have_run = true;
+                self.give_up_target(index, now, actions);
+            }
             Phase::Exporting {
                 former,
                 former_session,
@@ -62,6 +66,7 @@
         let Some(index) = self.find_stage(call) else {
             return;
         };
+        self.stages[index].phase = Phase::Idle;
         match refusal {
             StepRefusal::WrongPosition { .. } | StepRefusal::NoSession => {
                 self.start_replay(index, actions);
@@ -74,7 +79,6 @@
                 self.replace(index, self.stages[index].computed > 0, now, actions);
             }
             StepRefusal::TooLate => {
-                self.stages[index].phase = Phase::Idle;
                 self.finish_early(Reason::Deadline, actions);
             }
         }
@@ -88,7 +92,10 @@
         match &mut self.stages[index].phase {
             Phase::Asking { live, .. } => *live = false,
             Phase::Stepping { .. } if sent => self.ask(index, false, now, actions),
-            _ => self.give_up_target(index, now, actions),
+            _ => {
+                self.stages[index].phase = Phase::Idle;
+                self.give_up_target(index, now, actions);
+            }
         }
     }
 
@@ -169,7 +176,10 @@
             return;
         };
         match &self.stages[index].phase {
-            Phase::Asking { ask, .. } if *ask == call => self.give_up_target(index, now, actions),
+            Phase::Asking { ask, .. } if *ask == call => {
+                self.may_have_run = true;
+                self.give_up_target(index, now, actions);
+            }
             Phase::Exporting {
                 former,
                 former_session,
--- /dev/null
+++ b/crates/mgw-pipe/tests/recovery.rs
@@ -0,0 +1,216 @@
+//! Stages that die, hang, slow down, refuse or lose answers in the middle of a request.
+
+mod support;
+
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_pipe::PipeSettings;
+use mgw_world::Millis;
+use support::{Bench, Engine, Fault, order, reference, stage};
+
+const PROMPT: usize = 20;
+const ANSWER: u32 = 12;
+
+/// Three layer ranges, each held by two engines.
+fn engines() -> Vec<Engine> {
+    vec![
+        Engine::new(stage("a1", 0, 4)),
+        Engine::new(stage("b1", 4, 8)),
+        Engine::new(stage("c1", 8, 12)),
+        Engine::new(stage("a2", 0, 4)),
+        Engine::new(stage("b2", 4, 8)),
+        Engine::new(stage("c2", 8, 12)),
+    ]
+}
+
+fn check_whole(bench: &Bench) {
+    assert_eq!(bench.end, Some((Outcome::Done, Reason::Complete)));
+    assert_eq!(
+        bench.tokens,
+        reference(12, &order(PROMPT, ANSWER).prompt, ANSWER as usize)
+    );
+    let doubled = bench.runs.iter().find(|(_, count)| **count > 1);
+    assert_eq!(doubled, None, "a position ran twice in one session");
+    let left: usize = bench.engines.iter().map(Engine::sessions).sum();
+    assert_eq!(left, 0, "sessions were left behind");
+}
+
+macro_rules! one_fault {
+    ($($name:ident: $engine:literal at $step:literal, $fault:expr, within $gap_ms:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut engines = engines();
+                engines[$engine] = engines[$engine].clone().with_fault($step, $fault);
+                let bench =
+                    Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), PipeSettings::default());
+                check_whole(&bench);
+                assert!(bench.longest_gap <= Millis($gap_ms), "gap of {}", bench.longest_gap);
+            }
+        )+
+    };
+}
+
+// A killed stage may cost 1 s to the next token, a silent one 2 s.
+one_fault! {
+    first_stage_dies_at_prefill: 0 at 0, Fault::Die, within 1000;
+    first_stage_dies_while_decoding: 0 at 5, Fault::Die, within 1000;
+    middle_stage_dies_at_prefill: 1 at 0, Fault::Die, within 1000;
+    middle_stage_dies_while_decoding: 1 at 6, Fault::Die, within 1000;
+    last_stage_dies_while_decoding: 2 at 4, Fault::Die, within 1000;
+    first_stage_hangs: 0 at 5, Fault::Hang, within 2000;
+    middle_stage_hangs: 1 at 5, Fault::Hang, within 2000;
+    last_stage_hangs: 2 at 5, Fault::Hang, within 2000;
+    middle_stage_hangs_at_prefill: 1 at 0, Fault::Hang, within 2000;
+    answer_of_first_stage_is_lost: 0 at 3, Fault::LoseAnswer, within 1000;
+    answer_of_middle_stage_is_lost: 1 at 3, Fault::LoseAnswer, within 1000;
+    answer_of_last_stage_is_lost: 2 at 3, Fault::LoseAnswer, within 1000;
+    step_to_middle_stage_is_lost: 1 at 3, Fault::LoseStep, within 1000;
+    middle_stage_forgets_sessions: 1 at 4, Fault::Forget, within 1000;
+    middle_stage_is_full_at_prefill: 1 at 0, Fault::Refuse(0), within 1000;
+    middle_stage_leaves: 1 at 4, Fault::Refuse(1), within 1000;
+    last_stage_changed_its_layers: 2 at 4, Fault::Refuse(2), within 1000;
+    middle_stage_slows_beyond_patience: 1 at 5, Fault::Slow(5000), within 2000;
+}
+
+#[test]
+fn undisturbed_request_runs_each_layer_once() {
+    let bench = Bench::run(
+        engines(),
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        PipeSettings::default(),
+    );
+    check_whole(&bench);
+    let positions = PROMPT + ANSWER as usize - 1;
+    assert_eq!(bench.runs.len(), positions * 12);
+}
+
+#[test]
+fn prompt_in_chunks_gives_the_same_answer() {
+    let settings = PipeSettings {
+        chunk_positions: 3,
+        ..PipeSettings::default()
+    };
+    check_whole(&Bench::run(
+        engines(),
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        settings,
+    ));
+}
+
+#[test]
+fn second_stage_dies_while_first_is_rebuilt() {
+    let mut engines = engines();
+    engines[1] = engines[1].clone().with_fault(4, Fault::Die);
+    engines[4] = engines[4].clone().with_fault(0, Fault::Die);
+    engines.push(Engine::new(stage("b3", 4, 8)));
+    check_whole(&Bench::run(
+        engines,
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        PipeSettings::default(),
+    ));
+}
+
+#[test]
+fn neighbouring_stages_die_together() {
+    let mut engines = engines();
+    engines[0] = engines[0].clone().with_fault(4, Fault::Die);
+    engines[1] = engines[1].clone().with_fault(4, Fault::Die);
+    check_whole(&Bench::run(
+        engines,
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        PipeSettings::default(),
+    ));
+}
+
+#[test]
+fn two_targets_take_over_the_layers_of_one() {
+    let mut engines = engines();
+    engines[1] = engines[1].clone().with_fault(6, Fault::Die);
+    engines[4] = Engine::new(stage("b2", 4, 6));
+    engines.push(Engine::new(stage("b3", 6, 8)));
+    check_whole(&Bench::run(
+        engines,
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        PipeSettings::default(),
+    ));
+}
+
+#[test]
+fn stage_without_kept_inputs_is_rebuilt_from_the_tokens() {
+    let mut engines = engines();
+    engines[2] = engines[2].clone().with_fault(6, Fault::Die);
+    let settings = PipeSettings {
+        buffer_bytes: 64,
+        ..PipeSettings::default()
+    };
+    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    check_whole(&bench);
+}
+
+#[test]
+fn leaving_stage_hands_its_cache_over() {
+    let mut engines = engines();
+    engines[1] = engines[1].clone().with_fault(6, Fault::Refuse(1));
+    let bench = Bench::run(
+        engines,
+        &[0, 1, 2],
+        order(PROMPT, ANSWER),
+        PipeSettings::default(),
+    );
+    check_whole(&bench);
+    let middle = bench
+        .runs
+        .keys()
+        .filter(|(_, _, layer)| *layer == 4)
+        .count();
+    assert_eq!(
+        middle,
+        PROMPT + ANSWER as usize - 1,
+        "no position was run again"
+    );
+}
+
+#[test]
+fn request_without_replacement_ends_with_a_truthful_outcome() {
+    let mut engines = engines();
+    engines.truncate(3);
+    engines[1] = engines[1].clone().with_fault(4, Fault::Die);
+    let settings = PipeSettings {
+        replace_limit_ms: Millis(1000),
+        ..PipeSettings::default()
+    };
+    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    assert_eq!(bench.end, Some((Outcome::Unknown, Reason::TargetFailed)));
+    let whole = reference(12, &order(PROMPT, ANSWER).prompt, ANSWER as usize);
+    assert!(whole.starts_with(&bench.tokens));
+}
+
+#[test]
+fn request_that_reached_no_target_did_not_run() {
+    let mut engines = engines();
+    engines.truncate(3);
+    engines[0] = engines[0].clone().with_fault(0, Fault::Die);
+    let settings = PipeSettings {
+        replace_limit_ms: Millis(1000),
+        ..PipeSettings::default()
+    };
+    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    assert_eq!(bench.end.map(|(outcome, _)| outcome), Some(Outcome::NotRun));
+    assert!(bench.runs.is_empty());
+}
+
+#[test]
+fn request_past_its_deadline_ends_at_once() {
+    let mut engines = engines();
+    engines[0] = engines[0].clone().with_fault(2, Fault::Slow(200));
+    let mut order = order(PROMPT, ANSWER);
+    order.deadline_ms = Some(Millis(450));
+    let bench = Bench::run(engines, &[0, 1, 2], order, PipeSettings::default());
+    assert_eq!(bench.end, Some((Outcome::Unknown, Reason::Deadline)));
+    assert_eq!(bench.end_at, Millis(450));
+}
--- /dev/null
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -0,0 +1,467 @@
+//! A small engine model in logical time: enough to see which position ran where and how often.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_contract::engine::{
+    KvImage, SessionKey, SessionStanding, StageInput, StageOutput, StageStep, StepRefusal,
+};
+use mgw_pipe::{Action, CallId, Event, Order, PipeSettings, Pipeline, Stage};
+use mgw_world::{LayerRange, Millis, ModelVersion, Position, RequestId, TargetName};
+
+/// Bytes of one position's activation in these tests.
+pub const ACTIVATION_BYTES: usize = 8;
+/// Time that a step takes.
+pub const STEP_MS: Millis = Millis(5);
+
+/// What goes wrong with one call, counted over all steps that reach the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The target is dead from this step on; the step didn't run.
+    Die,
+    /// The step runs, but its answer is lost and the connection breaks.
+    LoseAnswer,
+    /// The connection breaks before the step runs.
+    LoseStep,
+    /// The target is silent from this step on.
+    Hang,
+    /// The step and all later ones take this much longer.
+    Slow(u64),
+    /// The step is refused.
+    Refuse(u8),
+    /// The target forgets all sessions before this step.
+    Forget,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Session {
+    next: u32,
+    states: BTreeMap<u16, u64>,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub stage: Stage,
+    pub faults: BTreeMap<u32, Fault>,
+    sessions: BTreeMap<SessionKey, Session>,
+    steps: u32,
+    dead: bool,
+    hung: bool,
+    slow_ms: u64,
+}
+
+/// All engines, the pipeline and what is under way.
+pub struct Bench {
+    pub engines: Vec<Engine>,
+    pub pipeline: Pipeline,
+    pub tokens: Vec<u32>,
+    pub end: Option<(Outcome, Reason)>,
+    pub end_at: Millis,
+    /// How often each (session, position, layer) ran.
+    pub runs: BTreeMap<(SessionKey, u32, u16), u32>,
+    pub longest_gap: Millis,
+    last_token_at: Millis,
+    pub now: Millis,
+    due: VecDeque<(Millis, Event)>,
+}
+
+fn mix(left: u64, right: u64) -> u64 {
+    let value = (left ^ right.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    value ^ (value >> 29)
+}
+
+fn run_layers(
+    states: &mut BTreeMap<u16, u64>,
+    layers: LayerRange,
+    position: u32,
+    input: u64,
+) -> u64 {
+    let mut value = input;
+    for layer in layers.first()..layers.end() {
+        let state = states.entry(layer).or_default();
+        *state = mix(
+            *state,
+            mix(value, u64::from(position) << 16 | u64::from(layer)),
+        );
+        value = mix(value, *state);
+    }
+    value
+}
+
+fn to_token(value: u64) -> u32 {
+    (value % 32_000) as u32
+}
+
+/// The answer that undisturbed engines give.
+pub fn reference(layers: u16, prompt: &[u32], count: usize) -> Vec<u32> {
+    let whole = LayerRange::new(0, layers).unwrap();
+    let mut states = BTreeMap::new();
+    let mut tokens = prompt.to_vec();
+    let mut position = 0;
+    while tokens.len() < prompt.len() + count {
+        let value = run_layers(
+            &mut states,
+            whole,
+            position,
+            u64::from(tokens[position as usize]),
+        );
+        position += 1;
+        if position as usize == tokens.len() {
+            tokens.push(to_token(value));
+        }
+    }
+    tokens.split_off(prompt.len())
+}
+
+pub fn stage(name: &str, first: u16, end: u16) -> Stage {
+    Stage {
+        target: TargetName::from(name),
+        address: "127.0.0.1:1".parse().unwrap(),
+        layers: LayerRange::new(first, end).unwrap(),
+        version: ModelVersion::from("v1"),
+    }
+}
+
+pub fn order(prompt: usize, max_tokens: u32) -> Order {
+    Order {
+        request: RequestId(7),
+        prompt: (0..prompt as u32).map(|index| index * 31 % 997).collect(),
+        max_tokens,
+        activation_bytes: ACTIVATION_BYTES as u32,
+        priority: 0,
+        deadline_ms: Some(Millis(60_000)),
+    }
+}
+
+fn patience(_: &TargetName, count: u32) -> Millis {
+    Millis(300 + u64::from(count) / 4)
+}
+
+impl Engine {
+    pub fn new(stage: Stage) -> Self {
+        Self {
+            stage,
+            faults: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            steps: 0,
+            dead: false,
+            hung: false,
+            slow_ms: 0,
+        }
+    }
+
+    pub fn with_fault(mut self, step: u32, fault: Fault) -> Self {
+        self.faults.insert(step, fault);
+        self
+    }
+
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+}
+
+impl Bench {
+    /// Runs a request to its end; `path` names the engines of the first path by index.
+    pub fn run(engines: Vec<Engine>, path: &[usize], order: Order, settings: PipeSettings) -> Self {
+        let stages = path
+            .iter()
+            .map(|index| engines[*index].stage.clone())
+            .collect();
+        let mut bench = Self {
+            engines,
+            pipeline: Pipeline::new(order, stages, settings),
+            tokens: Vec::new(),
+            end: None,
+            end_at: Millis::ZERO,
+            runs: BTreeMap::new(),
+            longest_gap: Millis::ZERO,
+            last_token_at: Millis::ZERO,
+            now: Millis::ZERO,
+            due: VecDeque::new(),
+        };
+        let actions = bench.pipeline.start(bench.now, &patience);
+        bench.perform(actions);
+        while bench.end.is_none() {
+            bench.advance();
+        }
+        bench.drain();
+        bench
+    }
+
+    fn advance(&mut self) {
+        let next_event = self.due.iter().map(|(at, _)| *at).min();
+        let wakeup = self.pipeline.next_wakeup();
+        let Some(at) = next_event.into_iter().chain(wakeup).min() else {
+            panic!("the pipeline waits for nothing and has not ended");
+        };
+        self.now = at.max(self.now);
+        assert!(self.now < Millis(120_000), "the request never ends");
+        if let Some(index) = self.due.iter().position(|(due, _)| *due <= self.now) {
+            let (_, event) = self.due.remove(index).unwrap();
+            let actions = self.pipeline.handle(event, self.now, &patience);
+            self.perform(actions);
+        } else {
+            let actions = self.pipeline.tick(self.now, &patience);
+            self.perform(actions);
+        }
+    }
+
+    /// Delivers what is still under way after the end; nothing may come of it.
+    fn drain(&mut self) {
+        while let Some((_, event)) = self.due.pop_front() {
+            let actions = self.pipeline.handle(event, self.now, &patience);
+            assert!(
+                actions.is_empty(),
+                "a late answer had an effect: {actions:?}"
+            );
+        }
+    }
+
+    fn later(&mut self, span: Millis, event: Event) {
+        self.due.push_back((self.now + span, event));
+    }
+
+    fn find(&mut self, target: &TargetName) -> &mut Engine {
+        self.engines
+            .iter_mut()
+            .find(|engine| engine.stage.target == *target)
+            .unwrap()
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Step { call, stage, step } => self.step(call, &stage, step),
+                Action::Ask {
+                    call,
+                    stage,
+                    session,
+                } => self.ask(call, &stage, session),
+                Action::Export {
+                    call,
+                    stage,
+                    session,
+                } => self.export(call, &stage, session),
+                Action::Import {
+                    call,
+                    stage,
+                    session,
+                    image,
+                } => {
+                    self.import(call, &stage, session, &image);
+                }
+                Action::Free { stage, session } => {
+                    self.find(&stage.target).sessions.remove(&session);
+                }
+                Action::Replace {
+                    call,
+                    layers,
+                    excluded,
+                    ..
+                } => {
+                    let stages = self.choose(layers, &excluded);
+                    self.later(Millis::ZERO, Event::Replacement { call, stages });
+                }
+                Action::Emit { index, token } => {
+                    assert_eq!(
+                        index as usize,
+                        self.tokens.len(),
+                        "a token came out of order"
+                    );
+                    self.tokens.push(token);
+                    self.longest_gap = self.longest_gap.max(self.now - self.last_token_at);
+                    self.last_token_at = self.now;
+                }
+                Action::Finish { outcome, reason } => {
+                    assert_eq!(self.end, None, "the request ended twice");
+                    self.end = Some((outcome, reason));
+                    self.end_at = self.now;
+                }
+            }
+        }
+    }
+
+    /// A live engine with exactly these layers, or a chain of two that covers them.
+    fn choose(&self, layers: LayerRange, excluded: &[TargetName]) -> Vec<Stage> {
+        let usable: Vec<&Stage> = self
+            .engines
+            .iter()
+            .map(|engine| &engine.stage)
+            .filter(|stage| !excluded.contains(&stage.target))
+            .collect();
+        if let Some(stage) = usable.iter().find(|stage| stage.layers == layers) {
+            return vec![(*stage).clone()];
+        }
+        for first in usable
+            .iter()
+            .filter(|stage| stage.layers.first() == layers.first())
+        {
+            let next = usable.iter().find(|stage| {
+                first.layers.is_followed_by(stage.layers) && stage.layers.end() == layers.end()
+            });
+            if let Some(next) = next {
+                return vec![(*first).clone(), (*next).clone()];
+            }
+        }
+        Vec::new()
+    }
+
+    fn step(&mut self, call: CallId, stage: &Stage, step: StageStep) {
+        let engine = self.find(&stage.target);
+        let number = engine.steps;
+        engine.steps += 1;
+        let fault = engine.faults.get(&number).copied();
+        let was_dead = engine.dead;
+        match fault {
+            Some(Fault::Die) => engine.dead = true,
+            Some(Fault::Hang) => engine.hung = true,
+            Some(Fault::Slow(ms)) => engine.slow_ms = ms,
+            Some(Fault::Forget) => engine.sessions.clear(),
+            _ => {}
+        }
+        if engine.dead {
+            // Only the connection that stood when the target died may have carried a byte.
+            let sent = number > 0 && !was_dead;
+            return self.later(Millis(1), Event::StepFailed { call, sent });
+        }
+        if engine.hung {
+            return;
+        }
+        if fault == Some(Fault::LoseStep) {
+            return self.later(Millis(1), Event::StepFailed { call, sent: true });
+        }
+        if let Some(Fault::Refuse(kind)) = fault {
+            let refusal = match kind {
+                0 => StepRefusal::Full,
+                1 => StepRefusal::Leaving,
+                _ => StepRefusal::WrongLayers,
+            };
+            return self.later(Millis(1), Event::StepRefused { call, refusal });
+        }
+        let took = STEP_MS + Millis(engine.slow_ms);
+        let event = match self.execute(stage, &step) {
+            Ok(output) => Event::StepDone { call, output },
+            Err(refusal) => Event::StepRefused { call, refusal },
+        };
+        if fault == Some(Fault::LoseAnswer) {
+            return self.later(took, Event::StepFailed { call, sent: true });
+        }
+        self.later(took, event);
+    }
+
+    fn execute(&mut self, stage: &Stage, step: &StageStep) -> Result<StageOutput, StepRefusal> {
+        let engine = self.find(&stage.target);
+        if step.layers != engine.stage.layers || step.version != engine.stage.version {
+            return Err(StepRefusal::WrongLayers);
+        }
+        if step.first.0 > 0 && !engine.sessions.contains_key(&step.session) {
+            return Err(StepRefusal::NoSession);
+        }
+        let session = engine.sessions.entry(step.session).or_default();
+        if session.next != step.first.0 {
+            return Err(StepRefusal::WrongPosition {
+                next: Position(session.next),
+            });
+        }
+        let values: Vec<u64> = match &step.input {
+            StageInput::Tokens(tokens) => tokens.iter().map(|token| u64::from(*token)).collect(),
+            StageInput::Activations(bytes) => bytes
+                .chunks_exact(ACTIVATION_BYTES)
+                .map(|chunk| u64::from_le_bytes(chunk.try_into().unwrap()))
+                .collect(),
+        };
+        assert_eq!(
+            values.len(),
+            step.count as usize,
+            "the input has the wrong size"
+        );
+        let mut outputs = Vec::new();
+        for (offset, value) in values.into_iter().enumerate() {
+            let position = step.first.0 + offset as u32;
+            outputs.push(run_layers(
+                &mut session.states,
+                step.layers,
+                position,
+                value,
+            ));
+        }
+        session.next += step.count;
+        for position in step.first.0..step.first.0 + step.count {
+            for layer in step.layers.first()..step.layers.end() {
+                *self
+                    .runs
+                    .entry((step.session, position, layer))
+                    .or_default() += 1;
+            }
+        }
+        let last_layer = self
+            .engines
+            .iter()
+            .map(|engine| engine.stage.layers.end())
+            .max();
+        if Some(step.layers.end()) == last_layer {
+            return Ok(StageOutput::Token(to_token(*outputs.last().unwrap())));
+        }
+        let bytes: Vec<u8> = outputs
+            .iter()
+            .flat_map(|value| value.to_le_bytes())
+            .collect();
+        Ok(StageOutput::Activations(Bytes::from(bytes)))
+    }
+
+    fn ask(&mut self, call: CallId, stage: &Stage, session: SessionKey) {
+        let engine = self.find(&stage.target);
+        if engine.hung {
+            return;
+        }
+        if engine.dead {
+            return self.later(Millis(1), Event::CallFailed { call });
+        }
+        let standing = engine
+            .sessions
+            .get(&session)
+            .map(|session| SessionStanding {
+                next: Position(session.next),
+                running: false,
+            });
+        self.later(Millis(1), Event::Standing { call, standing });
+    }
+
+    fn export(&mut self, call: CallId, stage: &Stage, key: SessionKey) {
+        let engine = self.find(&stage.target);
+        if engine.hung {
+            return;
+        }
+        let Some(session) = engine.sessions.get(&key).filter(|_| !engine.dead) else {
+            return self.later(Millis(1), Event::CallFailed { call });
+        };
+        let bytes: Vec<u8> = session
+            .states
+            .values()
+            .flat_map(|state| state.to_le_bytes())
+            .collect();
+        let image = KvImage {
+            layers: engine.stage.layers,
+            version: engine.stage.version.clone(),
+            next: Position(session.next),
+            bytes: Bytes::from(bytes),
+        };
+        self.later(Millis(2), Event::Exported { call, image });
+    }
+
+    fn import(&mut self, call: CallId, stage: &Stage, key: SessionKey, image: &KvImage) {
+        let engine = self.find(&stage.target);
+        let layers = image.layers.first()..image.layers.end();
+        let states = layers
+            .zip(image.bytes.chunks_exact(8))
+            .map(|(layer, chunk)| (layer, u64::from_le_bytes(chunk.try_into().unwrap())));
+        let session = Session {
+            next: image.next.0,
+            states: states.collect(),
+        };
+        engine.sessions.insert(key, session);
+        self.later(Millis(2), Event::Imported { call });
+    }
+}
