--- /dev/null
+++ b/crates/mgw-load/src/bound.rs
@@ -0,0 +1,39 @@
+//! The largest token rate that the placement allows, as an entry computed it.
+
+use hyper::{Request, StatusCode};
+use mgw_contract::operator::{STATUS_PATH, StatusReply};
+use mgw_serve::http::{HttpClient, full, read_json};
+use mgw_world::{Millis, ModelName};
+use tokio::time::timeout;
+
+/// Time within which an entry must answer.
+const STATUS_TIMEOUT_MS: Millis = Millis(1000);
+
+/// Asks entries in turn for the bound of a model; none when no entry tells it.
+pub async fn ask_for_bound(
+    client: &HttpClient,
+    entries: &[String],
+    model: &ModelName,
+) -> Option<u64> {
+    for url in entries {
+        let asked = timeout(STATUS_TIMEOUT_MS.to_duration(), ask_entry(client, url));
+        let Some(status) = asked.await.ok().flatten() else {
+            continue;
+        };
+        if let Some(figures) = status.models.get(model.as_str()) {
+            return Some(figures.bound_tokens_per_s);
+        }
+    }
+    None
+}
+
+async fn ask_entry(client: &HttpClient, url: &str) -> Option<StatusReply> {
+    let request = Request::get(format!("{url}{STATUS_PATH}"))
+        .body(full(""))
+        .ok()?;
+    let response = client.request(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    read_json(response.into_body()).await.ok()
+}
--- a/crates/mgw-load/src/cli.rs
+++ b/crates/mgw-load/src/cli.rs
@@ -100,7 +100,7 @@
     /// Layers of the model.
     #[arg(long)]
     pub model_layers: Option<u16>,
-    /// Largest token rate that the placement allows, to compare with.
+    /// Largest token rate that the placement allows; an entry is asked for it if not given.
     #[arg(long, value_name = "TOKENS_PER_S")]
     pub bound: Option<u64>,
     /// File to write whole answers to, for `mgw-standin check-journals --answers`.
--- a/crates/mgw-load/src/lib.rs
+++ b/crates/mgw-load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod addresses;
 pub mod answer;
 pub mod arrivals;
+pub mod bound;
 pub mod caller;
 pub mod cli;
 pub mod events;
--- a/crates/mgw-load/src/main.rs
+++ b/crates/mgw-load/src/main.rs
@@ -9,6 +9,7 @@
 use mgw_contract::Outcome;
 use mgw_load::addresses::AddressBook;
 use mgw_load::arrivals::plan_arrivals;
+use mgw_load::bound::ask_for_bound;
 use mgw_load::caller::{Caller, Progress};
 use mgw_load::cli::{Cli, Command, RunArgs, read_settings};
 use mgw_load::report::{Report, build_report};
@@ -61,6 +62,12 @@
 }
 
 async fn run_experiment(settings: Settings, json: bool) -> io::Result<ExitCode> {
+    let mut settings = settings;
+    if settings.bound_tokens_per_s.is_none() {
+        let client = client();
+        let asked = ask_for_bound(&client, &settings.entries, &settings.model);
+        settings.bound_tokens_per_s = asked.await;
+    }
     let settings = Arc::new(settings);
     let results = run(Arc::clone(&settings)).await;
     if let Some(path) = &settings.answers {
--- a/crates/mgw-load/src/report.rs
+++ b/crates/mgw-load/src/report.rs
@@ -41,7 +41,7 @@
             return Self::default();
         };
         for value_us in values_us {
-            histogram.saturating_record(value_us);
+            let _ = histogram.record(value_us);
         }
         let quantile = |share: f64| histogram.value_at_quantile(share) as f64 / US_PER_MS;
         Self {
--- a/crates/mgw-load/src/settings.rs
+++ b/crates/mgw-load/src/settings.rs
@@ -69,7 +69,8 @@
     pub model_layers: u16,
     /// File to write whole answers to, for `mgw-standin check-journals --answers`.
     pub answers: Option<PathBuf>,
-    /// Largest token rate that the placement allows, to compare with.
+    /// Largest token rate that the placement allows, to compare with; an entry is asked if there is
+    /// none.
     pub bound_tokens_per_s: Option<u64>,
     /// Files with process numbers, by name.
     pub processes: BTreeMap<String, PathBuf>,
--- /dev/null
+++ b/crates/mgw-load/tests/answers.rs
@@ -0,0 +1,145 @@
+//! Reading of answers: streams cut anywhere, truncated ones, and wrong ones.
+
+#![allow(clippy::unwrap_used)]
+
+use mgw_contract::Outcome;
+use mgw_contract::caller::{CompletionChunk, FinalAnswer, Reason};
+use mgw_contract::tokens::token_text;
+use mgw_load::answer::{Answer, AnswerFault};
+use mgw_load::events::{EventReader, StreamEvent};
+use mgw_world::RequestId;
+
+const ID: RequestId = RequestId(5);
+const EXPECTED: [u32; 3] = [11, 22, 33];
+
+fn chunk(index: u32, token: u32) -> StreamEvent {
+    StreamEvent::Chunk(CompletionChunk {
+        id: ID,
+        index,
+        text: token_text(token),
+        token,
+    })
+}
+
+fn last(outcome: Outcome, tokens: u32) -> StreamEvent {
+    StreamEvent::Final(FinalAnswer {
+        id: ID,
+        outcome,
+        reason: Reason::Complete,
+        message: String::new(),
+        tokens,
+        retry_after_ms: None,
+        retry_at: Vec::new(),
+    })
+}
+
+fn whole() -> Vec<StreamEvent> {
+    let mut events: Vec<StreamEvent> = (0..).zip(EXPECTED).map(|(i, t)| chunk(i, t)).collect();
+    events.extend([last(Outcome::Done, 3), StreamEvent::End]);
+    events
+}
+
+fn write(events: &[StreamEvent]) -> Vec<u8> {
+    let lines = events.iter().map(|event| match event {
+        StreamEvent::Chunk(chunk) => serde_json::to_string(chunk).unwrap(),
+        StreamEvent::Final(answer) => serde_json::to_string(answer).unwrap(),
+        StreamEvent::End => "[DONE]".to_owned(),
+    });
+    let text: String = lines.map(|line| format!("data: {line}\n\n")).collect();
+    text.into_bytes()
+}
+
+fn read(events: &[StreamEvent]) -> Answer {
+    let mut answer = Answer::default();
+    for event in events {
+        answer.take(event, Some(&EXPECTED));
+    }
+    answer
+}
+
+#[test]
+fn a_stream_cut_into_any_two_pieces_gives_the_same_events() {
+    let text = write(&whole());
+    for cut in 0..=text.len() {
+        let mut reader = EventReader::default();
+        let mut events = reader.push(&text[..cut]).unwrap();
+        events.extend(reader.push(&text[cut..]).unwrap());
+        assert_eq!(events, whole(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn only_the_whole_stream_is_a_whole_answer() {
+    let text = write(&whole());
+    let end = text.len() - 1;
+    for cut in 0..end {
+        let events = EventReader::default().push(&text[..cut]).unwrap();
+        let answer = read(&events);
+        assert!(!answer.is_whole(3), "cut at {cut}");
+        assert_eq!(answer.fault, None, "cut at {cut}");
+    }
+    assert!(read(&whole()).is_whole(3));
+    assert!(!read(&whole()).is_whole(4));
+}
+
+#[test]
+fn comments_other_fields_and_carriage_returns_are_read_over() {
+    let text = b": hello\r\nevent: x\r\ndata:[DONE]\r\n\r\n";
+    let events = EventReader::default().push(text).unwrap();
+    assert_eq!(events, [StreamEvent::End]);
+}
+
+#[test]
+fn an_event_of_no_known_kind_is_an_error() {
+    let error = EventReader::default()
+        .push(b"data: {\"x\":1}\n")
+        .unwrap_err();
+    assert!(error.to_string().contains("neither"), "{error}");
+}
+
+macro_rules! wrong {
+    ($($name:ident: $events:expr => $pattern:pat,)*) => {$(
+        #[test]
+        fn $name() {
+            let answer = read(&$events);
+            assert!(matches!(answer.fault, Some($pattern)), "{answer:?}");
+            assert!(!answer.is_whole(3));
+        }
+    )*};
+}
+
+wrong! {
+    repeated_token: [chunk(0, 11), chunk(0, 11)]
+        => AnswerFault::WrongIndex { index: 0, expected: 1 },
+    skipped_token: [chunk(0, 11), chunk(2, 33)]
+        => AnswerFault::WrongIndex { index: 2, expected: 1 },
+    token_of_another_answer: [chunk(0, 11), chunk(1, 23)]
+        => AnswerFault::WrongToken { index: 1, token: 23, expected: Some(22) },
+    token_too_many: [chunk(0, 11), chunk(1, 22), chunk(2, 33), chunk(3, 44)]
+        => AnswerFault::WrongToken { index: 3, expected: None, .. },
+    token_of_another_request: {
+        let mut foreign = chunk(1, 22);
+        if let StreamEvent::Chunk(chunk) = &mut foreign {
+            chunk.id = RequestId(6);
+        }
+        [chunk(0, 11), foreign]
+    } => AnswerFault::WrongRequest { id: RequestId(6) },
+    text_of_another_token: {
+        let mut swapped = chunk(0, 11);
+        if let StreamEvent::Chunk(chunk) = &mut swapped {
+            chunk.text = token_text(12);
+        }
+        [swapped]
+    } => AnswerFault::WrongText { index: 0 },
+    final_answer_with_another_count: [chunk(0, 11), last(Outcome::Done, 3)]
+        => AnswerFault::WrongCount { said: 3, received: 1 },
+    not_run_after_tokens: [chunk(0, 11), last(Outcome::NotRun, 1)]
+        => AnswerFault::NotRunAfterTokens { received: 1 },
+    token_after_the_final_answer: [last(Outcome::Done, 0), chunk(0, 11)]
+        => AnswerFault::OutOfPlace,
+    two_final_answers: [last(Outcome::Done, 0), last(Outcome::Done, 0)]
+        => AnswerFault::OutOfPlace,
+    end_without_a_final_answer: [chunk(0, 11), StreamEvent::End] => AnswerFault::OutOfPlace,
+    event_after_the_end: [last(Outcome::Done, 0), StreamEvent::End, StreamEvent::End]
+        => AnswerFault::OutOfPlace,
+}
