--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -1,1 +1,23 @@
-//! RPC interfaces between the system's own processes.
+//! RPC interfaces between the system's own processes, by `tarpc` over TCP.
+
+mod codec;
+mod pool;
+mod rpc;
+mod serve;
+mod spread;
+
+pub use codec::Postcard;
+pub use pool::{CallFailure, PeerPool};
+pub use rpc::{
+    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, PeerRpcClient,
+    PeerRpcRequest, PeerRpcResponse,
+};
+pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
+pub use spread::{Spread, run_spread};
+
+/// Used by [`answer_peers`].
+#[doc(hidden)]
+pub mod reexport {
+    pub use futures::StreamExt;
+    pub use tarpc::server::Channel;
+}
--- a/crates/mgw-settings/src/lib.rs
+++ b/crates/mgw-settings/src/lib.rs
@@ -2,8 +2,12 @@
 
 mod finding;
 mod load;
+mod locate;
+mod mend;
 mod process;
+mod search;
 
 pub use finding::{Finding, Findings};
 pub use load::{load, parse};
+pub use locate::line_of_key;
 pub use process::{LogFormat, LogSettings};
