--- a/crates/mgw-route/src/router/lane.rs
+++ b/crates/mgw-route/src/router/lane.rs
@@ -36,8 +36,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Member {
     pub key: TargetKey,
-    /// Flow that it shall carry, corrected by its load report.
+    /// Flow that it shall carry.
     pub rate: f64,
+    /// That flow corrected by its load report, for sampling only: entries that read the same
+    /// report compare what they sampled by their own requests.
+    weight: f64,
 }
 
 /// The members of a group and their running sums, for weighted sampling.
@@ -175,6 +178,7 @@
             let members = group.members.iter().map(|index| Member {
                 key: self.keys[*index],
                 rate: self.graph.targets[*index].capacity() as f64 * per_unit,
+                weight: 0.0,
             });
             all.push(members.collect::<Vec<_>>());
         }
@@ -183,7 +187,8 @@
             for group in peers {
                 for member in &mut all[*group] {
                     if let Some(record) = fleet.get(member.key) {
-                        member.rate *= report_factor(record, member.rate, mean, settings, now);
+                        let factor = report_factor(record, member.rate, mean, settings, now);
+                        member.weight = member.rate * factor;
                     }
                 }
             }
@@ -207,7 +212,7 @@
     fn new(all: Vec<Member>) -> Self {
         let mut sum = 0.0;
         let sums = all.iter().map(|member| {
-            sum += member.rate;
+            sum += member.weight;
             sum
         });
         Self {
