--- a/crates/mgw-cli/src/commands/audit.rs
+++ b/crates/mgw-cli/src/commands/audit.rs
@@ -73,5 +73,9 @@
     if detail.chars().count() <= DETAIL_CHARS {
         return detail.to_owned();
     }
-    detail.chars().take(DETAIL_CHARS).chain("...".chars()).collect()
+    detail
+        .chars()
+        .take(DETAIL_CHARS)
+        .chain("...".chars())
+        .collect()
 }
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -197,8 +197,12 @@
 async fn emit(items: &mpsc::Sender<RunItem>, item: RunItem, limit: Millis) -> Option<Event> {
     match timeout(limit.to_duration(), items.send(item)).await {
         Ok(Ok(())) => None,
-        Ok(Err(_)) => Some(Event::Cancelled { reason: Reason::Cancelled }),
-        Err(_) => Some(Event::Cancelled { reason: Reason::SlowReader }),
+        Ok(Err(_)) => Some(Event::Cancelled {
+            reason: Reason::Cancelled,
+        }),
+        Err(_) => Some(Event::Cancelled {
+            reason: Reason::SlowReader,
+        }),
     }
 }
 
--- a/crates/mgw-entry/src/run.rs
+++ b/crates/mgw-entry/src/run.rs
@@ -91,11 +91,7 @@
     let server = PeerServer {
         app: Arc::clone(app),
     };
-    tokio::spawn(serve_peers(
-        peers,
-        answer_peers!(server),
-        ended.clone(),
-    ));
+    tokio::spawn(serve_peers(peers, answer_peers!(server), ended.clone()));
     tokio::spawn(run_spread(spread, ended.clone()));
     tokio::spawn(follow_config(Arc::clone(app)));
     tokio::spawn(run_refresh(Arc::clone(app)));
--- a/crates/mgw-quorum/tests/common/mod.rs
+++ b/crates/mgw-quorum/tests/common/mod.rs
@@ -219,7 +219,8 @@
         };
         let id = write.id;
         write_disk(&mut node.disk, write);
-        self.act(at, |replica, now| replica.synced(id, now)).map(drop)
+        self.act(at, |replica, now| replica.synced(id, now))
+            .map(drop)
     }
 
     pub fn propose(&mut self, at: usize, command: &[u8]) -> Result<Option<Index>, String> {
@@ -283,7 +284,8 @@
             self.net.push_back(envelope);
             return Ok(());
         }
-        self.act(to, |replica, now| replica.receive(envelope, now)).map(drop)
+        self.act(to, |replica, now| replica.receive(envelope, now))
+            .map(drop)
     }
 
     pub fn isolate(&mut self, at: usize) {
@@ -392,7 +394,10 @@
                 continue;
             };
             is_same_after |= entry.term == other.term;
-            ensure!(!is_same_after || entry == other, "logs differ before {index}");
+            ensure!(
+                !is_same_after || entry == other,
+                "logs differ before {index}"
+            );
         }
         Ok(())
     }
--- a/crates/mgw-quorum/tests/search.rs
+++ b/crates/mgw-quorum/tests/search.rs
@@ -143,13 +143,20 @@
             Action::Transfer(_) => replica.transfer(id, now).is_ok(),
             Action::Promote(_) => replica.promote(id, now).is_ok(),
             Action::Remove(_) => replica.remove(&id, now).is_ok(),
-            _ => strangers.into_iter().any(|id| replica.add_learner(id, now).is_ok()),
+            _ => strangers
+                .into_iter()
+                .any(|id| replica.add_learner(id, now).is_ok()),
         })?;
     }
     Ok(())
 }
 
-fn search(settings: &Settings, cases: u32, shrinks: u32, seed: u8) -> Result<(), TestError<(u64, Vec<Action>)>> {
+fn search(
+    settings: &Settings,
+    cases: u32,
+    shrinks: u32,
+    seed: u8,
+) -> Result<(), TestError<(u64, Vec<Action>)>> {
     let config = Config {
         cases,
         failure_persistence: None,
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -72,12 +72,13 @@
     local name
     for name in "$@"; do kill -TERM "${pids[$name]}" 2>/dev/null || true; done
     for name in "$@"; do
-        local status=0
-        ( sleep 40; kill -KILL "${pids[$name]}" 2>/dev/null ) &
-        local guard=$!
+        local status=0 looks=0
+        while kill -0 "${pids[$name]}" 2>/dev/null; do
+            looks=$((looks + 1))
+            if [ "$looks" -gt 400 ]; then kill -KILL "${pids[$name]}" 2>/dev/null || true; fi
+            sleep 0.1
+        done
         wait "${pids[$name]}" 2>/dev/null || status=$?
-        kill "$guard" 2>/dev/null || true
-        wait "$guard" 2>/dev/null || true
         [ "$status" = 0 ] || unclean="$unclean $name($status)"
         unset "pids[$name]"
     done
