--- a/crates/mgw-pipe/tests/random_faults.rs
+++ b/crates/mgw-pipe/tests/random_faults.rs
@@ -1,5 +1,7 @@
 //! Random faults at random steps: every whole answer is right and no session runs a position twice.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use mgw_contract::caller::Outcome;
@@ -46,7 +48,7 @@
             PipeSettings { chunk_positions: chunk, buffer_bytes, ..PipeSettings::default() };
         let order = order(prompt, 8);
         let whole = reference(12, &order.prompt, 8);
-        let bench = Bench::run(engines, &[0, 1, 2], order, settings);
+        let bench = Bench::run(engines, &[0, 1, 2], &order, settings);
         let doubled = bench.runs.iter().find(|(_, count)| **count > 1);
         prop_assert_eq!(doubled, None);
         prop_assert!(whole.starts_with(&bench.tokens), "a wrong token came out");
--- a/crates/mgw-pipe/tests/recovery.rs
+++ b/crates/mgw-pipe/tests/recovery.rs
@@ -1,5 +1,7 @@
 //! Stages that die, hang, slow down, refuse or lose answers in the middle of a request.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use mgw_contract::caller::{Outcome, Reason};
@@ -42,7 +44,7 @@
                 let mut engines = engines();
                 engines[$engine] = engines[$engine].clone().with_fault($step, $fault);
                 let bench =
-                    Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), PipeSettings::default());
+                    Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), PipeSettings::default());
                 check_whole(&bench);
                 assert!(bench.longest_gap <= Millis($gap_ms), "gap of {}", bench.longest_gap);
             }
@@ -77,7 +79,7 @@
     let bench = Bench::run(
         engines(),
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         PipeSettings::default(),
     );
     check_whole(&bench);
@@ -94,7 +96,7 @@
     check_whole(&Bench::run(
         engines(),
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         settings,
     ));
 }
@@ -108,7 +110,7 @@
     check_whole(&Bench::run(
         engines,
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         PipeSettings::default(),
     ));
 }
@@ -121,7 +123,7 @@
     check_whole(&Bench::run(
         engines,
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         PipeSettings::default(),
     ));
 }
@@ -135,7 +137,7 @@
     check_whole(&Bench::run(
         engines,
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         PipeSettings::default(),
     ));
 }
@@ -148,7 +150,7 @@
         buffer_bytes: 64,
         ..PipeSettings::default()
     };
-    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    let bench = Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), settings);
     check_whole(&bench);
 }
 
@@ -159,7 +161,7 @@
     let bench = Bench::run(
         engines,
         &[0, 1, 2],
-        order(PROMPT, ANSWER),
+        &order(PROMPT, ANSWER),
         PipeSettings::default(),
     );
     check_whole(&bench);
@@ -184,7 +186,7 @@
         replace_limit_ms: Millis(1000),
         ..PipeSettings::default()
     };
-    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    let bench = Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), settings);
     assert_eq!(bench.end, Some((Outcome::Unknown, Reason::TargetFailed)));
     let whole = reference(12, &order(PROMPT, ANSWER).prompt, ANSWER as usize);
     assert!(whole.starts_with(&bench.tokens));
@@ -199,7 +201,7 @@
         replace_limit_ms: Millis(1000),
         ..PipeSettings::default()
     };
-    let bench = Bench::run(engines, &[0, 1, 2], order(PROMPT, ANSWER), settings);
+    let bench = Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), settings);
     assert_eq!(bench.end.map(|(outcome, _)| outcome), Some(Outcome::NotRun));
     assert!(bench.runs.is_empty());
 }
@@ -210,7 +212,7 @@
     engines[0] = engines[0].clone().with_fault(2, Fault::Slow(200));
     let mut order = order(PROMPT, ANSWER);
     order.deadline_ms = Some(Millis(450));
-    let bench = Bench::run(engines, &[0, 1, 2], order, PipeSettings::default());
+    let bench = Bench::run(engines, &[0, 1, 2], &order, PipeSettings::default());
     assert_eq!(bench.end, Some((Outcome::Unknown, Reason::Deadline)));
     assert_eq!(bench.end_at, Millis(450));
 }
--- a/crates/mgw-pipe/tests/support/mod.rs
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -164,14 +164,19 @@
 
 impl Bench {
     /// Runs a request to its end; `path` names the engines of the first path by index.
-    pub fn run(engines: Vec<Engine>, path: &[usize], order: Order, settings: PipeSettings) -> Self {
+    pub fn run(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+    ) -> Self {
         let stages = path
             .iter()
             .map(|index| engines[*index].stage.clone())
             .collect();
         let mut bench = Self {
             engines,
-            pipeline: Pipeline::new(order, stages, settings),
+            pipeline: Pipeline::new(order.clone(), stages, settings),
             tokens: Vec::new(),
             end: None,
             end_at: Millis::ZERO,
@@ -233,7 +238,7 @@
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Step { call, stage, step } => self.step(call, &stage, step),
+                Action::Step { call, stage, step } => self.step(call, &stage, &step),
                 Action::Ask {
                     call,
                     stage,
@@ -308,7 +313,7 @@
         Vec::new()
     }
 
-    fn step(&mut self, call: CallId, stage: &Stage, step: StageStep) {
+    fn step(&mut self, call: CallId, stage: &Stage, step: &StageStep) {
         let engine = self.find(&stage.target);
         let number = engine.steps;
         engine.steps += 1;
@@ -341,7 +346,7 @@
             return self.later(Millis(1), Event::StepRefused { call, refusal });
         }
         let took = STEP_MS + Millis(engine.slow_ms);
-        let event = match self.execute(stage, &step) {
+        let event = match self.execute(stage, step) {
             Ok(output) => Event::StepDone { call, output },
             Err(refusal) => Event::StepRefused { call, refusal },
         };
