--- /dev/null
+++ b/crates/mgw-quorum/tests/storage.rs
@@ -0,0 +1,249 @@
+//! Data folder: torn tails, damage, failed syncs and crashes at each sync.
+
+use mgw_quorum::{
+    DiskWrite, Entry, HardState, Index, Payload, Recovered, Replica, ReplicaId, Role, Settings,
+    Snapshot, SnapshotMeta, Storage, StorageError, SyncPoint, Term, WriteId,
+};
+use mgw_world::Millis;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tempfile::{TempDir, tempdir};
+
+const DISK: u64 = 41;
+
+fn open(folder: &Path) -> (Storage, Recovered) {
+    Storage::open(folder, "vm-1", DISK, Box::new(|_| Ok(()))).unwrap()
+}
+
+fn entry(index: u64, bytes: usize) -> Entry {
+    Entry {
+        term: Term(1),
+        index: Index(index),
+        payload: Payload::Command(vec![index as u8 | 1; bytes]),
+    }
+}
+
+fn append(index: u64) -> DiskWrite {
+    DiskWrite {
+        id: WriteId(index),
+        hard_state: Some(HardState {
+            term: Term(index),
+            voted_for: Some(ReplicaId::new("vm-2", 2)),
+        }),
+        append: vec![entry(index, 700)],
+        ..DiskWrite::default()
+    }
+}
+
+fn snapshot(index: u64) -> DiskWrite {
+    DiskWrite {
+        snapshot: Some(Snapshot {
+            meta: SnapshotMeta {
+                index: Index(index),
+                term: Term(1),
+                ..SnapshotMeta::default()
+            },
+            data: vec![9; 100],
+        }),
+        append: vec![entry(index + 1, 10)],
+        ..DiskWrite::default()
+    }
+}
+
+/// A folder with three synced entries, and the size of its log before the last one.
+fn written() -> (TempDir, usize) {
+    let folder = tempdir().unwrap();
+    let (mut storage, _) = open(folder.path());
+    let mut size_before = 0;
+    for index in 1..=3 {
+        size_before = fs::read(folder.path().join("log")).unwrap().len();
+        storage.write(&append(index)).unwrap();
+    }
+    (folder, size_before)
+}
+
+fn edit(folder: &TempDir, file: &str, change: impl FnOnce(&mut Vec<u8>)) {
+    let path = folder.path().join(file);
+    let mut bytes = fs::read(&path).unwrap();
+    change(&mut bytes);
+    fs::write(&path, bytes).unwrap();
+}
+
+macro_rules! tail_table {
+    ($($name:ident: $change:expr => $entries:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let (folder, last) = written();
+            let change: fn(&mut Vec<u8>, usize) = $change;
+            edit(&folder, "log", |bytes| change(bytes, last));
+            let expected: Option<usize> = $entries;
+            let (mut storage, recovered) = open(folder.path());
+            assert_eq!(recovered.damage.is_none(), expected.is_some(), "{:?}", recovered.damage);
+            let Some(entries) = expected else {
+                assert!(matches!(storage.write(&append(4)), Err(StorageError::Closed)));
+                return;
+            };
+            assert_eq!(recovered.entries.len(), entries);
+            storage.write(&append(entries as u64 + 1)).unwrap();
+            drop(storage);
+            let (_, again) = open(folder.path());
+            assert_eq!(again.entries.len(), entries + 1);
+        }
+    )+};
+}
+
+tail_table! {
+    whole_log_is_read: |_, _| {} => Some(3);
+    cut_in_the_header_is_torn: |bytes, last| bytes.truncate(last + 5) => Some(2);
+    cut_in_the_payload_is_torn: |bytes, last| bytes.truncate(last + 300) => Some(2);
+    cut_of_the_last_byte_is_torn: |bytes, _| bytes.truncate(bytes.len() - 1) => Some(2);
+    unwritten_sector_is_torn: |bytes, last| {
+        let start = (last / 512 + 1) * 512;
+        let end = (start + 512).min(bytes.len());
+        bytes[start..end].fill(0);
+    } => Some(2);
+    zeros_after_the_end_are_torn: |bytes, _| bytes.extend([0; 2000]) => Some(3);
+    flip_in_the_last_record_is_damage: |bytes, last| bytes[last + 100] ^= 1 => None;
+    flip_in_the_last_header_is_damage: |bytes, last| bytes[last + 1] ^= 4 => None;
+    flip_before_the_tail_is_damage: |bytes, last| bytes[last - 50] ^= 1 => None;
+    zeros_before_the_tail_are_damage: |bytes, last| bytes[last - 200..last].fill(0) => None;
+    flip_in_the_first_record_is_damage: |bytes, _| bytes[3] ^= 1 => None;
+    missing_record_is_damage: |bytes, last| drop(bytes.drain(last - 760..last)) => None;
+    empty_log_is_damage: |bytes, _| bytes.clear() => None;
+}
+
+macro_rules! file_table {
+    ($($name:ident: $change:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let (folder, _) = written();
+            let (mut storage, _) = open(folder.path());
+            storage.write(&snapshot(2)).unwrap();
+            drop(storage);
+            let change: fn(&TempDir) = $change;
+            change(&folder);
+            let (storage, recovered) = open(folder.path());
+            let damage = recovered.damage.clone();
+            assert!(damage.is_some());
+            let id = storage.id().clone();
+            let mut replica = Replica::new(id, Settings::default(), recovered, Millis(0), 1);
+            replica.tick(Millis(10_000));
+            let output = replica.take_output();
+            assert_eq!(replica.role(), Role::Damaged);
+            assert_eq!(output.role_change.map(|it| it.role), Some(Role::Damaged));
+            assert_eq!(replica.damage(), damage.as_ref());
+            assert!(output.messages.is_empty());
+        }
+    )+};
+}
+
+file_table! {
+    missing_log_is_damage: |folder| fs::remove_file(folder.path().join("log")).unwrap();
+    missing_snapshot_is_damage: |folder| fs::remove_file(folder.path().join("snapshot")).unwrap();
+    flip_in_the_snapshot_is_damage: |folder| edit(folder, "snapshot", |bytes| bytes[60] ^= 1);
+    cut_snapshot_is_damage: |folder| edit(folder, "snapshot", |bytes| bytes.truncate(40));
+    missing_identity_is_damage: |folder| fs::remove_file(folder.path().join("identity")).unwrap();
+    flip_in_the_identity_is_damage: |folder| edit(folder, "identity", |bytes| bytes[22] ^= 1);
+}
+
+/// Writes until the sync number `failing`, then says how many writes were acknowledged.
+fn write_until(folder: &Path, failing: u64, is_done: bool) -> u64 {
+    let count = Arc::new(AtomicU64::new(0));
+    let hook = move |point: SyncPoint| {
+        if point.is_done == is_done && count.fetch_add(1, Ordering::Relaxed) == failing {
+            return Err(io::Error::other("stopped here"));
+        }
+        Ok(())
+    };
+    let Ok((mut storage, _)) = Storage::open(folder, "vm-1", DISK, Box::new(hook)) else {
+        return 0;
+    };
+    let writes = [append(1), append(2), snapshot(1), append(3), append(4)];
+    for (done, write) in writes.iter().enumerate() {
+        if storage.write(write).is_err() {
+            assert!(matches!(storage.write(write), Err(StorageError::Closed)));
+            return done as u64;
+        }
+    }
+    writes.len() as u64
+}
+
+#[test]
+fn a_crash_at_any_sync_keeps_what_was_acknowledged() {
+    let last_index = [0, 1, 2, 2, 3, 4];
+    for failing in 0..16 {
+        for is_done in [false, true] {
+            let folder = tempdir().unwrap();
+            let path = folder.path().join("data");
+            let acknowledged = write_until(&path, failing, is_done) as usize;
+            let (storage, recovered) = open(&path);
+            let place = format!("sync {failing}, done {is_done}");
+            assert_eq!(recovered.damage, None, "{place}");
+            assert_eq!(storage.id(), &ReplicaId::new("vm-1", DISK), "{place}");
+            let base = recovered.snapshot.map_or(0, |it| it.meta.index.0);
+            let last = base + recovered.entries.len() as u64;
+            let next = last_index[(acknowledged + 1).min(5)];
+            assert!(
+                last >= last_index[acknowledged] && last <= next,
+                "{place}: {last}"
+            );
+            assert!(
+                recovered.hard_state.term.0 >= last_index[acknowledged],
+                "{place}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_wiped_folder_comes_back_under_a_new_identity() {
+    let (folder, _) = written();
+    fs::remove_dir_all(folder.path()).unwrap();
+    let (storage, recovered) =
+        Storage::open(folder.path(), "vm-1", DISK + 1, Box::new(|_| Ok(()))).unwrap();
+    assert_eq!(storage.id(), &ReplicaId::new("vm-1", DISK + 1));
+    assert_eq!(recovered, Recovered::default());
+}
+
+#[test]
+fn the_identity_stays_whatever_the_caller_draws() {
+    let (folder, _) = written();
+    let (storage, _) = Storage::open(folder.path(), "vm-1", 77, Box::new(|_| Ok(()))).unwrap();
+    assert_eq!(storage.id().disk, DISK);
+    let second = Storage::open(folder.path(), "vm-1", 77, Box::new(|_| Ok(())));
+    assert!(matches!(second, Err(StorageError::InUse { .. })));
+    drop(storage);
+    let other = Storage::open(folder.path(), "vm-2", 77, Box::new(|_| Ok(())));
+    assert!(matches!(other, Err(StorageError::WrongName { .. })));
+}
+
+#[test]
+fn a_cluster_is_founded_once() {
+    let folder = tempdir().unwrap();
+    let (mut storage, _) = open(folder.path());
+    let founded = storage.found().unwrap();
+    assert!(matches!(storage.found(), Err(StorageError::NotEmpty)));
+    drop(storage);
+    let (mut storage, recovered) = open(folder.path());
+    assert_eq!(recovered, founded);
+    assert!(matches!(storage.found(), Err(StorageError::NotEmpty)));
+}
+
+#[test]
+fn truncation_replaces_the_tail() {
+    let (folder, _) = written();
+    let (mut storage, _) = open(folder.path());
+    storage
+        .write(&DiskWrite {
+            truncate_from: Some(Index(2)),
+            append: vec![entry(2, 5)],
+            ..DiskWrite::default()
+        })
+        .unwrap();
+    drop(storage);
+    let (_, recovered) = open(folder.path());
+    assert_eq!(recovered.entries, [entry(1, 700), entry(2, 5)]);
+}
