Answer heartbeats while the disk is busy, and split the fault tables

Cause: an answer to a heartbeat waited for the sync of earlier entries, so a slow disk could cost a leader its lease. Change: it goes out at once and acknowledges synced entries only; the search says what it reached.

--- a/crates/mgw-quorum/src/replica/follower.rs
+++ b/crates/mgw-quorum/src/replica/follower.rs
@@ -9,19 +9,37 @@
 impl Replica {
     pub(super) fn follow_append(&mut self, from: ReplicaId, append: Append) {
         let (round, sent_ms) = (append.round, append.sent_ms);
+        let is_heartbeat = append.entries.is_empty();
         let outcome = if append.term < self.hard.term {
             AppendOutcome::Conflict(self.log.last_index())
         } else {
             self.hear_leader(&from);
             self.accept_entries(append)
         };
-        let reply = AppendReply {
+        let mut reply = AppendReply {
             term: self.hard.term,
             outcome,
             round,
             sent_ms,
         };
-        self.send_synced(from, Message::AppendReply(reply));
+        if is_heartbeat && self.is_hard_state_synced() {
+            reply.outcome = self.limit_to_durable(outcome);
+            self.send(from, Message::AppendReply(reply));
+        } else {
+            self.send_synced(from, Message::AppendReply(reply));
+        }
+    }
+
+    /// Lets the answer to a heartbeat go out while the disk is busy with earlier entries.
+    fn limit_to_durable(&self, outcome: AppendOutcome) -> AppendOutcome {
+        match outcome {
+            AppendOutcome::Matched(index) => AppendOutcome::Matched(index.min(self.durable)),
+            conflict @ AppendOutcome::Conflict(_) => conflict,
+        }
+    }
+
+    fn is_hard_state_synced(&self) -> bool {
+        self.synced_write >= self.hard_write
     }
 
     fn hear_leader(&mut self, from: &ReplicaId) {
--- a/crates/mgw-quorum/src/replica/state.rs
+++ b/crates/mgw-quorum/src/replica/state.rs
@@ -58,6 +58,7 @@
     pub(super) election_at: Millis,
     pub(super) votes: BTreeSet<ReplicaId>,
     pub(super) own_vote_write: WriteId,
+    pub(super) hard_write: WriteId,
     pub(super) incoming: Option<Incoming>,
     pub(super) reported: Option<RoleChange>,
     pub(super) reads: super::reads::ReadOutcomes,
@@ -119,6 +120,7 @@
             election_at: now,
             votes: BTreeSet::new(),
             own_vote_write: WriteId::ZERO,
+            hard_write: WriteId::ZERO,
             incoming: None,
             reported: None,
             reads: super::reads::ReadOutcomes::default(),
@@ -280,6 +282,7 @@
     pub(super) fn set_hard_state(&mut self, term: Term, voted_for: Option<ReplicaId>) {
         self.hard = HardState { term, voted_for };
         self.pending.hard_state = true;
+        self.hard_write = self.current_write();
     }
 
     pub(super) fn reset_election_timer(&mut self) {
--- a/crates/mgw-quorum/tests/common/mod.rs
+++ b/crates/mgw-quorum/tests/common/mod.rs
@@ -21,6 +21,27 @@
     };
 }
 
+#[allow(unused_macros)]
+macro_rules! fault_table {
+    ($($name:ident, $fault:ident;)+) => {$(
+        mod $name {
+            use super::*;
+
+            #[test]
+            fn passes() {
+                assert_eq!(super::$name(Settings::default()), Ok(()));
+            }
+
+            #[test]
+            fn fails_when_broken() {
+                let broken = with_fault(InjectedFault::$fault);
+                let run = std::panic::catch_unwind(|| super::$name(broken));
+                assert!(!matches!(run, Ok(Ok(()))), "the fault stays hidden");
+            }
+        }
+    )+};
+}
+
 /// Sender and receiver by their places in [`Cluster::nodes`].
 pub type Link = (usize, usize);
 
@@ -48,6 +69,7 @@
     pub next_token: u64,
     pub next_disk: u64,
     pub trace: u64,
+    pub installs: usize,
 }
 
 pub fn with_fault(fault: InjectedFault) -> Settings {
@@ -90,6 +112,7 @@
             next_token: 0,
             next_disk: voters as u64,
             trace: 0,
+            installs: 0,
         };
         let founding = Snapshot::founding(Membership::of_voters(ids.clone()));
         for id in ids {
@@ -187,6 +210,7 @@
         self.nodes[at].writes.extend(output.disk);
         if let Some(snapshot) = output.install {
             self.nodes[at].applied = snapshot.meta.index;
+            self.installs += usize::from(snapshot.meta.index > Index(1));
         }
         for entry in output.committed {
             let node = &mut self.nodes[at];
@@ -431,3 +455,23 @@
         Ok(())
     }
 }
+
+pub fn voters(settings: Settings) -> Result<(Cluster, usize), String> {
+    let mut cluster = Cluster::new(3, settings, 7);
+    let leader = cluster.run_to_leader()?;
+    Ok((cluster, leader))
+}
+
+pub fn others(leader: usize) -> (usize, usize) {
+    ((leader + 1) % 3, (leader + 2) % 3)
+}
+
+/// Delivers messages without any sync.
+pub fn exchange(cluster: &mut Cluster) -> Check {
+    for _ in 0..4 {
+        for _ in 0..cluster.net.len() {
+            cluster.deliver(0)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/mgw-quorum/tests/losses.rs
+++ b/crates/mgw-quorum/tests/losses.rs
@@ -1,4 +1,5 @@
 //! Second and third losses during and after a repair: which sequences keep a quorum.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 
--- a/crates/mgw-quorum/tests/search.rs
+++ b/crates/mgw-quorum/tests/search.rs
@@ -1,13 +1,16 @@
 //! Seeded random search over message orders, crashes, partitions and member changes.
 
+#![allow(clippy::print_stdout)]
+
 mod common;
 
 use common::{Check, Cluster, with_fault};
-use mgw_quorum::{InjectedFault, ReadMode, Settings};
+use mgw_quorum::{Entry, InjectedFault, Payload, ReadMode, Settings};
 use mgw_world::Millis;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
+use std::cell::Cell;
 
 const STEPS_MAX: usize = 120;
 const SEARCH_CASES: u32 = 1_000;
@@ -72,6 +75,15 @@
     ]
 }
 
+/// What the plans of a search got done, so that a search of idle replicas doesn't pass.
+#[derive(Debug)]
+struct Reached {
+    entries: usize,
+    terms: usize,
+    snapshots: usize,
+    changes: usize,
+}
+
 fn step(cluster: &mut Cluster, action: &Action) -> Check {
     let count = cluster.nodes.len();
     let queued = cluster.net.len().max(1);
@@ -169,7 +181,7 @@
     cases: u32,
     shrinks: u32,
     seed: u8,
-) -> Result<(), TestError<(u64, Vec<Action>)>> {
+) -> Result<Reached, TestError<(u64, Vec<Action>)>> {
     let config = Config {
         cases,
         failure_persistence: None,
@@ -179,23 +191,53 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let plans = (0..1_000_u64, vec(any_action(), 20..STEPS_MAX));
-    runner.run(&plans, |(seed, actions)| {
+    let (entries, terms) = (Cell::new(0), Cell::new(0));
+    let (snapshots, changes) = (Cell::new(0), Cell::new(0));
+    let result = runner.run(&plans, |(seed, actions)| {
         let voters = if seed % 3 == 0 { 5 } else { 3 };
         let mut cluster = Cluster::new(voters, settings.clone(), seed);
         for action in &actions {
             step(&mut cluster, action).map_err(TestCaseError::fail)?;
         }
+        entries.set(entries.get() + cluster.committed.len());
+        terms.set(terms.get() + cluster.leaders.len());
+        snapshots.set(snapshots.get() + cluster.installs);
+        let is_change = |entry: &&Entry| matches!(entry.payload, Payload::Membership(_));
+        changes.set(changes.get() + cluster.committed.values().filter(is_change).count());
         Ok(())
-    })
+    });
+    let reached = Reached {
+        entries: entries.get(),
+        terms: terms.get(),
+        snapshots: snapshots.get(),
+        changes: changes.get(),
+    };
+    result.map(|()| reached)
+}
+
+/// More plans for a longer search by hand: `MGW_SEARCH_CASES=100000`.
+fn search_cases() -> u32 {
+    let cases = std::env::var("MGW_SEARCH_CASES").ok();
+    cases
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(SEARCH_CASES)
 }
 
 macro_rules! holds {
     ($($name:ident: $settings:expr, seed $seed:literal;)+) => {$(
         #[test]
         fn $name() {
-            if let Err(error) = search(&$settings, SEARCH_CASES, SHRINKS_MAX, $seed) {
-                panic!("{error}");
-            }
+            let cases = search_cases();
+            let reached = match search(&$settings, cases, SHRINKS_MAX, $seed) {
+                Ok(reached) => reached,
+                Err(error) => panic!("{error}"),
+            };
+            println!("{cases} plans: {reached:?}");
+            let cases = cases as usize;
+            assert!(reached.entries >= 3 * cases, "{reached:?}");
+            assert!(reached.terms >= cases, "{reached:?}");
+            assert!(reached.snapshots >= cases / 10, "{reached:?}");
+            assert!(reached.changes >= cases / 10, "{reached:?}");
         }
     )+};
 }
--- a/crates/mgw-quorum/tests/storage.rs
+++ b/crates/mgw-quorum/tests/storage.rs
@@ -1,4 +1,5 @@
 //! Data folder: torn tails, damage, failed syncs and crashes at each sync.
+#![allow(clippy::unwrap_used)]
 
 use mgw_quorum::{
     DiskWrite, Entry, HardState, Index, Payload, Recovered, Replica, ReplicaId, Role, Settings,
