--- a/crates/mgw-quorum/tests/search.rs
+++ b/crates/mgw-quorum/tests/search.rs
@@ -22,6 +22,8 @@
     Run(u64),
     Advance(u64),
     Settle,
+    Recover,
+    Load,
     Outage(usize),
     Sync(usize),
     Deliver(usize),
@@ -51,6 +53,8 @@
     prop_oneof![
         6 => (20..200_u64).prop_map(A::Run),
         6 => Just(A::Settle),
+        4 => Just(A::Recover),
+        8 => Just(A::Load),
         2 => (0..2_usize).prop_map(A::Outage),
         10 => (5..350_u64).prop_map(A::Advance),
         6 => at.clone().prop_map(A::Sync),
@@ -58,15 +62,15 @@
         9 => Just(A::DeliverAll),
         2 => pick.clone().prop_map(A::Lose),
         2 => pick.prop_map(A::Double),
-        8 => at.clone().prop_map(A::Propose),
+        4 => at.clone().prop_map(A::Propose),
         4 => at.clone().prop_map(A::Read),
-        4 => (at.clone(), 0..3_usize).prop_map(|(at, kept)| A::Crash(at, kept)),
+        3 => (at.clone(), 0..3_usize).prop_map(|(at, kept)| A::Crash(at, kept)),
         5 => at.clone().prop_map(A::Start),
-        2 => at.clone().prop_map(A::Freeze),
+        1 => at.clone().prop_map(A::Freeze),
         2 => (at.clone(), at.clone()).prop_map(|(from, to)| A::Cut(from, to)),
-        2 => at.clone().prop_map(A::Isolate),
+        1 => at.clone().prop_map(A::Isolate),
         3 => Just(A::Heal),
-        1 => at.clone().prop_map(A::Compact),
+        2 => at.clone().prop_map(A::Compact),
         1 => at.clone().prop_map(A::Transfer),
         1 => Just(A::Join),
         2 => at.clone().prop_map(A::Promote),
@@ -96,6 +100,15 @@
             }
         }
         Action::Settle => cluster.settle()?,
+        Action::Recover => recover(cluster)?,
+        Action::Load => {
+            let leader = cluster.leader().unwrap_or_default();
+            for _ in 0..3 {
+                cluster.trace += 1;
+                let command = cluster.trace.to_le_bytes();
+                cluster.propose(leader, &command)?;
+            }
+        }
         Action::Outage(kept) => {
             for at in 0..count {
                 cluster.crash(at, kept);
@@ -143,6 +156,16 @@
     cluster.check()
 }
 
+/// All replicas run and reach one another for a while.
+fn recover(cluster: &mut Cluster) -> Check {
+    cluster.cut.clear();
+    for at in 0..cluster.nodes.len() {
+        cluster.start(at);
+        cluster.nodes[at].frozen = false;
+    }
+    cluster.run(600)
+}
+
 fn change_members(cluster: &mut Cluster, action: &Action) -> Check {
     let count = cluster.nodes.len();
     let pick = match *action {
@@ -196,6 +219,9 @@
     let result = runner.run(&plans, |(seed, actions)| {
         let voters = if seed % 3 == 0 { 5 } else { 3 };
         let mut cluster = Cluster::new(voters, settings.clone(), seed);
+        if seed % 4 != 0 {
+            cluster.run(800).map_err(TestCaseError::fail)?;
+        }
         for action in &actions {
             step(&mut cluster, action).map_err(TestCaseError::fail)?;
         }
