--- a/crates/mgw-quorum/src/replica/state.rs
+++ b/crates/mgw-quorum/src/replica/state.rs
@@ -201,6 +201,9 @@
     /// Next point in time at which [`Self::tick`] has something to do.
     #[must_use]
     pub fn next_tick_at(&self) -> Millis {
+        if self.role == Role::Damaged {
+            return Millis::MAX;
+        }
         match &self.leadership {
             Some(leadership) => leadership.heartbeat_at,
             None => self.election_at,
--- a/crates/mgw-quorum/tests/common/mod.rs
+++ b/crates/mgw-quorum/tests/common/mod.rs
@@ -55,6 +55,8 @@
     pub reads: BTreeMap<ReadToken, Index>,
     pub answered: Vec<ReadToken>,
     pub starts: u64,
+    /// Speed of the clock of the VM.
+    pub rate_percent: u64,
 }
 
 pub struct Cluster {
@@ -136,6 +138,7 @@
             reads: BTreeMap::new(),
             answered: Vec::new(),
             starts: 0,
+            rate_percent: 100,
         });
         let at = self.nodes.len() - 1;
         self.start(at);
@@ -151,7 +154,7 @@
 
     pub fn start(&mut self, at: usize) {
         let seed = self.seed * 1_000 + at as u64 * 100 + self.nodes[at].starts;
-        let (now, settings) = (self.now, self.settings.clone());
+        let (now, settings) = (self.clock(at), self.settings.clone());
         let node = &mut self.nodes[at];
         if node.replica.is_some() {
             return;
@@ -173,6 +176,15 @@
         node.reads.clear();
     }
 
+    /// What the monotonic clock of the VM shows.
+    pub fn clock(&self, at: usize) -> Millis {
+        Millis(self.now.0 * self.nodes[at].rate_percent / 100)
+    }
+
+    pub fn has_lease(&self, at: usize) -> bool {
+        self.replica(at).is_leader_at(self.clock(at))
+    }
+
     pub fn replica(&self, at: usize) -> &Replica {
         self.nodes[at].replica.as_ref().expect("the replica runs")
     }
@@ -197,7 +209,7 @@
         if !self.is_active(at) {
             return Ok(None);
         }
-        let now = self.now;
+        let now = self.clock(at);
         let replica = self.nodes[at].replica.as_mut().expect("the replica runs");
         let result = input(replica, now);
         let output = replica.take_output();
@@ -364,7 +376,7 @@
         for _ in 0..100 {
             self.run(100)?;
             let leader = self.leader();
-            let ready = leader.filter(|at| self.replica(*at).is_leader_at(self.now));
+            let ready = leader.filter(|at| self.has_lease(*at));
             if let Some(at) = ready {
                 return Ok(at);
             }
@@ -443,7 +455,7 @@
 
     fn check_leases(&self, running: &[usize]) -> Check {
         for holder in running {
-            if !self.replica(*holder).is_leader_at(self.now) {
+            if !self.has_lease(*holder) {
                 continue;
             }
             for other in running {
--- a/crates/mgw-quorum/tests/faults_leader.rs
+++ b/crates/mgw-quorum/tests/faults_leader.rs
@@ -95,10 +95,7 @@
         "no newer fencing number"
     );
     cluster.nodes[old].frozen = false;
-    ensure!(
-        !cluster.replica(old).is_leader_at(cluster.now),
-        "the lease outlived the freeze"
-    );
+    ensure!(!cluster.has_lease(old), "the lease outlived the freeze");
     ensure!(
         cluster.propose(old, b"stale")?.is_none(),
         "took a proposal after the freeze"
@@ -168,10 +165,7 @@
     let (mut cluster, leader) = voters(settings)?;
     let (near, far) = others(leader);
     let term = cluster.replica(near).term().0 + 1;
-    ensure!(
-        cluster.replica(leader).is_leader_at(cluster.now),
-        "no lease"
-    );
+    ensure!(cluster.has_lease(leader), "no lease");
     cluster.net.clear();
     ask_vote(&mut cluster, far, near, term, (9, 99))?;
     ensure!(granted(&cluster) == 0, "a vote during a lease");
@@ -187,10 +181,7 @@
     let target = cluster.replica(old).best_successor().ok_or("a successor")?;
     let started = cluster.act(old, |replica, now| replica.transfer(target.clone(), now))?;
     ensure!(started == Some(Ok(())), "the hand-over was refused");
-    ensure!(
-        !cluster.replica(old).is_leader_at(cluster.now),
-        "a lease beside the successor"
-    );
+    ensure!(!cluster.has_lease(old), "a lease beside the successor");
     cluster.run(100)?;
     let leader = cluster.leader().ok_or("a leader")?;
     ensure!(cluster.nodes[leader].id == target, "another replica leads");
@@ -211,9 +202,6 @@
     );
     cluster.isolate(leader);
     cluster.run(300)?;
-    ensure!(
-        !cluster.replica(leader).is_leader_at(cluster.now),
-        "the lease goes on"
-    );
+    ensure!(!cluster.has_lease(leader), "the lease goes on");
     Ok(())
 }
--- a/crates/mgw-quorum/tests/search.rs
+++ b/crates/mgw-quorum/tests/search.rs
@@ -15,6 +15,8 @@
 const STEPS_MAX: usize = 120;
 const SEARCH_CASES: u32 = 1_000;
 const BROKEN_CASES: u32 = 2_000;
+/// Clocks of the VMs in every second plan, within what the lease margin allows.
+const RATES_PERCENT: [u64; 5] = [100, 115, 95, 105, 100];
 const SHRINKS_MAX: u32 = 2_000;
 
 #[derive(Debug, Clone)]
@@ -219,6 +221,13 @@
     let result = runner.run(&plans, |(seed, actions)| {
         let voters = if seed % 3 == 0 { 5 } else { 3 };
         let mut cluster = Cluster::new(voters, settings.clone(), seed);
+        if seed % 2 == 0 {
+            for (at, rate_percent) in RATES_PERCENT.into_iter().take(voters).enumerate() {
+                cluster.crash(at, 0);
+                cluster.nodes[at].rate_percent = rate_percent;
+                cluster.start(at);
+            }
+        }
         if seed % 4 != 0 {
             cluster.run(800).map_err(TestCaseError::fail)?;
         }
