--- a/crates/mgw-quorum/tests/search.rs
+++ b/crates/mgw-quorum/tests/search.rs
@@ -297,4 +297,6 @@
     finds_acknowledgement_before_sync: AckBeforeSync;
     finds_votes_for_stale_logs: SkipLogCheck;
     finds_appends_without_a_match: SkipPrevCheck;
+    finds_votes_during_a_lease: VoteDespiteLease;
+    finds_a_lease_kept_in_a_transfer: KeepLeaseInTransfer;
 }
