--- a/crates/mgw-quorum/tests/common/mod.rs
+++ b/crates/mgw-quorum/tests/common/mod.rs
@@ -8,8 +8,11 @@
 use mgw_world::Millis;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+const STEP_MS: u64 = 20;
+
 pub type Check = Result<(), String>;
 
+#[allow(unused_macros)]
 macro_rules! ensure {
     ($condition:expr, $($message:tt)+) => {
         if !$condition {
@@ -18,7 +21,28 @@
     };
 }
 
-/// Fails at the first link of the two that is cut.
+#[allow(unused_macros)]
+macro_rules! fault_table {
+    ($($name:ident, $fault:ident;)+) => {$(
+        mod $name {
+            use super::*;
+
+            #[test]
+            fn passes() {
+                assert_eq!(super::$name(Settings::default()), Ok(()));
+            }
+
+            #[test]
+            fn fails_when_broken() {
+                let broken = with_fault(InjectedFault::$fault);
+                let run = std::panic::catch_unwind(|| super::$name(broken));
+                assert!(!matches!(run, Ok(Ok(()))), "the fault stays hidden");
+            }
+        }
+    )+};
+}
+
+/// Sender and receiver by their places in [`Cluster::nodes`].
 pub type Link = (usize, usize);
 
 pub struct Node {
@@ -31,6 +55,8 @@
     pub reads: BTreeMap<ReadToken, Index>,
     pub answered: Vec<ReadToken>,
     pub starts: u64,
+    /// Speed of the clock of the VM.
+    pub rate_percent: u64,
 }
 
 pub struct Cluster {
@@ -45,6 +71,7 @@
     pub next_token: u64,
     pub next_disk: u64,
     pub trace: u64,
+    pub installs: usize,
 }
 
 pub fn with_fault(fault: InjectedFault) -> Settings {
@@ -87,6 +114,7 @@
             next_token: 0,
             next_disk: voters as u64,
             trace: 0,
+            installs: 0,
         };
         let founding = Snapshot::founding(Membership::of_voters(ids.clone()));
         for id in ids {
@@ -110,6 +138,7 @@
             reads: BTreeMap::new(),
             answered: Vec::new(),
             starts: 0,
+            rate_percent: 100,
         });
         let at = self.nodes.len() - 1;
         self.start(at);
@@ -125,7 +154,7 @@
 
     pub fn start(&mut self, at: usize) {
         let seed = self.seed * 1_000 + at as u64 * 100 + self.nodes[at].starts;
-        let (now, settings) = (self.now, self.settings.clone());
+        let (now, settings) = (self.clock(at), self.settings.clone());
         let node = &mut self.nodes[at];
         if node.replica.is_some() {
             return;
@@ -147,6 +176,15 @@
         node.reads.clear();
     }
 
+    /// What the monotonic clock of the VM shows.
+    pub fn clock(&self, at: usize) -> Millis {
+        Millis(self.now.0 * self.nodes[at].rate_percent / 100)
+    }
+
+    pub fn has_lease(&self, at: usize) -> bool {
+        self.replica(at).is_leader_at(self.clock(at))
+    }
+
     pub fn replica(&self, at: usize) -> &Replica {
         self.nodes[at].replica.as_ref().expect("the replica runs")
     }
@@ -171,7 +209,7 @@
         if !self.is_active(at) {
             return Ok(None);
         }
-        let now = self.now;
+        let now = self.clock(at);
         let replica = self.nodes[at].replica.as_mut().expect("the replica runs");
         let result = input(replica, now);
         let output = replica.take_output();
@@ -184,6 +222,7 @@
         self.nodes[at].writes.extend(output.disk);
         if let Some(snapshot) = output.install {
             self.nodes[at].applied = snapshot.meta.index;
+            self.installs += usize::from(snapshot.meta.index > Index(1));
         }
         for entry in output.committed {
             let node = &mut self.nodes[at];
@@ -295,14 +334,24 @@
         }
     }
 
+    /// Syncs all writes and delivers nothing.
+    pub fn settle_disks(&mut self) -> Check {
+        for at in 0..self.nodes.len() {
+            while self.is_active(at) && !self.nodes[at].writes.is_empty() {
+                self.sync(at)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Syncs and delivers what is there, for a few rounds.
     pub fn settle(&mut self) -> Check {
         for _ in 0..6 {
-            for at in 0..self.nodes.len() {
-                while self.is_active(at) && !self.nodes[at].writes.is_empty() {
-                    self.sync(at)?;
-                }
+            let is_quiet = self.net.is_empty() && self.nodes.iter().all(|it| it.writes.is_empty());
+            if is_quiet {
+                break;
             }
+            self.settle_disks()?;
             for _ in 0..self.net.len() {
                 self.deliver(0)?;
             }
@@ -312,8 +361,8 @@
 
     /// Lets time pass on a good network and good disks.
     pub fn run(&mut self, span_ms: u64) -> Check {
-        for _ in 0..span_ms.div_ceil(10) {
-            self.now += Millis(10);
+        for _ in 0..span_ms.div_ceil(STEP_MS) {
+            self.now += Millis(STEP_MS);
             for at in 0..self.nodes.len() {
                 self.tick(at)?;
             }
@@ -327,7 +376,7 @@
         for _ in 0..100 {
             self.run(100)?;
             let leader = self.leader();
-            let ready = leader.filter(|at| self.replica(*at).is_leader_at(self.now));
+            let ready = leader.filter(|at| self.has_lease(*at));
             if let Some(at) = ready {
                 return Ok(at);
             }
@@ -383,28 +432,30 @@
 
     fn check_matching(&self, left: usize, right: usize) -> Check {
         let (left, right) = (self.replica(left), self.replica(right));
-        let entries_of = |replica: &Replica| -> BTreeMap<Index, Entry> {
-            let entries = replica.entries().iter();
-            entries.map(|entry| (entry.index, entry.clone())).collect()
+        let base = left.snapshot_index().max(right.snapshot_index());
+        let after_base = |replica: &'_ Replica| {
+            let skipped = base.0 - replica.snapshot_index().0;
+            usize::try_from(skipped)
+                .unwrap_or(usize::MAX)
+                .min(replica.entries().len())
         };
-        let (left, right) = (entries_of(left), entries_of(right));
-        let mut is_same_after = false;
-        for (index, entry) in left.iter().rev() {
-            let Some(other) = right.get(index) else {
-                continue;
-            };
-            is_same_after |= entry.term == other.term;
-            ensure!(
-                !is_same_after || entry == other,
-                "logs differ before {index}"
-            );
-        }
+        let left = &left.entries()[after_base(left)..];
+        let right = &right.entries()[after_base(right)..];
+        let shared = left.iter().zip(right);
+        let newest = shared
+            .clone()
+            .rposition(|(left, right)| left.term == right.term);
+        let matching = newest.map_or(0, |at| at + 1);
+        ensure!(
+            left[..matching] == right[..matching],
+            "logs differ before a shared entry"
+        );
         Ok(())
     }
 
     fn check_leases(&self, running: &[usize]) -> Check {
         for holder in running {
-            if !self.replica(*holder).is_leader_at(self.now) {
+            if !self.has_lease(*holder) {
                 continue;
             }
             for other in running {
@@ -416,3 +467,23 @@
         Ok(())
     }
 }
+
+pub fn voters(settings: Settings) -> Result<(Cluster, usize), String> {
+    let mut cluster = Cluster::new(3, settings, 7);
+    let leader = cluster.run_to_leader()?;
+    Ok((cluster, leader))
+}
+
+pub fn others(leader: usize) -> (usize, usize) {
+    ((leader + 1) % 3, (leader + 2) % 3)
+}
+
+/// Delivers messages without any sync.
+pub fn exchange(cluster: &mut Cluster) -> Check {
+    for _ in 0..4 {
+        for _ in 0..cluster.net.len() {
+            cluster.deliver(0)?;
+        }
+    }
+    Ok(())
+}
