mgw-state: a change travels in the log as its difference

Ruled out: dropping the text, which would lose the operators' comments. Change: the leader proposes the difference of the inventory and the changed part of the text; a change on another base goes whole. The test of the wider window now grows the window to a span that has passed, as the former span let a broken low-water mark through.

--- a/crates/mgw-state/src/command.rs
+++ b/crates/mgw-state/src/command.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ClaimKey, ClaimReply, ClaimRequest, ClaimantId, ConfigChange, OutcomeReport, RecordReply,
-    ResolveReply,
+    ClaimKey, ClaimReply, ClaimRequest, ClaimantId, ConfigChange, ConfigPatch, OutcomeReport,
+    RecordReply, ResolveReply,
 };
 
 /// One entry of the log.
@@ -38,6 +38,8 @@
 pub enum Action {
     /// Changes the configuration.
     ApplyConfig(Box<ConfigChange>),
+    /// Changes the configuration; made by [`State::plan_change`](crate::State::plan_change).
+    PatchConfig(Box<ConfigPatch>),
     /// Claims the right to run a call.
     Claim(ClaimRequest),
     /// Records what came of a call.
@@ -93,7 +95,7 @@
 /// Answer to a command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// To [`Action::ApplyConfig`].
+    /// To [`Action::ApplyConfig`] and [`Action::PatchConfig`].
     Config(ApplyReply),
     /// To [`Action::Claim`].
     Claim(ClaimReply),
--- a/crates/mgw-state/src/config/accepted.rs
+++ b/crates/mgw-state/src/config/accepted.rs
@@ -7,8 +7,8 @@
 use mgw_world::{OperatorName, Revision};
 use serde::{Deserialize, Serialize};
 
-use super::{ConfigChange, ConfigDiff, ConfigUpdate, Digest};
-use crate::Inventory;
+use super::{ConfigChange, ConfigDiff, ConfigPatch, ConfigUpdate, Digest};
+use crate::{Inventory, StateError};
 
 /// Who made a revision.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,37 +99,82 @@
         }
     }
 
+    /// A change as its difference from the newest revision; none when it isn't based on that or
+    /// has faults.
+    #[must_use]
+    pub fn patch(&self, change: &ConfigChange) -> Option<ConfigPatch> {
+        if change.base != self.revision {
+            return None;
+        }
+        ConfigPatch::between(self.revision, &self.text, &self.inventory, change)
+    }
+
     /// Accepts a change on the newest revision; answers a resend as before; refuses the rest.
     pub(crate) fn apply(&mut self, change: ConfigChange) -> ChangeResult {
         let digest = change.digest();
-        if let Some(known) = self.remembered.get(&change.change_id) {
-            return if known.digest == digest {
-                ChangeResult::Resend(known.reply.clone())
-            } else {
-                ChangeResult::Refused(reused_change_id(&change.change_id))
-            };
-        }
-        if change.base != self.revision {
-            let reply = self.conflict(change.base);
-            self.remember(change.change_id, digest, reply.clone());
-            return ChangeResult::Refused(reply);
+        if let Some(refused) = self.refuse(&change.change_id, digest, change.base) {
+            return refused;
         }
         match change.checked {
             Ok(inventory) => {
-                let inventory = Arc::new(inventory);
-                let old = Arc::clone(&self.inventory);
-                let diff = self.accept(&inventory, change.text);
-                self.note_origin(change.change_id.clone(), change.operator);
-                let reply = ApplyReply::Accepted {
-                    revision: self.revision,
-                };
-                self.remember(change.change_id, digest, reply.clone());
-                ChangeResult::Accepted(reply, Box::new(diff), old)
+                let accepted = (inventory, change.text);
+                self.accept_and_remember(accepted, change.change_id, change.operator, digest)
             }
             Err(findings) => ChangeResult::Refused(ApplyReply::Invalid { findings }),
         }
     }
 
+    /// As [`Self::apply`], for a change that came as a difference.
+    pub(crate) fn apply_patch(&mut self, patch: ConfigPatch) -> ChangeResult {
+        if let Some(refused) = self.refuse(&patch.change_id, patch.digest, patch.diff.base) {
+            return refused;
+        }
+        let inventory = patch.diff.apply_to(&self.inventory);
+        let text = patch.text.apply_to(&self.text);
+        match inventory.and_then(|inventory| Ok((inventory, text?))) {
+            Ok(accepted) => {
+                let digest = patch.digest;
+                self.accept_and_remember(accepted, patch.change_id, patch.operator, digest)
+            }
+            Err(error) => ChangeResult::Refused(misfit(&error)),
+        }
+    }
+
+    /// The answer to a resend, a reused change id or a change on another base; none for a new
+    /// change on the newest revision.
+    fn refuse(&mut self, change_id: &str, digest: Digest, base: Revision) -> Option<ChangeResult> {
+        if let Some(known) = self.remembered.get(change_id) {
+            return Some(if known.digest == digest {
+                ChangeResult::Resend(known.reply.clone())
+            } else {
+                ChangeResult::Refused(reused_change_id(change_id))
+            });
+        }
+        if base == self.revision {
+            return None;
+        }
+        let reply = self.conflict(base);
+        self.remember(change_id.to_owned(), digest, reply.clone());
+        Some(ChangeResult::Refused(reply))
+    }
+
+    fn accept_and_remember(
+        &mut self,
+        (inventory, text): (Inventory, String),
+        change_id: String,
+        operator: OperatorName,
+        digest: Digest,
+    ) -> ChangeResult {
+        let old = Arc::clone(&self.inventory);
+        let diff = self.accept(&Arc::new(inventory), text);
+        self.note_origin(change_id.clone(), operator);
+        let reply = ApplyReply::Accepted {
+            revision: self.revision,
+        };
+        self.remember(change_id, digest, reply.clone());
+        ChangeResult::Accepted(reply, Box::new(diff), old)
+    }
+
     fn accept(&mut self, inventory: &Arc<Inventory>, text: String) -> ConfigDiff {
         let next = self.revision.next();
         let diff = ConfigDiff::between(self.revision, &self.inventory, next, inventory);
@@ -187,6 +232,16 @@
     }
 }
 
+fn misfit(error: &StateError) -> ApplyReply {
+    ApplyReply::Invalid {
+        findings: vec![ConfigFinding {
+            line: 0,
+            key: String::new(),
+            message: format!("the change didn't fit the revision it names: {error}"),
+        }],
+    }
+}
+
 fn keep_last<T>(queue: &mut VecDeque<T>, count: u32) {
     while queue.len() > to_count(count) {
         queue.pop_front();
--- a/crates/mgw-state/src/lib.rs
+++ b/crates/mgw-state/src/lib.rs
@@ -17,7 +17,8 @@
 pub use codec::{decode, encode};
 pub use command::{Action, Command, Refusal, Reply};
 pub use config::{
-    ConfigChange, ConfigDiff, ConfigUpdate, ConfigView, Configuration, Digest, SectionDiff,
+    ConfigChange, ConfigDiff, ConfigPatch, ConfigUpdate, ConfigView, Configuration, Digest,
+    SectionDiff, TextPatch,
 };
 pub use error::StateError;
 pub use inventory::{
--- a/crates/mgw-state/src/state.rs
+++ b/crates/mgw-state/src/state.rs
@@ -9,8 +9,8 @@
 
 use crate::config::ChangeResult;
 use crate::{
-    Action, AuditTrail, ClaimKey, Command, ConfigChange, Configuration, Inventory, Ledger, Refusal,
-    Reply, ResolveReply, StateError, decode, encode,
+    Action, AuditTrail, ClaimKey, Command, ConfigChange, ConfigPatch, Configuration, Inventory,
+    Ledger, Refusal, Reply, ResolveReply, StateError, decode, encode,
 };
 
 /// Form of the snapshot; grows with each change that older programs can't read.
@@ -114,6 +114,16 @@
         }
     }
 
+    /// The action that proposes a change: a difference when the change is based on the revision
+    /// held here and has no faults, else the change as it is.
+    #[must_use]
+    pub fn plan_change(&self, change: ConfigChange) -> Action {
+        match self.config.patch(&change) {
+            Some(patch) => Action::PatchConfig(Box::new(patch)),
+            None => Action::ApplyConfig(Box::new(change)),
+        }
+    }
+
     /// Applies the command at a log index; an index that was applied before changes nothing.
     pub fn apply(&mut self, index: u64, command: Command) -> Reply {
         if index <= self.applied {
@@ -127,6 +137,7 @@
         self.ledger.advance(self.now, &rules);
         match command.action {
             Action::ApplyConfig(change) => Reply::Config(self.apply_config(*change)),
+            Action::PatchConfig(patch) => Reply::Config(self.patch_config(*patch)),
             Action::Claim(asked) => Reply::Claim(self.ledger.claim(asked, self.now, &rules)),
             Action::RecordOutcome(report) => {
                 Reply::Record(self.ledger.record_outcome(report, self.now))
@@ -151,27 +162,38 @@
     }
 
     fn apply_config(&mut self, change: ConfigChange) -> ApplyReply {
-        let operator = change.operator.clone();
-        let subject = change.change_id.clone();
-        let base = change.base;
-        let (reply, revision, detail) = match self.config.apply(change) {
+        let record = AuditRecord {
+            base: Some(change.base),
+            ..self.blank_record(change.operator.clone(), "apply", change.change_id.clone())
+        };
+        let result = self.config.apply(change);
+        self.finish_change(result, record)
+    }
+
+    fn patch_config(&mut self, patch: ConfigPatch) -> ApplyReply {
+        let record = AuditRecord {
+            base: Some(patch.diff.base),
+            ..self.blank_record(patch.operator.clone(), "apply", patch.change_id.clone())
+        };
+        let result = self.config.apply_patch(patch);
+        self.finish_change(result, record)
+    }
+
+    fn finish_change(&mut self, result: ChangeResult, mut record: AuditRecord) -> ApplyReply {
+        let reply = match result {
             ChangeResult::Resend(reply) => return reply,
             ChangeResult::Refused(reply) => {
-                let detail = explain_refusal(&reply);
-                (reply, None, detail)
+                record.detail = explain_refusal(&reply);
+                reply
             }
             ChangeResult::Accepted(reply, diff, old) => {
-                let detail = diff.describe(&old);
-                (reply, Some(diff.revision), detail)
+                record.detail = diff.describe(&old);
+                record.revision = Some(diff.revision);
+                record.accepted = true;
+                reply
             }
         };
-        self.note(AuditRecord {
-            base: Some(base),
-            revision,
-            accepted: revision.is_some(),
-            detail,
-            ..self.blank_record(operator, "apply", subject)
-        });
+        self.note(record);
         reply
     }
 
--- a/crates/mgw-state/tests/changes.rs
+++ b/crates/mgw-state/tests/changes.rs
@@ -4,7 +4,7 @@
 
 use common::{Driver, accepted, change, inventory_text};
 use mgw_contract::operator::ApplyReply;
-use mgw_state::{AuditFilter, ConfigUpdate, ConfigView, State, StateError};
+use mgw_state::{Action, AuditFilter, ConfigUpdate, ConfigView, Reply, State, StateError};
 use mgw_world::Revision;
 
 fn conflict(current: u64, winner_change_id: &str) -> ApplyReply {
@@ -236,3 +236,44 @@
     };
     assert!(audit.select(&filter).is_empty());
 }
+
+#[test]
+fn change_as_difference_leads_to_the_same_configuration() {
+    let texts = [
+        "# ä\n",
+        "# äé\n",
+        "",
+        "# é\n# é\n",
+        "# é\n",
+        "# ä\nrules = { kept_diffs = 1 }",
+    ];
+    let (mut whole, mut patched) = (Driver::default(), Driver::default());
+    for (base, extra) in (0..).zip(texts) {
+        let text = inventory_text("w", extra);
+        let action = change(&format!("c{base}"), base, &text);
+        let Action::ApplyConfig(asked) = action.clone() else {
+            panic!("not a change: {action:?}");
+        };
+        let patch = patched.state.plan_change(*asked);
+        assert!(matches!(patch, Action::PatchConfig(_)));
+        assert_eq!(patched.run(patch.clone()), whole.run(action));
+        assert_eq!(patched.state.config().text(), text);
+        assert_eq!(patched.state, whole.state);
+        assert_eq!(
+            patched.run(patch),
+            whole.run(change(&format!("c{base}"), base, &text))
+        );
+    }
+}
+
+#[test]
+fn racing_differences_accept_exactly_one() {
+    let mut driver = Driver::with_rules("");
+    let plan = |driver: &Driver, id: &str| match change(id, 1, &inventory_text(id, "")) {
+        Action::ApplyConfig(asked) => driver.state.plan_change(*asked),
+        other => other,
+    };
+    let (left, right) = (plan(&driver, "left"), plan(&driver, "right"));
+    assert_eq!(driver.run(left), Reply::Config(accepted(2)));
+    assert_eq!(driver.run(right), Reply::Config(conflict(2, "left")));
+}
--- a/crates/mgw-state/tests/ledger.rs
+++ b/crates/mgw-state/tests/ledger.rs
@@ -273,7 +273,7 @@
     driver.now_ms = 1_100;
     driver.run(Action::AdvanceTime);
     assert!(driver.state.ledger().is_empty());
-    let wider = common::inventory_text("w", "rules.ledger = { window_ms = 9000 }");
+    let wider = common::inventory_text("w", "rules.ledger = { window_ms = 500 }");
     assert_eq!(driver.change("wider", 1, &wider), common::accepted(2));
     assert_eq!(driver.claim(asked), ClaimReply::Expired);
 }
--- a/crates/mgw-state/tests/random.rs
+++ b/crates/mgw-state/tests/random.rs
@@ -115,7 +115,10 @@
         } => {
             let base = driver.state.revision().0.saturating_sub(back.into());
             let text = inventory_text(&format!("w{workspace}"), RULES);
-            common::change(&format!("c{id}"), base, &text)
+            match common::change(&format!("c{id}"), base, &text) {
+                Action::ApplyConfig(change) if id % 2 == 0 => driver.state.plan_change(*change),
+                other => other,
+            }
         }
         Step::Claim {
             key,
