--- a/crates/mgw-state/examples/footprint.rs
+++ b/crates/mgw-state/examples/footprint.rs
@@ -24,7 +24,7 @@
         .map(|text| text.parse().unwrap_or(0));
     let workers: u64 = numbers.next().unwrap_or(600);
     let changes: u64 = numbers.next().unwrap_or(1_000);
-    let claims: u64 = numbers.next().unwrap_or(50_000);
+    let claims: u64 = numbers.next().unwrap_or(30_000);
     println!("workers {workers}, workspaces {WORKSPACES}, changes {changes}, claims {claims}");
     let mut state = State::default();
     measure_changes(&mut state, workers, changes);
@@ -90,6 +90,7 @@
         state.apply(state.applied() + 1, command);
         nanos += start.elapsed().as_nanos();
     }
+    let memory = read_memory_kib().saturating_sub(memory_before);
     let held = u64::try_from(state.ledger().len()).unwrap_or(u64::MAX);
     println!("claims held: {held}");
     println!(
@@ -101,10 +102,7 @@
         "claim in a snapshot: {} bytes",
         grown as u64 / claims.max(1)
     );
-    println!(
-        "memory: {} KiB more",
-        read_memory_kib().saturating_sub(memory_before)
-    );
+    println!("memory: {memory} KiB more");
     println!(
         "claims with outcome applied: {} a second",
         u128::from(claims) * 1_000_000_000 / nanos.max(1)
--- a/crates/mgw-state/src/inventory/rules.rs
+++ b/crates/mgw-state/src/inventory/rules.rs
@@ -21,8 +21,8 @@
     fn default() -> Self {
         Self {
             window_ms: Millis(24 * 3600 * 1000),
-            max_claims: 50_000,
-            max_tombstones: 250_000,
+            max_claims: 30_000,
+            max_tombstones: 200_000,
             max_body_bytes: 4096,
         }
     }
--- a/crates/mgw-state/src/ledger/book.rs
+++ b/crates/mgw-state/src/ledger/book.rs
@@ -22,7 +22,8 @@
 /// All claims of calls that run at most once.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
-    claims: BTreeMap<ClaimKey, Claim>,
+    /// Boxed, as the nodes of the map are half empty when keys come in order.
+    claims: BTreeMap<ClaimKey, Box<Claim>>,
     /// Ended claims whose key carries a time, by the time from which their window runs.
     ended_timed: BTreeSet<(UnixMillis, ClaimKey)>,
     /// The other ended claims; they are forgotten only into a tombstone.
@@ -145,7 +146,7 @@
             claimed_at: now,
             state: ClaimState::InProgress,
         };
-        self.claims.insert(asked.key, claim);
+        self.claims.insert(asked.key, Box::new(claim));
         ClaimReply::Granted
     }
 
@@ -173,7 +174,7 @@
                 claim.state = ClaimState::Ended {
                     at: now,
                     outcome: report.outcome,
-                    response: report.response,
+                    response: report.response.map(Box::new),
                 };
                 self.start_window(report.key, now);
                 RecordReply::Recorded
@@ -315,7 +316,7 @@
         } => ClaimReply::Ended {
             request,
             outcome: *outcome,
-            response: response.clone(),
+            response: response.as_deref().cloned(),
         },
     }
 }
--- a/crates/mgw-state/src/ledger/claim.rs
+++ b/crates/mgw-state/src/ledger/claim.rs
@@ -181,7 +181,7 @@
         /// What came of it.
         outcome: Outcome,
         /// Answer of the service.
-        response: Option<RecordedResponse>,
+        response: Option<Box<RecordedResponse>>,
     },
 }
 
--- a/crates/mgw-state/src/orders/planner.rs
+++ b/crates/mgw-state/src/orders/planner.rs
@@ -146,7 +146,7 @@
         self.note_inherited(&wanted, inventory, now);
         for index in self.rank(&wanted, inventory) {
             let engine = &wanted[index];
-            if !self.may_order(engine, now) || self.breaks_last_chain(engine, &wanted, inventory) {
+            if !self.may_order(engine) || self.breaks_last_chain(engine, &wanted, inventory) {
                 continue;
             }
             let bytes = self.missing_bytes(engine);
@@ -190,10 +190,7 @@
         is_past_quiet && sent_at.is_none_or(|sent_at| reading.asked_at > *sent_at)
     }
 
-    fn may_order(&self, engine: &WantedEngine, now: Millis) -> bool {
-        if !engine.checks_fence && now < self.quiet_until() {
-            return false;
-        }
+    fn may_order(&self, engine: &WantedEngine) -> bool {
         let Some(reading) = self.readings.get(&engine.target) else {
             return false;
         };
--- a/crates/mgw-state/tests/orders.rs
+++ b/crates/mgw-state/tests/orders.rs
@@ -94,6 +94,7 @@
         ordered(&planner.plan(&inventory, Millis(1_020), LEASE)),
         ["fenced"]
     );
+    planner.note_state(held("fenced", "v1", 0, 12), Millis(1_105));
     assert_eq!(
         ordered(&planner.plan(&inventory, Millis(1_109), LEASE)),
         [""; 0]
@@ -102,7 +103,6 @@
     assert_eq!(ordered(&plan), [""; 0]);
     assert!(plan.reads.contains(&"deaf".into()));
     planner.note_state(held("deaf", "v0", 0, 12), Millis(1_110));
-    planner.note_state(held("fenced", "v1", 0, 12), Millis(1_110));
     let plan = planner.plan(&inventory, Millis(1_111), Millis(1_150));
     assert_eq!(ordered(&plan), ["deaf"]);
     assert_eq!(plan.orders[0].send_before, Millis(1_150));
@@ -277,3 +277,15 @@
     let old = targets.map(|one| held(one.0, "v1", one.2, one.3));
     assert_eq!(play(&inventory, old.to_vec()).len(), 2);
 }
+
+#[test]
+fn engine_that_the_old_chain_needs_goes_after_one_that_it_does_not() {
+    let targets = [
+        ("low", true, 0, 6, 10),
+        ("high-1", true, 6, 12, 10),
+        ("high-2", true, 6, 12, 10),
+    ];
+    let inventory = inventory("v2", &targets);
+    let old = targets.map(|one| held(one.0, "v1", one.2, one.3));
+    assert_eq!(play(&inventory, old.to_vec()), ["high-1", "low", "high-2"]);
+}
