--- a/crates/mgw-load/src/cli.rs
+++ b/crates/mgw-load/src/cli.rs
@@ -106,6 +106,9 @@
     /// File to write whole answers to, for `mgw-standin check-journals --answers`.
     #[arg(long, value_name = "FILE")]
     pub answers: Option<PathBuf>,
+    /// Folder of a local run, where the timeline finds processes and stand-ins by name.
+    #[arg(long, value_name = "FOLDER")]
+    pub run_folder: Option<PathBuf>,
     /// File with the number of a process that the timeline names; may be given many times.
     #[arg(long = "process", value_name = "NAME=FILE", value_parser = parse_pair)]
     pub processes: Vec<NamedValue>,
@@ -191,6 +194,7 @@
     }
     settings.requests = args.requests.or(settings.requests);
     settings.prompt = args.prompt.or(settings.prompt);
+    settings.run_folder = args.run_folder.or(settings.run_folder);
     settings.answers = args.answers.or(settings.answers);
     settings.bound_tokens_per_s = args.bound.or(settings.bound_tokens_per_s);
     settings.verify |= args.verify;
--- a/crates/mgw-load/src/settings.rs
+++ b/crates/mgw-load/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use mgw_standin::Fault;
+use mgw_standin::settings::Settings as StandinSettings;
 use mgw_world::{Millis, ModelName, ModelVersion, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
@@ -72,9 +73,11 @@
     /// Largest token rate that the placement allows, to compare with; an entry is asked if there is
     /// none.
     pub bound_tokens_per_s: Option<u64>,
-    /// Files with process numbers, by name.
+    /// Folder of a local run, with `NAME.pid` for each process and `NAME.toml` for each stand-in.
+    pub run_folder: Option<PathBuf>,
+    /// Files with process numbers, by name; they go before those of the run folder.
     pub processes: BTreeMap<String, PathBuf>,
-    /// Base URLs of stand-ins, by name.
+    /// Base URLs of stand-ins, by name; they go before those of the run folder.
     pub standins: BTreeMap<String, String>,
     /// Faults.
     pub timeline: Vec<TimelineEvent>,
@@ -103,6 +106,7 @@
             model_layers: 12,
             answers: None,
             bound_tokens_per_s: None,
+            run_folder: None,
             processes: BTreeMap::new(),
             standins: BTreeMap::new(),
             timeline: Vec::new(),
@@ -110,6 +114,31 @@
     }
 }
 
+impl Settings {
+    /// File with the number of a process.
+    #[must_use]
+    pub fn find_process(&self, name: &str) -> Option<PathBuf> {
+        let folder = self.run_folder.as_ref();
+        let named = self.processes.get(name).cloned();
+        named.or_else(|| folder.map(|folder| folder.join(format!("{name}.pid"))))
+    }
+
+    /// Base URL of a stand-in; a name that is known nowhere is taken for a URL.
+    #[must_use]
+    pub fn find_standin(&self, name: &str) -> String {
+        if let Some(url) = self.standins.get(name) {
+            return url.clone();
+        }
+        let folder = self.run_folder.as_ref();
+        let file = folder.map(|folder| folder.join(format!("{name}.toml")));
+        let standin = file.and_then(|file| mgw_settings::load::<StandinSettings>(&file).ok());
+        standin.map_or_else(
+            || name.to_owned(),
+            |found| format!("http://{}", found.listen),
+        )
+    }
+}
+
 /// Generated prompts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -151,14 +180,14 @@
 pub enum Action {
     /// A stand-in is told of a fault.
     Fault {
-        /// Name from [`Settings::standins`], or a base URL.
+        /// Name known to [`Settings::find_standin`], or a base URL.
         standin: String,
         /// The fault.
         change: Fault,
     },
     /// A process gets a signal.
     Signal {
-        /// Name from [`Settings::processes`].
+        /// Name known to [`Settings::find_process`].
         process: String,
         /// Signal.
         signal: SignalName,
@@ -197,10 +226,10 @@
     }
     for event in &settings.timeline {
         if let Action::Signal { process, .. } = &event.action
-            && !settings.processes.contains_key(process)
+            && settings.find_process(process).is_none()
         {
             faults.push(format!(
-                "timeline: no process {process}; name its file with --process {process}=FILE"
+                "timeline: no process {process}; name its file with --process {process}=FILE or --run-folder"
             ));
         }
     }
--- a/crates/mgw-load/src/timeline.rs
+++ b/crates/mgw-load/src/timeline.rs
@@ -46,11 +46,11 @@
         sleep_until(start + event.at_ms.to_duration()).await;
         let injected = match &event.action {
             Action::Fault { standin, change } => {
-                let url = settings.standins.get(standin).unwrap_or(standin);
-                post_fault(client, url, *change).await
+                let url = settings.find_standin(standin);
+                post_fault(client, &url, *change).await
             }
-            Action::Signal { process, signal } => match settings.processes.get(process) {
-                Some(file) => send_signal(file, *signal),
+            Action::Signal { process, signal } => match settings.find_process(process) {
+                Some(file) => send_signal(&file, *signal),
                 None => Err(InjectError::NoPid {
                     file: PathBuf::from(process),
                 }),
