The report names the entries used and an example of each outcome

A trial with a killed entry lost nothing, which said little until the report showed how few requests had gone to that entry: counts by entry are now part of it, as is the final answer's text of one request of each outcome. cargo test -p mgw-load: 36 tests and 3 doc tests pass.

--- a/crates/mgw-load/src/caller.rs
+++ b/crates/mgw-load/src/caller.rs
@@ -55,6 +55,8 @@
     pub token_times: Vec<Instant>,
     /// Times that the request was sent.
     pub sent: u32,
+    /// Base URL of the entry that it was last sent to.
+    pub entry: Option<String>,
 }
 
 /// One caller.
@@ -194,6 +196,7 @@
         let Some(request) = compose(url, ask) else {
             return Sending::Ended(Verdict::NoEntry);
         };
+        progress.entry = Some(url.to_owned());
         progress.answer = Answer::default();
         progress.token_times.clear();
         let response = match self.client.request(request).await {
--- a/crates/mgw-load/src/report.rs
+++ b/crates/mgw-load/src/report.rs
@@ -63,6 +63,8 @@
     pub cause: String,
     /// How many.
     pub count: u64,
+    /// What the final answer of one of them said.
+    pub example: Option<String>,
 }
 
 /// Figures of some requests.
@@ -116,6 +118,8 @@
     pub workspaces: BTreeMap<WorkspaceName, Figures>,
     /// Goodput as a share of the bound, if that was given.
     pub share_of_bound: Option<f64>,
+    /// Requests by the base URL of the entry that they were last sent to.
+    pub entries: BTreeMap<String, u64>,
     /// Tokens of whole answers in each second of the run.
     pub tokens_by_second: Vec<u64>,
     /// Each fault.
@@ -148,6 +152,7 @@
         settings: settings.clone(),
         workspaces: workspaces.collect(),
         share_of_bound: bound.map(|bound| all.goodput_tokens_per_s / bound as f64),
+        entries: count_by_entry(results),
         tokens_by_second: count_by_second(results),
         faults: build_fault_figures(settings, results),
         inject_errors,
@@ -204,19 +209,32 @@
 }
 
 fn count_outcomes<'a>(results: impl Iterator<Item = &'a RequestResult>) -> Vec<OutcomeCount> {
-    let mut counts = BTreeMap::<(Outcome, String), u64>::new();
+    let mut counts = BTreeMap::<(Outcome, String), OutcomeCount>::new();
     for result in results {
-        let kind = (result.verdict.outcome(), result.verdict.cause());
-        *counts.entry(kind).or_default() += 1;
+        let outcome = result.verdict.outcome();
+        let cause = result.verdict.cause();
+        let kind = counts
+            .entry((outcome, cause.clone()))
+            .or_insert_with(|| OutcomeCount {
+                outcome,
+                cause,
+                count: 0,
+                example: None,
+            });
+        kind.count += 1;
+        if kind.example.is_none() {
+            kind.example = result.answer.as_ref().map(|answer| answer.message.clone());
+        }
+    }
+    counts.into_values().collect()
+}
+
+fn count_by_entry(results: &[RequestResult]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for url in results.iter().filter_map(|result| result.entry.clone()) {
+        *counts.entry(url).or_default() += 1;
     }
-    let counts = counts.into_iter();
     counts
-        .map(|((outcome, cause), count)| OutcomeCount {
-            outcome,
-            cause,
-            count,
-        })
-        .collect()
 }
 
 fn count_by_second(results: &[RequestResult]) -> Vec<u64> {
@@ -285,10 +303,11 @@
         for outcome in &self.outcomes {
             writeln!(
                 formatter,
-                "  {:<8} {:<14} {:>9}",
+                "  {:<8} {:<14} {:>9}  {}",
                 outcome.outcome.to_string(),
                 outcome.cause,
-                outcome.count
+                outcome.count,
+                outcome.example.as_deref().unwrap_or_default()
             )?;
         }
         writeln!(
@@ -317,6 +336,9 @@
             let percent = share * 100.0;
             writeln!(formatter, "bound {bound} tokens/s, reached {percent:.1}%")?;
         }
+        for (url, count) in &self.entries {
+            writeln!(formatter, "  entry {url:<32} {count:>9}")?;
+        }
         for (name, figures) in &self.workspaces {
             write!(formatter, "\nworkspace {name}: {figures}")?;
         }
--- a/crates/mgw-load/src/results.rs
+++ b/crates/mgw-load/src/results.rs
@@ -63,6 +63,8 @@
 pub struct RequestResult {
     /// Workspace of the caller.
     pub workspace: Option<WorkspaceName>,
+    /// Base URL of the entry that it was last sent to.
+    pub entry: Option<String>,
     /// Request id, once known.
     pub id: Option<RequestId>,
     /// How it ended.
--- a/crates/mgw-load/src/run.rs
+++ b/crates/mgw-load/src/run.rs
@@ -103,6 +103,7 @@
     let prompt_tokens = tokenize(&arrival.prompt).len();
     RequestResult {
         workspace: arrival.workspace,
+        entry: progress.entry,
         id: progress.answer.id(),
         verdict,
         answer: progress.answer.answer.clone(),
--- a/crates/mgw-load/tests/plans.rs
+++ b/crates/mgw-load/tests/plans.rs
@@ -205,6 +205,7 @@
 fn result(arrived_us: u64, token_us: &[u64], verdict: Verdict) -> RequestResult {
     RequestResult {
         workspace: None,
+        entry: Some("http://a".to_owned()),
         id: None,
         verdict,
         answer: None,
@@ -275,5 +276,6 @@
         (2, 1, 2)
     );
     assert!((fault.recovery.max_ms - 800.0).abs() < 1.0);
+    assert_eq!(report.entries["http://a"], 4);
     assert!(report.to_string().contains("between tokens"));
 }
