--- a/crates/mgw-load/src/caller.rs
+++ b/crates/mgw-load/src/caller.rs
@@ -64,6 +64,7 @@
 pub struct Caller {
     client: HttpClient,
     book: Mutex<AddressBook>,
+    number: usize,
     start: Instant,
 }
 
@@ -81,11 +82,14 @@
 }
 
 impl Caller {
-    /// A caller that knows only the entries in its book.
+    /// A caller that knows only the entries given; its number tells it from other callers, so that
+    /// entries can give each other addresses.
     #[must_use]
-    pub fn new(client: HttpClient, book: AddressBook) -> Arc<Self> {
+    pub fn new(client: HttpClient, entries: Vec<String>, number: usize) -> Arc<Self> {
+        let book = AddressBook::new(entries, number);
         Arc::new(Self {
             client,
+            number,
             book: Mutex::new(book),
             start: Instant::now(),
         })
@@ -176,7 +180,8 @@
     }
 
     async fn ask_entry(&self, url: &str) -> Option<AddressesReply> {
-        let request = Request::get(format!("{url}{ADDRESSES_PATH}"))
+        let number = self.number;
+        let request = Request::get(format!("{url}{ADDRESSES_PATH}?caller={number}"))
             .body(full(""))
             .ok()?;
         let response = self.client.request(request).await.ok()?;
--- a/crates/mgw-load/src/main.rs
+++ b/crates/mgw-load/src/main.rs
@@ -7,7 +7,6 @@
 
 use clap::Parser;
 use mgw_contract::Outcome;
-use mgw_load::addresses::AddressBook;
 use mgw_load::arrivals::plan_arrivals;
 use mgw_load::bound::ask_for_bound;
 use mgw_load::caller::{Caller, Progress};
@@ -121,7 +120,7 @@
         requests: Some(1),
         ..settings
     };
-    let caller = Caller::new(client(), AddressBook::new(settings.entries.clone(), 0));
+    let caller = Caller::new(client(), settings.entries.clone(), 0);
     let Some(arrival) = plan_arrivals(&settings).into_iter().next() else {
         return Ok(fail(&"the duration holds no request"));
     };
--- a/crates/mgw-load/src/run.rs
+++ b/crates/mgw-load/src/run.rs
@@ -10,7 +10,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, sleep_until};
 
-use crate::addresses::AddressBook;
 use crate::arrivals::{Arrival, plan_arrivals};
 use crate::caller::{Ask, Caller, Progress};
 use crate::results::RequestResult;
@@ -34,10 +33,7 @@
     let arrivals = plan_arrivals(&settings);
     let client = client();
     let callers: Vec<Arc<Caller>> = (0..settings.callers as usize)
-        .map(|turn| {
-            let book = AddressBook::new(settings.entries.clone(), turn);
-            Caller::new(client.clone(), book)
-        })
+        .map(|number| Caller::new(client.clone(), settings.entries.clone(), number))
         .collect();
     let start = Instant::now() + LEAD_MS.to_duration();
     let faults = {
--- a/crates/mgw-load/tests/callers.rs
+++ b/crates/mgw-load/tests/callers.rs
@@ -12,7 +12,6 @@
     Reason,
 };
 use mgw_contract::tokens::{token_text, tokenize};
-use mgw_load::addresses::AddressBook;
 use mgw_load::arrivals::Arrival;
 use mgw_load::caller::{Caller, Progress};
 use mgw_load::results::Verdict;
@@ -142,7 +141,7 @@
 }
 
 async fn complete(entries: Vec<String>, settings: &Settings) -> (Verdict, Progress, String) {
-    let caller = Caller::new(client(), AddressBook::new(entries, 0));
+    let caller = Caller::new(client(), entries, 0);
     let arrival = Arrival {
         at_us: 0,
         workspace: Some("w".into()),
