--- a/crates/mgw-load/src/caller.rs
+++ b/crates/mgw-load/src/caller.rs
@@ -55,6 +55,8 @@
     pub token_times: Vec<Instant>,
     /// Times that the request was sent.
     pub sent: u32,
+    /// Base URL of the entry that it was last sent to.
+    pub entry: Option<String>,
 }
 
 /// One caller.
@@ -62,6 +64,7 @@
 pub struct Caller {
     client: HttpClient,
     book: Mutex<AddressBook>,
+    number: usize,
     start: Instant,
 }
 
@@ -79,11 +82,14 @@
 }
 
 impl Caller {
-    /// A caller that knows only the entries in its book.
+    /// A caller that knows only the entries given; its number tells it from other callers, so that
+    /// entries can give each other addresses.
     #[must_use]
-    pub fn new(client: HttpClient, book: AddressBook) -> Arc<Self> {
+    pub fn new(client: HttpClient, entries: Vec<String>, number: usize) -> Arc<Self> {
+        let book = AddressBook::new(entries, number);
         Arc::new(Self {
             client,
+            number,
             book: Mutex::new(book),
             start: Instant::now(),
         })
@@ -174,7 +180,8 @@
     }
 
     async fn ask_entry(&self, url: &str) -> Option<AddressesReply> {
-        let request = Request::get(format!("{url}{ADDRESSES_PATH}"))
+        let number = self.number;
+        let request = Request::get(format!("{url}{ADDRESSES_PATH}?caller={number}"))
             .body(full(""))
             .ok()?;
         let response = self.client.request(request).await.ok()?;
@@ -194,6 +201,7 @@
         let Some(request) = compose(url, ask) else {
             return Sending::Ended(Verdict::NoEntry);
         };
+        progress.entry = Some(url.to_owned());
         progress.answer = Answer::default();
         progress.token_times.clear();
         let response = match self.client.request(request).await {
