--- a/crates/mgw-route/examples/cost.rs
+++ b/crates/mgw-route/examples/cost.rs
@@ -9,8 +9,11 @@
 use std::time::Instant;
 
 use fleet::{LAYERS, make_target};
-use mgw_route::{PathRequest, Router, RouterSettings, TargetInput, digest_prefixes};
-use mgw_world::{Link, Millis, Model, Target};
+use mgw_route::{
+    Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Event, PathRequest, Router,
+    RouterSettings, TargetInput, digest_prefixes,
+};
+use mgw_world::{Link, Millis, Model, RequestId, Target};
 
 const TARGETS: usize = 600;
 const PLACES: [&str; 4] = ["pos-a", "sfo-b", "chg-c", "reg-d"];
@@ -132,5 +135,40 @@
         router.observe_step(&target.name, Millis(10));
     });
     writeln!(out, "one observed step: {step:.2} us")?;
-    Ok(())
+    let admission = time_admission();
+    writeln!(
+        out,
+        "one request through 260 full queues: {admission:.1} us"
+    )
+}
+
+/// Offers, starts and finishes requests while 260 workspaces have eight requests waiting each.
+fn time_admission() -> f64 {
+    let capacity = AdmissionCapacity {
+        max_requests: 1,
+        kv_bytes: u64::MAX,
+    };
+    let mut admission = Admission::new(AdmissionSettings::default(), capacity);
+    let request = |id: u32| AdmissionRequest {
+        id: RequestId(u128::from(id)),
+        workspace: format!("w{}", id % 260).into(),
+        weight: 1 + id % 7,
+        priority: 0,
+        deadline_ms: None,
+        tokens: 100,
+        kv_bytes: 0,
+    };
+    for id in 0..=260 * 8 {
+        admission.offer(request(id), Millis(0));
+    }
+    let mut running = RequestId(0);
+    time_us(20_000, |index| {
+        admission.finished(running, Millis(0));
+        for event in admission.poll(Millis(0)) {
+            if let Event::Start { id } = event {
+                running = id;
+            }
+        }
+        admission.offer(request(10_000 + index), Millis(0));
+    })
 }
--- a/crates/mgw-route/examples/policies.rs
+++ b/crates/mgw-route/examples/policies.rs
@@ -29,6 +29,7 @@
                         shape,
                         policy,
                         lag_ms,
+                        slowdown: 1,
                         entries: 8,
                         sessions_per_entry,
                         warm_s: 20,
--- a/crates/mgw-route/examples/support/sim.rs
+++ b/crates/mgw-route/examples/support/sim.rs
@@ -22,6 +22,8 @@
     pub shape: Shape,
     pub policy: Policy,
     pub lag_ms: u64,
+    /// The first target runs at its stated speed divided by this.
+    pub slowdown: u32,
     pub entries: usize,
     /// Requests that each entry keeps running.
     pub sessions_per_entry: usize,
@@ -106,6 +108,9 @@
 /// Runs one policy.
 pub fn run(run: Run) -> Outcome {
     let fleet = make_fleet(run.shape);
+    let mut true_fleet = fleet.clone();
+    let first = Arc::make_mut(&mut true_fleet.1[0]);
+    first.limits.tokens_per_s /= run.slowdown;
     let entry = |index: usize| {
         Chooser::new(
             run.policy,
@@ -120,7 +125,7 @@
         batch: Vec::new(),
         done: 0,
     };
-    let mut probe = Chooser::new(Policy::FlowGuided, 0, 1, &fleet);
+    let mut probe = Chooser::new(Policy::FlowGuided, 0, 1, &true_fleet);
     probe.report(&vec![0; fleet.1.len()], Millis::ZERO, Millis::ZERO);
     let mut sim = Sim {
         run,
@@ -130,7 +135,7 @@
         order: 0,
         entries: (0..run.entries).map(entry).collect(),
         sessions: Vec::new(),
-        servers: fleet.1.iter().map(server).collect(),
+        servers: true_fleet.1.iter().map(server).collect(),
         history: VecDeque::new(),
         tokens: 0,
         token_us: 0,
--- a/crates/mgw-route/tests/saturation.rs
+++ b/crates/mgw-route/tests/saturation.rs
@@ -11,16 +11,21 @@
 const MAX_IMBALANCE: f64 = 1.35;
 
 fn measure(shape: Shape, policy: Policy, lag_ms: u64, seed: u64) -> support::Outcome {
-    run(Run {
+    run(setting(shape, policy, lag_ms, seed))
+}
+
+fn setting(shape: Shape, policy: Policy, lag_ms: u64, seed: u64) -> Run {
+    Run {
         shape,
         policy,
         lag_ms,
+        slowdown: 1,
         entries: 8,
         sessions_per_entry: 160,
         warm_s: 15,
         measured_s: 15,
         seed,
-    })
+    }
 }
 
 macro_rules! saturation_cases {
@@ -63,3 +68,15 @@
         );
     }
 }
+
+#[test]
+fn a_target_four_times_slower_than_stated_costs_only_its_own_part() {
+    for lag_ms in [0, 2_000] {
+        let outcome = run(Run {
+            slowdown: 4,
+            ..setting(Shape::Even, Policy::FlowGuided, lag_ms, 5)
+        });
+        assert!(outcome.bound_per_s < 1_600.0, "{outcome:?}");
+        assert!(outcome.part() >= TARGET_PART, "{outcome:?}");
+    }
+}
