Capacity of an entry saturates where targets state no KV limit

Cause: the sum of unlimited KV memory overflowed in the capacity of a lane (seen by reading). Change: saturating sums; a test of the capacity by the scarcest layer.

--- a/crates/mgw-route/src/limit/admission.rs
+++ b/crates/mgw-route/src/limit/admission.rs
@@ -184,7 +184,7 @@
     }
 
     fn start(&mut self, request: &AdmissionRequest, now: Millis) {
-        self.kv_bytes += request.kv_bytes;
+        self.kv_bytes = self.kv_bytes.saturating_add(request.kv_bytes);
         let running = Running {
             started: now,
             tokens: request.tokens,
--- a/crates/mgw-route/src/router/lane.rs
+++ b/crates/mgw-route/src/router/lane.rs
@@ -148,12 +148,13 @@
                 .members
                 .iter()
                 .filter_map(|index| fleet.get(self.keys[*index]));
-            let (mut group_requests, mut group_kv) = (0, 0);
+            let (mut group_requests, mut group_kv) = (0, 0_u64);
             for record in records {
                 group_requests += u64::from(record.allowed(entries));
-                group_kv += record.target.limits.kv_bytes / u64::from(entries);
+                let share = record.target.limits.kv_bytes / u64::from(entries);
+                group_kv = group_kv.saturating_add(share);
             }
-            kv_bytes += group_kv;
+            kv_bytes = group_kv.saturating_add(kv_bytes);
             let held = usize::from(group.layers.first())..usize::from(group.layers.end());
             for layer in &mut requests[held] {
                 *layer += group_requests;
--- a/crates/mgw-route/tests/router.rs
+++ b/crates/mgw-route/tests/router.rs
@@ -385,6 +385,22 @@
     );
 }
 
+#[test]
+fn capacity_is_the_share_of_the_scarcest_layer() {
+    let mut targets = three_stages(3);
+    targets.retain(|target| !["s1-1", "s1-2"].contains(&target.name.as_str()));
+    let mut router = router(24, targets);
+    let mut capacity = |entries| {
+        router.set_entries(entries);
+        let found = router.capacity(&"drill".into(), &"v1".into(), None, Millis(0));
+        found.map(|it| (it.max_requests, it.kv_bytes))
+    };
+    assert_eq!(capacity(1), Some((100, 7_000_000)));
+    assert_eq!(capacity(4), Some((25, 1_750_000)));
+    let nothing = router.capacity(&"other".into(), &"v1".into(), None, Millis(0));
+    assert!(nothing.is_none());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(4), failure_persistence: None, ..ProptestConfig::default() })]
 
