--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -114,8 +114,10 @@
             seed,
             ..RouterSettings::default()
         };
+        let metrics = Metrics::new()?;
         Ok(Arc::new(Self {
-            metrics: Metrics::new()?,
+            engines: EngineClient::new(settings.engines, metrics.engines.clone()),
+            metrics,
             config: ConfigHolder::new(settings.data.clone()),
             members: Members::new(&settings, seed, clock.now()),
             router: Mutex::new(Router::new(router_settings)),
@@ -123,7 +125,6 @@
             gate_changed: Notify::new(),
             retries: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             times: Mutex::new(StepTimes::new(settings.times.clone())),
-            engines: EngineClient::default(),
             controls: Controls::new(&settings.controls),
             plain_client: client(),
             once_client: unpooled_client(),
--- a/crates/mgw-entry/src/completions/handle.rs
+++ b/crates/mgw-entry/src/completions/handle.rs
@@ -105,9 +105,13 @@
     let app = Arc::clone(app);
     app.runs.clone().spawn(async move {
         app.metrics.in_flight.inc();
-        run_request(Arc::clone(&app), run).await;
+        let outcome = run_request(Arc::clone(&app), run).await;
         app.metrics.in_flight.dec();
-        drop(admitted);
+        if outcome == Some(Outcome::Done) {
+            admitted.finish();
+        } else {
+            drop(admitted);
+        }
         drop(counted);
     });
 }
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -53,10 +53,12 @@
     path: PathLease,
     items: mpsc::Sender<RunItem>,
     calls: FuturesUnordered<BoxFuture<'static, Event>>,
+    outcome: Option<Outcome>,
 }
 
-/// Runs a request until its final answer was handed over or the caller went away.
-pub async fn run_request(app: Arc<App>, request: RunRequest) {
+/// Runs a request until its final answer was handed over or the caller went away; returns what
+/// became of it.
+pub async fn run_request(app: Arc<App>, request: RunRequest) -> Option<Outcome> {
     let RunRequest {
         order,
         model,
@@ -71,6 +73,7 @@
         path,
         items,
         calls: FuturesUnordered::new(),
+        outcome: None,
     };
     let patience = run.patience();
     let now = run.app.clock.now();
@@ -80,6 +83,7 @@
         let actions = run.wait().await;
         run.perform(actions).await;
     }
+    run.outcome
 }
 
 impl Run {
@@ -186,6 +190,7 @@
                 return emit(&self.items, RunItem::Token { index, token }, slow_ms).await;
             }
             Action::Finish { outcome, reason } => {
+                self.outcome = Some(outcome);
                 let _ = emit(&self.items, RunItem::End { outcome, reason }, slow_ms).await;
             }
         }
--- a/crates/mgw-entry/src/engines/client.rs
+++ b/crates/mgw-entry/src/engines/client.rs
@@ -1,34 +1,58 @@
 //! A client of the engine dialect over shared HTTP/2 connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::future::join_all;
 use hyper::{Method, Request, StatusCode, Uri};
 use mgw_contract::engine::{
     KV_PATH, KvImage, SESSIONS_PATH, STEPS_PATH, SessionKey, SessionStanding, StageOutput,
     StageStep, StepBatch, StepBatchReply,
 };
 use mgw_serve::http::{Body, HttpClient, full, read_body, shared_client};
+use prometheus::IntCounter;
 use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
-use super::{CallError, StepError};
+use super::gather::{Gatherer, Job, may_share};
+use super::{CallError, EngineSettings, StepError};
+
+/// What went to engines and came from them.
+#[derive(Debug, Clone)]
+pub struct EngineCounts {
+    /// Messages with steps.
+    pub step_messages: IntCounter,
+    /// Bytes of the bodies of those messages and of their answers.
+    pub step_bytes: IntCounter,
+}
 
 /// Calls engines; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
     http: HttpClient,
+    settings: EngineSettings,
+    counts: EngineCounts,
+    gatherer: Arc<Gatherer>,
 }
 
-impl Default for EngineClient {
-    fn default() -> Self {
+impl EngineClient {
+    /// A client that counts what it sends.
+    #[must_use]
+    pub fn new(settings: EngineSettings, counts: EngineCounts) -> Self {
         Self {
             http: shared_client(),
+            settings,
+            counts,
+            gatherer: Arc::new(Gatherer::new(settings)),
         }
     }
-}
 
-impl EngineClient {
-    /// Sends one step.
+    /// Sends a step, in one message with those of other requests that are ready now.
+    ///
+    /// A message whose answer is lost is a lost answer for each of its steps. A step that is given
+    /// up by dropping this future leaves the other ones of its message alone.
     ///
     /// # Errors
     /// When the engine refuses the step or gives no usable answer.
@@ -37,16 +61,86 @@
         address: SocketAddr,
         step: StageStep,
     ) -> Result<StageOutput, StepError> {
-        let batch = StepBatch { steps: vec![step] };
+        if self.settings.shared_steps <= 1 || !may_share(&step) {
+            let mut results = self.send_steps(address, vec![step]).await?;
+            return results.pop().unwrap_or_else(|| Err(missing()));
+        }
+        let (reply, result) = oneshot::channel();
+        if self.gatherer.push(address, Job { step, reply }) {
+            tokio::spawn(self.clone().send_gathered(address));
+        }
+        result.await.unwrap_or_else(|_| Err(missing()))
+    }
+
+    /// Sends what was gathered once all tasks that are ready have run.
+    async fn send_gathered(self, address: SocketAddr) {
+        tokio::task::yield_now().await;
+        self.send_next(address);
+    }
+
+    /// Sends what may go out now.
+    fn send_next(&self, address: SocketAddr) {
+        loop {
+            let jobs = self.gatherer.take(address, self.settings.shared_steps);
+            if jobs.is_empty() {
+                return;
+            }
+            let client = self.clone();
+            tokio::spawn(async move {
+                let steps = jobs.len();
+                let took_ms = client.send_jobs(address, jobs).await;
+                client.gatherer.end(address, steps, took_ms);
+                client.send_next(address);
+            });
+        }
+    }
+
+    /// Sends steps in one message and hands their results out; the message is dropped once nobody
+    /// wants any of them. Returns the time until the answer.
+    async fn send_jobs(&self, address: SocketAddr, jobs: Vec<Job>) -> Option<f64> {
+        let (steps, mut replies): (Vec<_>, Vec<_>) =
+            jobs.into_iter().map(|job| (job.step, job.reply)).unzip();
+        let started = Instant::now();
+        let sent = tokio::select! {
+            sent = self.send_steps(address, steps) => sent,
+            _ = join_all(replies.iter_mut().map(oneshot::Sender::closed)) => return None,
+        };
+        let took_ms = started.elapsed().as_secs_f64() * 1000.0;
+        let is_answered = sent.is_ok();
+        let results = match sent {
+            Ok(results) => results,
+            Err(error) => vec![Err(StepError::NoAnswer(error)); replies.len()],
+        };
+        for (reply, result) in replies.into_iter().zip(results) {
+            let _ = reply.send(result);
+        }
+        is_answered.then_some(took_ms)
+    }
+
+    /// Sends steps in one message and returns their results in the same order.
+    async fn send_steps(
+        &self,
+        address: SocketAddr,
+        steps: Vec<StageStep>,
+    ) -> Result<Vec<Result<StageOutput, StepError>>, CallError> {
+        let batch = StepBatch { steps };
         let body = postcard::to_stdvec(&batch).map_err(|error| broken(&error))?;
+        let names = batch.steps.iter().map(|step| (step.session, step.first));
+        let names: Vec<_> = names.collect();
+        drop(batch);
+        self.counts.step_messages.inc();
+        self.counts.step_bytes.inc_by(body.len() as u64);
         let bytes = self
             .call(Method::POST, address, STEPS_PATH, full(body))
             .await?;
-        let mut reply: StepBatchReply = decode(&bytes)?;
-        let Some(first) = reply.replies.pop() else {
-            return Err(broken(&"the reply holds no result").into());
-        };
-        Ok(first.result?)
+        self.counts.step_bytes.inc_by(bytes.len() as u64);
+        let reply: StepBatchReply = decode(&bytes)?;
+        let answered = reply.replies.iter();
+        if !answered.map(|it| (it.session, it.first)).eq(names) {
+            return Err(broken(&"the reply names other steps than were sent"));
+        }
+        let results = reply.replies.into_iter();
+        Ok(results.map(|it| Ok(it.result?)).collect())
     }
 
     /// Asks where a session stands; none if there is no such session.
@@ -149,6 +243,10 @@
     postcard::from_bytes(bytes).map_err(|error| broken(&error))
 }
 
+fn missing() -> StepError {
+    broken(&"the message was dropped").into()
+}
+
 fn broken(error: &impl ToString) -> CallError {
     CallError::Broken {
         message: error.to_string(),
--- a/crates/mgw-entry/src/engines/mod.rs
+++ b/crates/mgw-entry/src/engines/mod.rs
@@ -2,6 +2,9 @@
 
 mod calls;
 mod client;
+mod gather;
+mod settings;
 
 pub use calls::{CallError, StepError};
-pub use client::EngineClient;
+pub use client::{EngineClient, EngineCounts};
+pub use settings::EngineSettings;
--- a/crates/mgw-entry/src/gate.rs
+++ b/crates/mgw-entry/src/gate.rs
@@ -114,10 +114,11 @@
         }
     }
 
-    fn leave(&mut self, model: &ModelName, id: RequestId, has_started: bool, now: Millis) {
+    /// Gives a place back; only whole answers go into the estimates.
+    fn leave(&mut self, model: &ModelName, id: RequestId, is_whole: bool, now: Millis) {
         self.waiting.remove(&id);
         if let Some(admission) = self.admissions.get_mut(model) {
-            if has_started {
+            if is_whole {
                 admission.finished(id, now);
             } else {
                 admission.cancel(id, now);
@@ -132,7 +133,17 @@
     app: Arc<App>,
     model: ModelName,
     id: RequestId,
-    has_started: bool,
+    is_whole: bool,
+}
+
+impl Admitted {
+    /// Gives the place back after a whole answer, whose time tells how long requests take.
+    ///
+    /// Without this call the place is given back as that of a request which failed, was given up
+    /// or never ran.
+    pub fn finish(mut self) {
+        self.is_whole = true;
+    }
 }
 
 impl Drop for Admitted {
@@ -141,7 +152,7 @@
         self.app
             .gate
             .lock()
-            .leave(&self.model, self.id, self.has_started, now);
+            .leave(&self.model, self.id, self.is_whole, now);
     }
 }
 
@@ -156,11 +167,11 @@
 ) -> Result<Admitted, NotAdmitted> {
     let id = request.id;
     let offer = app.gate.lock().offer(model, request, app.clock.now());
-    let mut admitted = Admitted {
+    let admitted = Admitted {
         app: Arc::clone(app),
         model: model.clone(),
         id,
-        has_started: false,
+        is_whole: false,
     };
     let verdict = match offer {
         Offer::Decided(verdict) => verdict,
@@ -173,7 +184,5 @@
             receiver.await.unwrap_or(Err(lost))
         }
     };
-    verdict?;
-    admitted.has_started = true;
-    Ok(admitted)
+    verdict.map(|()| admitted)
 }
--- a/crates/mgw-entry/src/lib.rs
+++ b/crates/mgw-entry/src/lib.rs
@@ -6,7 +6,7 @@
 mod completions;
 mod config;
 mod controls;
-mod engines;
+pub mod engines;
 mod follow;
 mod gate;
 mod leave;
--- a/crates/mgw-entry/src/metrics.rs
+++ b/crates/mgw-entry/src/metrics.rs
@@ -3,6 +3,8 @@
 use mgw_contract::caller::{Outcome, Reason};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::engines::EngineCounts;
+
 /// Upper bounds of the step time buckets in seconds.
 const STEP_BUCKETS_S: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
@@ -25,6 +27,8 @@
     pub stage_rebuilds: IntCounter,
     /// Steps sent to engines.
     pub steps: IntCounter,
+    /// Messages with steps and their bytes.
+    pub engines: EngineCounts,
     /// Time of a step as seen here.
     pub step_seconds: Histogram,
     /// Revision of the configuration in force.
@@ -52,6 +56,10 @@
             tokens: IntCounter::new("mgw_tokens_total", "Tokens handed to callers.")?,
             stage_rebuilds: IntCounter::new("mgw_stage_rebuilds_total", "Stages rebuilt.")?,
             steps: IntCounter::new("mgw_steps_total", "Steps sent to engines.")?,
+            engines: EngineCounts {
+                step_messages: IntCounter::new("mgw_step_messages_total", "Messages of steps.")?,
+                step_bytes: IntCounter::new("mgw_step_bytes_total", "Bytes of step bodies.")?,
+            },
             step_seconds: Histogram::with_opts(step_options)?,
             revision: IntGauge::new("mgw_config_revision", "Revision in force.")?,
             config_age_ms: IntGauge::new(
@@ -67,6 +75,8 @@
         registry.register(Box::new(metrics.tokens.clone()))?;
         registry.register(Box::new(metrics.stage_rebuilds.clone()))?;
         registry.register(Box::new(metrics.steps.clone()))?;
+        registry.register(Box::new(metrics.engines.step_messages.clone()))?;
+        registry.register(Box::new(metrics.engines.step_bytes.clone()))?;
         registry.register(Box::new(metrics.step_seconds.clone()))?;
         registry.register(Box::new(metrics.revision.clone()))?;
         registry.register(Box::new(metrics.config_age_ms.clone()))?;
--- a/crates/mgw-entry/src/refresh.rs
+++ b/crates/mgw-entry/src/refresh.rs
@@ -1,11 +1,11 @@
 //! Brings path choice, admission and the step times in line with the view.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use mgw_member::{NodePhase, NodeRole, judge_availability};
 use mgw_route::TargetInput;
-use mgw_world::{Millis, TargetName};
+use mgw_world::{Millis, Target, TargetName};
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -13,12 +13,16 @@
 /// Time between two refreshes.
 const REFRESH_MS: Millis = Millis(100);
 
+/// Targets as they were given to path choice, so that they are copied only when they change.
+type KnownTargets = BTreeMap<TargetName, Arc<Target>>;
+
 /// Refreshes until the process ends.
 pub async fn run_refresh(app: Arc<App>) {
     let mut excluded = BTreeSet::new();
+    let mut known = KnownTargets::new();
     loop {
         exclude_targets(&app, &mut excluded);
-        refresh_targets(&app);
+        refresh_targets(&app, &mut known);
         refresh_capacity(&app);
         follow_phase(&app);
         app.sample_tokens();
@@ -50,7 +54,13 @@
     }
 }
 
-fn refresh_targets(app: &App) {
+/// Takes a target out of what is known if it is the same still, else copies it.
+fn share_target(known: &mut KnownTargets, target: &Target) -> Arc<Target> {
+    let same = known.remove(&target.name).filter(|it| **it == *target);
+    same.unwrap_or_else(|| Arc::new(target.clone()))
+}
+
+fn refresh_targets(app: &App, known: &mut KnownTargets) {
     let now = app.clock.now();
     let (inputs, entries) = {
         let view = app.members.view.lock();
@@ -59,7 +69,7 @@
             .into_iter()
             .filter(|choice| choice.target.engine().is_some())
             .map(|choice| TargetInput {
-                target: Arc::new(choice.target.clone()),
+                target: share_target(known, choice.target),
                 warm_share: choice.share,
                 load: choice.load,
                 load_age_ms: choice.age_ms,
@@ -73,6 +83,10 @@
         });
         (inputs, u32::try_from(entries.count()).unwrap_or(u32::MAX))
     };
+    *known = inputs
+        .iter()
+        .map(|input| (input.target.name.clone(), Arc::clone(&input.target)))
+        .collect();
     let mut router = app.router.lock();
     router.set_entries(entries.max(1));
     router.update_targets(inputs, now);
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -7,6 +7,8 @@
 use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
 use serde::Deserialize;
 
+use crate::engines::EngineSettings;
+
 /// Another process of the system.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -107,6 +109,9 @@
     /// Step deadlines.
     #[serde(default)]
     pub times: TimeSettings,
+    /// Calls to engines.
+    #[serde(default)]
+    pub engines: EngineSettings,
     /// Callers.
     #[serde(default)]
     pub callers: CallerLimits,
--- a/crates/mgw-load/src/arrivals.rs
+++ b/crates/mgw-load/src/arrivals.rs
@@ -1,6 +1,6 @@
 //! When requests arrive, for whom, and with which prompt: fixed by the seed alone.
 
-use mgw_world::WorkspaceName;
+use mgw_world::{Millis, WorkspaceName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -33,11 +33,11 @@
 #[must_use]
 pub fn plan_arrivals(settings: &Settings) -> Vec<Arrival> {
     let mut times = Vec::new();
-    for (stream, (workspace, rate)) in (0..).zip(streams(settings)) {
+    for (number, stream) in (0..).zip(streams(settings)) {
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
-        random.set_stream(stream);
-        for at_us in plan_times(settings, rate, &mut random) {
-            times.push((at_us, workspace.clone()));
+        random.set_stream(number);
+        for at_us in plan_times(settings, &stream, &mut random) {
+            times.push((at_us, stream.workspace.clone()));
         }
     }
     times.sort();
@@ -54,22 +54,44 @@
         .collect()
 }
 
-fn streams(settings: &Settings) -> Vec<(Option<WorkspaceName>, f64)> {
+/// Requests of one load.
+struct Stream {
+    workspace: Option<WorkspaceName>,
+    rate: f64,
+    from_us: u64,
+    until_us: u64,
+}
+
+fn streams(settings: &Settings) -> Vec<Stream> {
+    let end = settings.duration_ms;
     if settings.workspaces.is_empty() {
-        return vec![(None, settings.rate)];
+        return vec![Stream {
+            workspace: None,
+            rate: settings.rate,
+            from_us: 0,
+            until_us: micros(end),
+        }];
     }
     let loads = settings.workspaces.iter();
     loads
-        .map(|load| (Some(load.name.clone()), load.rate))
+        .map(|load| Stream {
+            workspace: Some(load.name.clone()),
+            rate: load.rate,
+            from_us: micros(load.from_ms),
+            until_us: micros(load.until_ms.map_or(end, |until| until.min(end))),
+        })
         .collect()
 }
 
-fn plan_times(settings: &Settings, rate: f64, random: &mut ChaCha8Rng) -> Vec<u64> {
-    let end_us = settings.duration_ms.0.saturating_mul(US_PER_MS);
-    let mean_us = US_PER_S / rate;
-    let mut at_us = 0.0;
+const fn micros(span: Millis) -> u64 {
+    span.0.saturating_mul(US_PER_MS)
+}
+
+fn plan_times(settings: &Settings, stream: &Stream, random: &mut ChaCha8Rng) -> Vec<u64> {
+    let mean_us = US_PER_S / stream.rate;
+    let mut at_us = stream.from_us as f64;
     let mut times = Vec::new();
-    while (at_us as u64) < end_us {
+    while (at_us as u64) < stream.until_us {
         times.push(at_us as u64);
         at_us += match settings.spacing {
             Spacing::Fixed => mean_us,
--- a/crates/mgw-load/src/caller.rs
+++ b/crates/mgw-load/src/caller.rs
@@ -42,6 +42,8 @@
     pub expected: Option<Vec<u32>>,
     /// Most times that it is sent.
     pub tries: u32,
+    /// Pause before it is sent again, whatever the answer says.
+    pub impatient_ms: Option<Millis>,
     /// When the caller needs the answer.
     pub deadline: Instant,
 }
@@ -139,7 +141,8 @@
     /// When to send again; none when that is of no use.
     fn plan_retry(&self, url: &str, ask: &Ask, progress: &Progress) -> Option<Duration> {
         let answer = progress.answer.answer.as_ref()?;
-        let pause = answer.retry_after_ms?.to_duration();
+        let told = answer.retry_after_ms?;
+        let pause = ask.impatient_ms.unwrap_or(told).to_duration();
         if Instant::now() + pause >= ask.deadline {
             return None;
         }
--- a/crates/mgw-load/src/cli.rs
+++ b/crates/mgw-load/src/cli.rs
@@ -225,6 +225,7 @@
     let loads = workspaces.iter().map(|arg| WorkspaceLoad {
         name: arg.name.clone(),
         rate: arg.rate.unwrap_or(share),
+        ..WorkspaceLoad::default()
     });
     loads.collect()
 }
--- a/crates/mgw-load/src/report.rs
+++ b/crates/mgw-load/src/report.rs
@@ -336,6 +336,9 @@
             let percent = share * 100.0;
             writeln!(formatter, "bound {bound} tokens/s, reached {percent:.1}%")?;
         }
+        let seconds = self.tokens_by_second.iter().map(u64::to_string);
+        let seconds: Vec<_> = seconds.collect();
+        writeln!(formatter, "tokens by second: {}", seconds.join(" "))?;
         for (url, count) in &self.entries {
             writeln!(formatter, "  entry {url:<32} {count:>9}")?;
         }
--- a/crates/mgw-load/src/settings.rs
+++ b/crates/mgw-load/src/settings.rs
@@ -19,13 +19,19 @@
     Fixed,
 }
 
-/// Requests of one workspace.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// Requests of one workspace; a workspace may have several loads, one after or over another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkspaceLoad {
     /// Name of the workspace.
     pub name: WorkspaceName,
     /// Requests a second.
     pub rate: f64,
+    /// Time of the first request since the start of the run.
+    #[serde(default)]
+    pub from_ms: Millis,
+    /// When the requests end; with the run if not given.
+    #[serde(default)]
+    pub until_ms: Option<Millis>,
 }
 
 /// Settings of a run; every key has a default.
@@ -50,6 +56,8 @@
     pub callers: u32,
     /// Most times that one request is sent.
     pub tries: u32,
+    /// Pause of callers that don't wait as long as they were told.
+    pub impatient_ms: Option<Millis>,
     /// Time that a caller gives a request.
     pub deadline_ms: Millis,
     /// Tokens asked for.
@@ -95,6 +103,7 @@
             workspaces: Vec::new(),
             callers: 8,
             tries: 3,
+            impatient_ms: None,
             deadline_ms: Millis(30_000),
             max_tokens: 32,
             prompt: None,
--- a/crates/mgw-load/tests/plans.rs
+++ b/crates/mgw-load/tests/plans.rs
@@ -21,6 +21,7 @@
     WorkspaceLoad {
         name: name.into(),
         rate,
+        ..WorkspaceLoad::default()
     }
 }
 
@@ -48,6 +49,38 @@
     assert_ne!(arrivals, other);
 }
 
+#[test]
+fn a_load_keeps_to_its_span() {
+    let settings = Settings {
+        workspaces: vec![
+            workspace("steady", 10.0),
+            WorkspaceLoad {
+                from_ms: Millis(1_000),
+                until_ms: Some(Millis(2_000)),
+                ..workspace("burst", 100.0)
+            },
+        ],
+        spacing: Spacing::Fixed,
+        duration_ms: Millis(3_000),
+        ..Settings::default()
+    };
+    let arrivals = plan_arrivals(&settings);
+    let times = |name: &str| -> Vec<u64> {
+        let own = arrivals
+            .iter()
+            .filter(|arrival| arrival.workspace == Some(name.into()));
+        own.map(|arrival| arrival.at_us).collect()
+    };
+    assert_eq!(times("steady").len(), 30);
+    let burst = times("burst");
+    assert_eq!(burst.len(), 100);
+    assert!(
+        burst
+            .iter()
+            .all(|at_us| (1_000_000..2_000_000).contains(at_us))
+    );
+}
+
 #[test]
 fn fixed_arrivals_are_evenly_spaced() {
     let settings = Settings {
--- a/crates/mgw-route/examples/prefixes.rs
+++ b/crates/mgw-route/examples/prefixes.rs
@@ -15,10 +15,10 @@
     let mut out = io::stdout().lock();
     writeln!(
         out,
-        "rate lost% affinity hit_rate mean_ms p99_ms imbalance resends"
+        "rate lost% heard_by affinity hit_rate mean_ms p99_ms imbalance resends"
     )?;
     for requests_per_s in [20, 30, 40] {
-        for lost_percent in [0, 5] {
+        for (lost_percent, one_hears) in [(0, false), (5, false), (0, true)] {
             for with_affinity in [false, true] {
                 let outcome = run_caches(CacheRun {
                     with_affinity,
@@ -26,13 +26,15 @@
                     cached_blocks: 300,
                     lost_percent,
                     entries: 4,
+                    one_hears,
                     requests_per_s,
                     seconds: 120,
                     seed: 7,
                 });
                 writeln!(
                     out,
-                    "{requests_per_s:4} {lost_percent:5} {with_affinity:8} {:7.1}% {:7.0} {:6} {:9.2} {:7}",
+                    "{requests_per_s:4} {lost_percent:5} {:8} {with_affinity:8} {:7.1}% {:7.0} {:6} {:9.2} {:7}",
+                    if one_hears { "one" } else { "all" },
                     outcome.hit_rate * 100.0,
                     outcome.mean_ms,
                     outcome.p99_ms,
--- a/crates/mgw-route/examples/support/affinity.rs
+++ b/crates/mgw-route/examples/support/affinity.rs
@@ -35,6 +35,8 @@
     /// Cache events lost, in percent.
     pub lost_percent: u32,
     pub entries: usize,
+    /// Whether a target's cache events reach one entry only, and not all of them.
+    pub one_hears: bool,
     pub requests_per_s: u64,
     pub seconds: u64,
     pub seed: u64,
@@ -179,7 +181,8 @@
     }
 
     fn tick(&mut self, now: u64) {
-        for (engine, target) in self.engines.iter_mut().zip(&self.targets) {
+        let entries = self.routers.len();
+        for (index, (engine, target)) in self.engines.iter_mut().zip(&self.targets).enumerate() {
             let mut due = Vec::new();
             while engine.events.front().is_some_and(|(at, _)| *at <= now) {
                 let event = engine.events.pop_front();
@@ -187,7 +190,11 @@
                 due.extend(event.filter(|_| is_kept).map(|(_, event)| event));
             }
             let mut resend = false;
-            for router in &mut self.routers {
+            let home = index % entries;
+            for (entry, router) in self.routers.iter_mut().enumerate() {
+                if self.run.one_hears && entry != home {
+                    continue;
+                }
                 let news = router.update_cache(&target.name, Incarnation(1), &due);
                 resend |= news == CacheNews::Resend;
             }
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -15,7 +15,8 @@
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
     Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
-    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings,
+    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, StepWindow,
+    StepWindowSettings,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheNews, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- a/crates/mgw-route/src/limit/latency.rs
+++ b/crates/mgw-route/src/limit/latency.rs
@@ -23,7 +23,7 @@
             initial: 256.0,
             min: 1.0,
             max: 256.0,
-            tolerance: 6.0,
+            tolerance: 3.0,
             decrease: 0.7,
         }
     }
@@ -94,11 +94,13 @@
         self.limit = (self.limit * self.settings.decrease).max(self.settings.min);
     }
 
-    /// Falls at most once in a round of steps, so that one slow batch counts once.
+    /// Falls at most once in a round of steps, so that one slow batch counts once, and from what is
+    /// in use: a limit far above that would hold nothing back for many rounds.
     fn adapt(&mut self, in_flight: u32) {
         self.hold = self.hold.saturating_sub(1);
         if self.short_ms > self.base_ms * self.settings.tolerance {
             if self.hold == 0 {
+                self.limit = self.limit.min(f64::from(in_flight));
                 self.fail();
                 self.hold = self.allowed().max(1);
             }
--- a/crates/mgw-route/src/limit/mod.rs
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -6,8 +6,10 @@
 mod fair_queue;
 mod latency;
 mod request;
+mod step_window;
 
 pub use admission::Admission;
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use latency::{LatencyLimit, LatencyLimitSettings};
 pub use request::{AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event};
+pub use step_window::{StepWindow, StepWindowSettings};
--- a/crates/mgw-route/src/prefix/digest.rs
+++ b/crates/mgw-route/src/prefix/digest.rs
@@ -8,6 +8,9 @@
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// Multipliers of the finalizer of SplitMix64.
+const MIX_PRIMES: [u64; 2] = [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb];
+
 /// Digest of all tokens of a prompt up to the end of a block.
 #[derive(
     Debug,
@@ -50,3 +53,17 @@
     }
     digests
 }
+
+/// Digest of a name, the same in every process.
+pub(crate) fn digest_name(name: &str) -> u64 {
+    name.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+/// Spreads the bits of a digest evenly: each input bit reaches every output bit.
+pub(crate) const fn mix_digest(digest: u64) -> u64 {
+    let mixed = (digest ^ (digest >> 30)).wrapping_mul(MIX_PRIMES[0]);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(MIX_PRIMES[1]);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/mgw-route/src/prefix/mod.rs
+++ b/crates/mgw-route/src/prefix/mod.rs
@@ -4,5 +4,6 @@
 mod index;
 
 pub use digest::{PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
+pub(crate) use digest::{digest_name, mix_digest};
 pub use index::CacheNews;
 pub(crate) use index::PrefixIndex;
--- a/crates/mgw-route/src/router/fleet.rs
+++ b/crates/mgw-route/src/router/fleet.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::{RouterSettings, TargetInput, TargetView};
+use crate::prefix::digest_name;
 use crate::{LatencyLimit, LatencyLimitSettings};
 
 slotmap::new_key_type! {
@@ -54,6 +55,8 @@
     pub in_flight: u32,
     /// Bytes of KV memory reserved from here.
     pub kv_bytes: u64,
+    /// The same at every entry.
+    pub name_digest: u64,
     limit: LatencyLimit,
     suspicion: Suspicion,
 }
@@ -68,6 +71,7 @@
         });
         Self {
             load_at: now - input.load_age_ms,
+            name_digest: digest_name(input.target.name.as_str()),
             target: input.target,
             warm_share: input.warm_share,
             load: input.load,
--- a/crates/mgw-route/src/router/walk.rs
+++ b/crates/mgw-route/src/router/walk.rs
@@ -8,7 +8,11 @@
 
 use super::fleet::{Fleet, TargetKey};
 use super::lane::{Choice, Lane, Member, Node};
+use crate::PrefixDigest;
+use crate::prefix::mix_digest;
 
+/// Bits of a digest that a floating-point number can't hold.
+const DROPPED_BITS: u32 = 11;
 /// Members compared for each stage.
 const SAMPLES: usize = 2;
 
@@ -21,6 +25,8 @@
     pub excluded: &'a [TargetKey],
     /// Targets that likely hold a prefix of the prompt, best first.
     pub holders: &'a [TargetKey],
+    /// First prefix of the prompt, if it has one.
+    pub prefix: Option<PrefixDigest>,
     /// Load up to which a holder is followed, as a multiple of its share.
     pub affinity_load_factor: f64,
     /// KV memory that each layer needs.
@@ -125,11 +131,13 @@
         end == goal.end || (end < goal.end && !goal.in_one_stage)
     }
 
-    /// Draws a stage: a holder of the prefix if it isn't too busy, else the least loaded of a few
-    /// members drawn by the flow.
+    /// Draws a stage: a holder of the prefix or else its home if that isn't too busy, else the
+    /// least loaded of a few members drawn by the flow.
     fn draw(&self, choices: &[Choice], goal: Goal, rng: &mut ChaCha8Rng) -> Option<Pick> {
-        if let Some(pick) = self.find_holder(choices, goal) {
-            return Some(pick);
+        let by_prefix = self.find_holder(choices, goal);
+        let by_prefix = by_prefix.or_else(|| self.find_home(choices, goal));
+        if by_prefix.is_some() {
+            return by_prefix;
         }
         let mut best: Option<(f64, Pick)> = None;
         for _ in 0..SAMPLES {
@@ -202,9 +210,45 @@
         record.is_some_and(|record| record.has_room(kv_bytes, self.entries, self.now))
     }
 
-    fn find_holder(&self, choices: &[Choice], goal: Goal) -> Option<Pick> {
+    /// The member that all entries take for a prefix of which nothing is known.
+    ///
+    /// Each member draws a number from the prefix and its name, in proportion to its planned flow,
+    /// and the best one wins: a member that goes or comes moves its own prefixes only.
+    fn find_home(&self, choices: &[Choice], goal: Goal) -> Option<Pick> {
+        let prefix = self.prefix?;
+        let usable = choices.iter().filter(|it| self.is_usable(it.group, goal));
+        let members = usable.flat_map(|choice| {
+            let members = &self.lane.members[choice.group].all;
+            let planned: f64 = members.iter().map(|member| member.rate).sum();
+            let part = choice.weight / planned.max(f64::MIN_POSITIVE);
+            members.iter().map(move |member| (choice, member, part))
+        });
+        let scored = members.filter_map(|(choice, member, part)| {
+            let record = self.fleet.get(member.key)?;
+            let draw = draw_for(prefix, record.name_digest);
+            let score = -draw.ln() / (member.rate * part).max(f64::MIN_POSITIVE);
+            Some((score, choice.group, member))
+        });
+        let (_, group, member) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        let is_free = self.has_room(group, member.key) && !self.is_busy(member);
+        is_free.then_some(Pick {
+            group,
+            key: member.key,
+        })
+    }
+
+    /// Whether a member has more in flight from here than a prefix may add to.
+    fn is_busy(&self, member: &Member) -> bool {
         let average =
             f64::from(self.lane.sessions + 1) / (self.lane.plan.flow.total as f64).max(1.0);
+        let in_flight = self
+            .fleet
+            .get(member.key)
+            .map_or(0, |record| record.in_flight);
+        f64::from(in_flight) > average * member.rate * self.affinity_load_factor
+    }
+
+    fn find_holder(&self, choices: &[Choice], goal: Goal) -> Option<Pick> {
         for key in self.holders {
             let Some((group, index)) = self.lane.positions.get(*key).copied() else {
                 continue;
@@ -215,10 +259,7 @@
             if !is_choice || !self.is_usable(group, goal) || !self.has_room(group, *key) {
                 continue;
             }
-            let member = self.lane.members[group].all[index];
-            let in_flight = self.fleet.get(*key).map_or(0, |record| record.in_flight);
-            let share = average * member.rate * self.affinity_load_factor;
-            if f64::from(in_flight) <= share {
+            if !self.is_busy(&self.lane.members[group].all[index]) {
                 return Some(Pick { group, key: *key });
             }
         }
@@ -235,3 +276,9 @@
         })
     }
 }
+
+/// A number above zero and up to one that a prefix draws for a target.
+fn draw_for(prefix: PrefixDigest, name_digest: u64) -> f64 {
+    let mixed = mix_digest(prefix.0 ^ name_digest);
+    ((mixed >> DROPPED_BITS) + 1) as f64 / (1_u64 << (u64::BITS - DROPPED_BITS)) as f64
+}
--- a/crates/mgw-route/tests/prefix.rs
+++ b/crates/mgw-route/tests/prefix.rs
@@ -8,19 +8,32 @@
 #[allow(dead_code, reason = "only the targets are used here")]
 mod fleet;
 
+use std::collections::BTreeSet;
+
 use affinity::{CacheOutcome, CacheRun, run_caches};
 use common::{input, model, request, target};
 use mgw_contract::target::CacheEvent;
 use mgw_route::{CacheNews, PathRequest, PrefixDigest, Router, RouterSettings, digest_prefixes};
-use mgw_world::{Incarnation, Millis};
+use mgw_world::{Incarnation, Millis, TargetName};
 
 const TARGETS: usize = 8;
 
 fn router(max_prefixes: usize) -> Router {
-    let mut router = Router::new(RouterSettings {
+    router_with(RouterSettings {
         max_prefixes,
         ..RouterSettings::default()
-    });
+    })
+}
+
+fn seeded_router(seed: u64) -> Router {
+    router_with(RouterSettings {
+        seed,
+        ..RouterSettings::default()
+    })
+}
+
+fn router_with(settings: RouterSettings) -> Router {
+    let mut router = Router::new(settings);
     router.update_models([model(24)]);
     let targets = (0..TARGETS).map(|index| target(&format!("t{index}"), "a", 0, 24, 100));
     router.update_targets(targets.map(input), Millis(0));
@@ -46,13 +59,7 @@
 /// How often a prompt with this prefix goes to `t3`, out of 20 fresh routers' choices.
 fn choices_of_t3(events: &[(u64, &[CacheEvent])], prefix: u64) -> usize {
     let chosen = (0..20).filter(|seed| {
-        let mut router = Router::new(RouterSettings {
-            seed: *seed,
-            ..RouterSettings::default()
-        });
-        router.update_models([model(24)]);
-        let targets = (0..TARGETS).map(|index| target(&format!("t{index}"), "a", 0, 24, 100));
-        router.update_targets(targets.map(input), Millis(0));
+        let mut router = seeded_router(*seed);
         for (incarnation, batch) in events {
             router.update_cache(&"t3".into(), Incarnation(*incarnation), batch);
         }
@@ -155,13 +162,48 @@
     assert!(path.covers(24));
 }
 
-fn measure(with_affinity: bool, lost_percent: u32) -> CacheOutcome {
+/// Where each of 100 prefixes goes that nobody holds, each asked for alone.
+fn find_homes(router: &mut Router) -> Vec<TargetName> {
+    let homes = (0..100).map(|prefix| {
+        let path = router.choose_path(&prefixed(prefix), Millis(0)).unwrap();
+        router.release(path.reservation);
+        path.stages[0].target.clone()
+    });
+    homes.collect()
+}
+
+#[test]
+fn entries_agree_on_where_an_unknown_prefix_goes() {
+    let homes = find_homes(&mut seeded_router(1));
+    for seed in 2..6 {
+        assert_eq!(find_homes(&mut seeded_router(seed)), homes, "seed {seed}");
+    }
+    let used: BTreeSet<&TargetName> = homes.iter().collect();
+    assert_eq!(used.len(), TARGETS, "homes are spread over all targets");
+}
+
+#[test]
+fn a_target_that_goes_moves_its_own_prefixes_only() {
+    let homes = find_homes(&mut seeded_router(1));
+    let mut router = seeded_router(1);
+    let gone = TargetName::from("t3");
+    let staying = (0..TARGETS).filter(|index| *index != 3);
+    let staying = staying.map(|index| target(&format!("t{index}"), "a", 0, 24, 100));
+    router.update_targets(staying.map(input), Millis(0));
+    for (before, after) in homes.iter().zip(find_homes(&mut router)) {
+        assert_ne!(after, gone);
+        assert!(*before == gone || *before == after, "{before} to {after}");
+    }
+}
+
+fn measure(with_affinity: bool, lost_percent: u32, one_hears: bool) -> CacheOutcome {
     run_caches(CacheRun {
         with_affinity,
         prefixes: 60,
         cached_blocks: 300,
         lost_percent,
         entries: 4,
+        one_hears,
         requests_per_s: 30,
         seconds: 30,
         seed: 7,
@@ -170,10 +212,10 @@
 
 #[test]
 fn affinity_raises_the_hit_rate_and_halves_the_time_to_the_first_token() {
-    let without = measure(false, 0);
+    let without = measure(false, 0, false);
     assert_eq!(without.resends, 0);
     for lost_percent in [0, 5] {
-        let with = measure(true, lost_percent);
+        let with = measure(true, lost_percent, false);
         assert!(
             with.hit_rate >= without.hit_rate * 1.4,
             "{without:?} {with:?}"
@@ -186,3 +228,18 @@
         assert!(with.imbalance <= 1.6, "{with:?}");
     }
 }
+
+#[test]
+fn events_that_reach_one_entry_only_are_made_up_for_by_common_homes() {
+    let without = measure(false, 0, true);
+    let with = measure(true, 0, true);
+    assert!(
+        with.hit_rate >= without.hit_rate * 1.6,
+        "{without:?} {with:?}"
+    );
+    assert!(
+        with.mean_ms <= without.mean_ms * 0.6,
+        "{without:?} {with:?}"
+    );
+    assert!(with.imbalance <= 1.6, "{with:?}");
+}
