--- a/crates/mgw-member/src/node.rs
+++ b/crates/mgw-member/src/node.rs
@@ -27,7 +27,7 @@
     /// The key of a name.
     #[must_use]
     pub fn of(name: &NodeName) -> Self {
-        Self(mix(hash_bytes(0, name.as_str().as_bytes())))
+        Self(mix(hash_bytes(name.as_str().as_bytes())))
     }
 
     /// The key as a number.
@@ -53,8 +53,8 @@
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
 /// Hashes bytes alike on every machine and in every release (FNV-1a).
-pub(crate) fn hash_bytes(seed: u64, bytes: &[u8]) -> u64 {
-    bytes.iter().fold(FNV_OFFSET ^ seed, |hash, byte| {
+pub(crate) fn hash_bytes(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(FNV_OFFSET, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
     })
 }
--- a/crates/mgw-member/src/origin.rs
+++ b/crates/mgw-member/src/origin.rs
@@ -136,7 +136,7 @@
             age,
             changes: Vec::new(),
         };
-        let mut bytes = encoded_bytes(&delta);
+        let mut bytes = encoded_bytes(&delta) + 1;
         let total = changes.len();
         for change in changes {
             bytes += encoded_bytes(&change);
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::core::View;
-use crate::node::{hash_bytes, mix};
+use crate::node::mix;
 use crate::origin::encoded_bytes;
 use crate::{Age, BucketReply, Exchange, ExchangeReply, NodeDelta, NodeId, OriginLine, Want};
 
@@ -17,8 +17,12 @@
 const MAX_IN_FLIGHT: usize = 16;
 /// Most records asked for in one exchange.
 const MAX_WANTS: usize = 64;
-/// One exchange in this many goes to an address from the settings, so that separated groups meet.
-const SEED_EVERY: u64 = 32;
+/// Room that a further record's differences need in a reply.
+const MIN_DELTA_BYTES: usize = 512;
+/// Most bytes of the length of a list on the wire.
+const LENGTH_BYTES: usize = 2;
+/// One exchange in this many goes to a peer that isn't known to be alive, if there is one.
+const REST_EVERY: u64 = 8;
 
 /// Names an exchange that waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -128,7 +132,7 @@
             return None;
         }
         self.schedule_exchange(now);
-        let peer_address = self.pick_peer()?;
+        let peer_address = self.pick_peer(now)?;
         let buckets = self.lines(now);
         let digests = buckets.iter().map(|lines| digest(lines)).collect();
         Some(self.open_exchange(peer_address, digests, buckets, Vec::new(), now))
@@ -265,25 +269,33 @@
         }
     }
 
-    fn pick_peer(&mut self) -> Option<SocketAddr> {
-        let others = self.origins.iter().filter(|(id, _)| **id != self.me);
-        let known: Vec<SocketAddr> = others.map(|(_, o)| o.info.peer_address).collect();
-        let seeds = &self.exchanges.seeds;
-        let from_seeds = known.is_empty() || self.exchanges.number % SEED_EVERY == SEED_EVERY - 1;
-        let pool = if from_seeds && !seeds.is_empty() {
-            seeds
+    /// Picks a peer at random: mostly one that is alive, now and then a silent or refused one or an
+    /// address from the settings that no known node has, so that separated groups meet again.
+    fn pick_peer(&mut self, now: Millis) -> Option<SocketAddr> {
+        let mut alive = Vec::new();
+        let mut rest = Vec::new();
+        for (id, origin) in self.origins.iter().filter(|(id, _)| **id != self.me) {
+            let address = origin.info.peer_address;
+            let refused = self.exchanges.refused.contains_key(&address);
+            if refused || self.age_of(*id, origin, now) > self.settings.alive_ms {
+                rest.push(address);
+            } else {
+                alive.push(address);
+            }
+        }
+        let seeds = self.exchanges.seeds.iter();
+        let strange = seeds.filter(|seed| !alive.contains(seed) && !rest.contains(seed));
+        rest.extend(strange.copied().collect::<Vec<_>>());
+        let to_rest = self.exchanges.number % REST_EVERY == REST_EVERY - 1;
+        let pool = if alive.is_empty() || (to_rest && !rest.is_empty()) {
+            rest
         } else {
-            &known
+            alive
         };
         if pool.is_empty() {
             return None;
         }
-        // A refused address is tried again now and then, but mostly another one is taken.
-        let mut picked = pool[self.rng.random_range(0..pool.len())];
-        if self.exchanges.refused.contains_key(&picked) {
-            picked = pool[self.rng.random_range(0..pool.len())];
-        }
-        Some(picked)
+        Some(pool[self.rng.random_range(0..pool.len())])
     }
 
     fn notice_sender(&mut self, exchange: &Exchange, now: Millis) {
@@ -340,9 +352,9 @@
             return deltas;
         }
         let cap = self.settings.reply_cap_bytes;
-        let mut bytes = 0;
+        let mut bytes = LENGTH_BYTES;
         for want in wants {
-            if bytes >= cap {
+            if !deltas.is_empty() && cap.saturating_sub(bytes) < MIN_DELTA_BYTES {
                 break;
             }
             let Some(origin) = self.origins.get(&want.id) else {
@@ -352,11 +364,13 @@
                 continue;
             }
             let age = Age::from_span(self.age_of(want.id, origin, now));
-            let delta = origin.delta(want, age, cap - bytes);
+            let delta = origin.delta(want, age, cap.saturating_sub(bytes));
             bytes += encoded_bytes(&delta);
             deltas.push(delta);
         }
-        self.exchanges.give_free_at = now + self.catch_up_time(bytes);
+        if !deltas.is_empty() {
+            self.exchanges.give_free_at = now + self.catch_up_time(bytes);
+        }
         deltas
     }
 
@@ -370,11 +384,9 @@
 
 fn digest(lines: &[SentLine]) -> [u8; 8] {
     let hash = lines.iter().fold(0, |hash, line| {
-        let mut bytes = [0; 24];
-        bytes[..8].copy_from_slice(&line.id.get().to_le_bytes());
-        bytes[8..16].copy_from_slice(&line.incarnation.0.to_le_bytes());
-        bytes[16..].copy_from_slice(&line.version.to_le_bytes());
-        mix(hash_bytes(hash, &bytes))
+        let hash = mix(hash ^ line.id.get());
+        let hash = mix(hash.wrapping_add(line.incarnation.0));
+        mix(hash.wrapping_add(line.version))
     });
     hash.to_le_bytes()
 }
--- /dev/null
+++ b/crates/mgw-member/tests/addresses.rs
@@ -0,0 +1,207 @@
+//! The addresses given to callers: spread, vanishing entries, the silent partition, an entry alone.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mgw_member::{
+    AddressSettings, Availability, MemberSettings, NodePhase, NodeRole, View, choose_addresses,
+    judge_availability,
+};
+use mgw_world::Millis;
+use support::{Net, node};
+
+fn names(view: &View, place: Option<&str>, caller: u64, now: Millis) -> Vec<String> {
+    let place = place.map(Into::into);
+    let settings = AddressSettings::default();
+    let reply = choose_addresses(view, &settings, place.as_ref(), caller, now);
+    reply
+        .entries
+        .iter()
+        .map(|entry| entry.name.to_string())
+        .collect()
+}
+
+/// Whether any of many callers is told to use the entry.
+fn names_entry(view: &View, entry: usize, now: Millis) -> bool {
+    let name = node(entry, 1).name.to_string();
+    (0..50).any(|caller| names(view, None, caller, now).contains(&name))
+}
+
+/// Makes a fault of node 4.
+type Fault = fn(&mut Net);
+
+#[test]
+fn callers_are_spread_by_weight() {
+    let mut net = Net::new(9, 0, 21);
+    for (index, view) in net.views.iter_mut().enumerate() {
+        let info = mgw_member::NodeInfo {
+            weight: 1 + index as u32 % 3,
+            ..node(index, 1)
+        };
+        *view = View::new(
+            MemberSettings::default(),
+            info,
+            &[support::address(0)],
+            5,
+            Millis(0),
+        );
+    }
+    net.run(Millis(30_000));
+    let mut counts = BTreeMap::<String, u32>::new();
+    for caller in 0..18_000 {
+        let first = names(&net.views[0], None, caller, net.now).swap_remove(0);
+        *counts.entry(first).or_default() += 1;
+    }
+    for index in 0..9 {
+        let expected = 1000 * (1 + index as u32 % 3);
+        let count = counts[&node(index, 1).name.to_string()];
+        assert!(
+            count.abs_diff(expected) < expected / 10,
+            "{index}: {count} of {expected}"
+        );
+    }
+}
+
+#[test]
+fn caller_gets_the_same_near_entries_everywhere_and_one_elsewhere() {
+    let mut net = Net::new(9, 0, 22);
+    net.run(Millis(30_000));
+    for caller in 0..20 {
+        let first = names(&net.views[0], Some("sfo-b"), caller, net.now);
+        assert_eq!(first.len(), 3);
+        let near = |name: &String| ["entry-001", "entry-004", "entry-007"].contains(&name.as_str());
+        assert_eq!(
+            first.iter().map(near).collect::<Vec<_>>(),
+            [true, true, false]
+        );
+        for view in &net.views[1..] {
+            assert_eq!(names(view, Some("sfo-b"), caller, net.now), first);
+        }
+    }
+}
+
+#[test]
+fn entry_that_is_gone_leaving_or_cut_off_vanishes_within_seconds() {
+    let table: [(&str, Fault); 3] = [
+        ("down", |net| {
+            net.dead.insert(4);
+        }),
+        ("leaving", |net| net.views[4].set_phase(NodePhase::Leaving)),
+        ("cut off", |net| net.islands = vec![BTreeSet::from([4])]),
+    ];
+    for (fault, cause) in table {
+        let mut net = Net::new(9, 0, 23);
+        net.run(Millis(6000));
+        assert!(names_entry(&net.views[0], 4, net.now), "before: {fault}");
+        cause(&mut net);
+        net.run(Millis(5000));
+        for index in (0..9).filter(|index| *index != 4) {
+            assert!(
+                !names_entry(&net.views[index], 4, net.now),
+                "{fault}, asked {index}"
+            );
+        }
+    }
+}
+
+#[test]
+fn entry_whose_others_are_gone_gives_itself_out() {
+    let mut net = Net::new(6, 0, 24);
+    net.run(Millis(6000));
+    net.dead = BTreeSet::from([0, 1, 2, 3, 4]);
+    net.run_with(Millis(20_000), |net| {
+        assert!(!names(&net.views[5], None, 1, net.now).is_empty());
+    });
+    assert_eq!(
+        judge_availability(&net.views[5], net.now),
+        Availability::Alone
+    );
+    assert_eq!(
+        names(&net.views[5], Some("pos-a"), 1, net.now),
+        ["entry-005"]
+    );
+}
+
+#[test]
+fn entry_in_a_silent_partition_gives_out_only_the_others() {
+    let mut net = Net::new(6, 6, 25);
+    net.run(Millis(6000));
+    net.islands = vec![BTreeSet::from([5])];
+    net.run(Millis(7000));
+    assert_eq!(
+        judge_availability(&net.views[5], net.now),
+        Availability::CutOff
+    );
+    assert!(!names_entry(&net.views[5], 5, net.now));
+    assert_eq!(names(&net.views[5], None, 1, net.now).len(), 3);
+    let own = net.views[5].targets_in_choice(net.now);
+    let own: Vec<_> = own
+        .iter()
+        .map(|choice| choice.target.name.as_str())
+        .collect();
+    assert_eq!(
+        own,
+        ["engine-005"],
+        "it is sure only of the targets that reach it"
+    );
+    for index in 0..5 {
+        let state = judge_availability(&net.views[index], net.now);
+        assert_eq!(state, Availability::Full, "the others hear each other");
+    }
+    net.islands.clear();
+    net.run(Millis(5000));
+    assert_eq!(
+        judge_availability(&net.views[5], net.now),
+        Availability::Full
+    );
+}
+
+#[test]
+fn new_entry_gives_itself_out_only_with_a_complete_view() {
+    let mut net = Net::new(6, 30, 26);
+    net.run(Millis(6000));
+    net.restart(5, 2);
+    assert_eq!(
+        judge_availability(&net.views[5], net.now),
+        Availability::Starting
+    );
+    net.run_with(Millis(6000), |net| {
+        let view = &net.views[5];
+        if judge_availability(view, net.now) == Availability::Full {
+            // Its own targets announce themselves again within a second.
+            assert!(view.targets(net.now).len() >= 25);
+        }
+    });
+    assert_eq!(
+        judge_availability(&net.views[5], net.now),
+        Availability::Full
+    );
+}
+
+#[test]
+fn first_node_serves_after_a_while_and_controls_are_never_given_out() {
+    let mut net = Net::new(3, 0, 27);
+    for index in [0, 1] {
+        let info = mgw_member::NodeInfo {
+            role: NodeRole::Control,
+            ..node(index, 1)
+        };
+        net.views[index] = View::new(
+            MemberSettings::default(),
+            info,
+            &[support::address(0)],
+            5,
+            Millis(0),
+        );
+    }
+    net.run(Millis(6000));
+    assert_eq!(names(&net.views[0], None, 3, net.now), ["entry-002"]);
+    let mut only = Net::new(1, 0, 28);
+    only.run(Millis(4000));
+    assert_eq!(
+        judge_availability(&only.views[0], only.now),
+        Availability::Alone
+    );
+    assert_eq!(names(&only.views[0], None, 3, only.now), ["entry-000"]);
+}
--- /dev/null
+++ b/crates/mgw-member/tests/announcements.rs
@@ -0,0 +1,157 @@
+//! Order of news: restarts, delays, repeats, moves between homes, leases.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use mgw_contract::target::{Announcement, Readiness};
+use mgw_member::{AnnounceOutcome, MemberSettings, Unchoosable, View};
+use mgw_world::{Incarnation, Millis};
+use support::{Net, announcement, node, target_name};
+
+fn news(incarnation: u64, sequence: u64, readiness: Readiness) -> Announcement {
+    let mut news = announcement(0);
+    news.target.incarnation = Incarnation(incarnation);
+    news.sequence = sequence;
+    news.readiness = readiness;
+    news
+}
+
+fn view() -> View {
+    View::new(MemberSettings::default(), node(0, 1), &[], 1, Millis(0))
+}
+
+#[test]
+fn older_announcement_never_undoes_newer_one() {
+    // (known incarnation, known sequence), (later incarnation, sequence), whether it counts
+    let table = [
+        ((1, 5), (1, 6), true),
+        ((1, 5), (1, 5), true),
+        ((1, 5), (1, 4), false),
+        ((2, 1), (1, 99), false),
+        ((1, 99), (2, 0), true),
+    ];
+    for (known, later, counts) in table {
+        let mut view = view();
+        view.announce(&news(known.0, known.1, Readiness::Leaving), Millis(10));
+        let outcome = view.announce(&news(later.0, later.1, Readiness::Ready), Millis(20));
+        let choosable = view.choosable(&target_name(0), Millis(20));
+        if counts {
+            assert_eq!(
+                outcome,
+                AnnounceOutcome::Renewed { drain: false },
+                "{later:?}"
+            );
+            assert!(choosable.is_ok(), "{known:?} then {later:?}");
+        } else {
+            let known = Incarnation(known.0);
+            assert_eq!(outcome, AnnounceOutcome::Outdated { known }, "{later:?}");
+            assert_eq!(choosable.err(), Some(Unchoosable::Leaving), "{later:?}");
+        }
+    }
+}
+
+#[test]
+fn readiness_decides_the_choice() {
+    let table = [
+        (Readiness::Ready, None),
+        (Readiness::Loading, Some(Unchoosable::Loading)),
+        (Readiness::Leaving, Some(Unchoosable::Leaving)),
+    ];
+    for (readiness, reason) in table {
+        let mut view = view();
+        view.announce(&news(1, 1, readiness), Millis(10));
+        assert_eq!(view.choosable(&target_name(0), Millis(11)).err(), reason);
+    }
+}
+
+#[test]
+fn lease_ends_at_its_home_without_a_tick_and_returns_with_news() {
+    let mut view = view();
+    view.announce(&news(1, 1, Readiness::Ready), Millis(10));
+    let name = target_name(0);
+    assert!(view.choosable(&name, Millis(3010)).is_ok());
+    assert_eq!(
+        view.choosable(&name, Millis(3011)).err(),
+        Some(Unchoosable::Unsure)
+    );
+    view.tick(Millis(3011));
+    assert_eq!(
+        view.choosable(&name, Millis(3011)).err(),
+        Some(Unchoosable::Lapsed)
+    );
+    view.announce(&news(1, 2, Readiness::Ready), Millis(9000));
+    assert!(view.choosable(&name, Millis(9000)).is_ok());
+}
+
+#[test]
+fn excluded_target_is_drained_at_once_and_told_so() {
+    let mut view = view();
+    view.announce(&news(1, 1, Readiness::Ready), Millis(10));
+    view.set_excluded(BTreeSet::from([target_name(0)]), Millis(20));
+    let reason = view.choosable(&target_name(0), Millis(20)).err();
+    assert_eq!(reason, Some(Unchoosable::Drained));
+    let outcome = view.announce(&news(1, 2, Readiness::Ready), Millis(30));
+    assert_eq!(outcome, AnnounceOutcome::Renewed { drain: true });
+    view.set_excluded(BTreeSet::new(), Millis(40));
+    assert!(view.choosable(&target_name(0), Millis(40)).is_ok());
+}
+
+#[test]
+fn target_that_moves_has_one_home_everywhere() {
+    let mut net = Net::new(5, 4, 3);
+    net.run(Millis(4000));
+    for home in [3, 1, 3] {
+        net.targets[0].0 = home;
+        net.announce(0);
+        net.run(Millis(3000));
+        for view in &net.views {
+            let targets = view.targets(net.now);
+            let status = targets.iter().find(|t| t.target.name == target_name(0));
+            let status = status.expect("known");
+            assert_eq!(status.home.as_str(), format!("entry-{home:03}"));
+            assert_eq!(status.unchoosable, None);
+        }
+    }
+}
+
+#[test]
+fn late_announcement_at_an_old_home_changes_nothing() {
+    let mut net = Net::new(5, 4, 4);
+    net.run(Millis(4000));
+    let late = net.targets[0].1.clone();
+    net.targets[0].0 = 2;
+    net.say(0, Readiness::Leaving);
+    net.run(Millis(2500));
+    let outcome = net.views[0].announce(&late, net.now);
+    assert!(
+        matches!(outcome, AnnounceOutcome::Outdated { .. }),
+        "{outcome:?}"
+    );
+    net.run_with(Millis(2000), |net| assert_eq!(net.choosers(0), 0));
+}
+
+#[test]
+fn targets_of_a_dead_home_come_back_by_another_entry() {
+    let mut net = Net::new(5, 5, 5);
+    net.run(Millis(4000));
+    net.dead.insert(4);
+    net.run(Millis(3500));
+    assert_eq!(net.choosers(4), 0, "the home's news is too old");
+    net.targets[4].0 = 0;
+    net.run(Millis(2500));
+    assert_eq!(net.choosers(4), 4);
+    net.restart(4, 2);
+    net.run(Millis(3000));
+    assert_eq!(net.choosers(4), 5, "the restarted entry learns it again");
+}
+
+#[test]
+fn entry_that_restarts_with_an_old_incarnation_outlives_its_record() {
+    let mut net = Net::new(4, 4, 6);
+    net.run(Millis(4000));
+    net.restart(3, 1);
+    net.run(Millis(6000));
+    assert!(net.views[3].me().incarnation > Incarnation(1));
+    assert_eq!(net.choosers(3), 4);
+}
--- /dev/null
+++ b/crates/mgw-member/tests/convergence.rs
@@ -0,0 +1,174 @@
+//! Views become the same after loss, repeats, reordering, restarts and separations.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use mgw_contract::target::Readiness;
+use mgw_member::{MemberSettings, VouchState};
+use mgw_world::{Incarnation, Millis};
+use proptest::prelude::*;
+use support::{Net, target_name};
+
+/// What a node believes of each target, without ages and loads.
+fn beliefs(net: &Net, node: usize) -> Vec<(String, String, Incarnation, VouchState)> {
+    let targets = net.views[node].targets(net.now);
+    let beliefs = targets.iter().map(|status| {
+        let target = status.target;
+        let home = status.home.to_string();
+        (
+            target.name.to_string(),
+            home,
+            target.incarnation,
+            status.state,
+        )
+    });
+    beliefs.collect()
+}
+
+fn assert_converged(net: &Net) {
+    let first = beliefs(net, 0);
+    assert_eq!(first.len(), net.targets.len(), "no target is lost");
+    for node in 1..net.views.len() {
+        assert_eq!(beliefs(net, node), first, "node {node}");
+    }
+}
+
+/// One change made while messages are lost.
+fn disturb(net: &mut Net, kind: u8, number: usize) {
+    let target = number % net.targets.len();
+    let node = number % net.views.len();
+    match kind {
+        0 => net.say(target, Readiness::Leaving),
+        1 => net.say(target, Readiness::Ready),
+        2 => net.targets[target].0 = (number / 7) % net.views.len(),
+        3 => {
+            net.targets[target].1.target.incarnation.0 += 1;
+            net.targets[target].1.sequence = 0;
+        }
+        4 => {
+            net.dead.insert(node);
+        }
+        5 => net.restart(node, 2 + net.now.0),
+        6 => net.islands = vec![BTreeSet::from([node, (node + 1) % net.views.len()])],
+        _ => net.islands.clear(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn views_agree_after_faults(
+        seed in 0_u64..1000,
+        loss in 0_u32..40,
+        repeats in 0_u32..30,
+        delay_ms in 1_u64..400,
+        reply_cap_bytes in prop::sample::select(vec![200_usize, 1000, 8192]),
+        tombstone_ms in prop::sample::select(vec![50_u64, 1000, 600_000]),
+        changes in prop::collection::vec((0_u8..8, 0_usize..1000), 0..16),
+    ) {
+        let settings = MemberSettings {
+            reply_cap_bytes,
+            tombstone_ms: Millis(tombstone_ms),
+            ..MemberSettings::default()
+        };
+        let mut net = Net::with_settings(6, 12, seed, &settings);
+        net.loss_percent = loss;
+        net.repeat_percent = repeats;
+        net.delay_ms = delay_ms;
+        net.run(Millis(1500));
+        for (kind, number) in changes {
+            disturb(&mut net, kind, number);
+            net.run(Millis(300));
+        }
+        net.islands.clear();
+        net.loss_percent = 0;
+        for node in net.dead.clone() {
+            net.restart(node, 100_000 + net.now.0);
+        }
+        net.run(Millis(9000));
+        assert_converged(&net);
+        for target in 0..net.targets.len() {
+            let ready = net.targets[target].1.readiness == Readiness::Ready;
+            let choosers = net.choosers(target);
+            prop_assert!(ready || choosers == 0, "target {} leaves", target);
+        }
+    }
+}
+
+#[test]
+fn hundred_targets_of_a_place_restart_together() {
+    let mut net = Net::new(9, 120, 7);
+    net.run(Millis(5000));
+    let restarted = 0..100;
+    net.silent_targets = restarted.clone().collect();
+    net.run(Millis(5000));
+    assert!(restarted.clone().all(|target| net.choosers(target) == 0));
+    net.silent_targets.clear();
+    for target in restarted.clone() {
+        net.targets[target].1.target.incarnation = Incarnation(2);
+        net.targets[target].1.sequence = 0;
+    }
+    net.largest_reply = 0;
+    net.run(Millis(6000));
+    assert_converged(&net);
+    let mut restarted = restarted;
+    assert!(restarted.all(|target| net.choosers(target) == 9));
+    let cap = MemberSettings::default().reply_cap_bytes;
+    assert!(
+        net.largest_reply <= cap,
+        "{} bytes in one reply",
+        net.largest_reply
+    );
+    let share = net.views[8]
+        .choosable(&target_name(0), net.now)
+        .expect("ready")
+        .share;
+    assert!(share < 0.7, "a restarted target warms up: {share}");
+}
+
+#[test]
+fn group_that_was_apart_for_an_hour_brings_no_stale_view_back() {
+    let settings = MemberSettings {
+        exchange_every_ms: Millis(800),
+        ..MemberSettings::default()
+    };
+    let mut net = Net::with_settings(6, 12, 8, &settings);
+    net.load_change_percent = 0;
+    net.run(Millis(8000));
+    net.islands = vec![BTreeSet::from([3, 4, 5])];
+    // While apart, the targets of the far side restart and move to the near one.
+    for target in [3, 4, 5] {
+        net.targets[target].0 = 0;
+        net.targets[target].1.target.incarnation = Incarnation(2);
+    }
+    net.run(Millis(3_600_000));
+    net.say(3, Readiness::Leaving);
+    net.run(Millis(4_000));
+    net.traffic
+        .iter_mut()
+        .for_each(|traffic| *traffic = support::Traffic::default());
+    net.islands.clear();
+    net.run_with(Millis(12_000), |net| {
+        assert_eq!(net.choosers(3), 0, "target 3 left while they were apart");
+    });
+    assert_converged(&net);
+    let status = beliefs(&net, 5);
+    assert!(
+        status[3..6]
+            .iter()
+            .all(|(_, home, inc, _)| { home == "entry-000" && *inc == Incarnation(2) })
+    );
+    let most = net
+        .traffic
+        .iter()
+        .map(|t| t.sent_bytes + t.received_bytes)
+        .max();
+    assert!(most < Some(12 * 27_000), "{most:?} bytes in 12 s");
+}
--- /dev/null
+++ b/crates/mgw-member/tests/leaving.rs
@@ -0,0 +1,99 @@
+//! No new work to a leaving target after three seconds; the procedure of a leaving node.
+
+mod support;
+
+use mgw_member::{CutOff, Leaving, LeavingPhase, LeavingSettings};
+use mgw_world::{Millis, RequestId};
+use support::{Cause, Net, assert_leave_in_time, cut_every_tenth, target_name};
+
+#[test]
+fn hundred_targets_leave_thirty_nodes_in_time() {
+    for seed in 0..10 {
+        let mut net = Net::new(30, 60, 100 + seed);
+        net.loss_percent = 10;
+        net.run(Millis(5000));
+        cut_every_tenth(&mut net);
+        let targets: Vec<usize> = (0..60).filter(|t| t % 10 < 2).take(10).collect();
+        assert_leave_in_time(&mut net, &targets, Millis(50), Cause::Word);
+    }
+}
+
+#[test]
+fn drained_targets_leave_in_time() {
+    let mut net = Net::new(9, 18, 300);
+    net.loss_percent = 20;
+    net.run(Millis(5000));
+    let targets: Vec<usize> = (0..8).collect();
+    assert_leave_in_time(&mut net, &targets, Millis(300), Cause::Order);
+}
+
+#[test]
+fn node_frozen_between_question_and_answer_takes_the_answer_for_old() {
+    let mut net = Net::new(3, 3, 400);
+    net.run(Millis(4000));
+    let out = std::iter::from_fn(|| {
+        net.run(Millis(10));
+        net.views[1].next_exchange(net.now)
+    });
+    let out = out.take(1).next();
+    // The harness sends what is due itself, so ask through a clock slightly ahead.
+    let out = out.or_else(|| {
+        let at = net.views[1].next_exchange_at();
+        net.views[1].next_exchange(at)
+    });
+    let out = out.expect("an exchange");
+    let from = (0..3)
+        .find(|n| support::address(*n) == out.peer_address)
+        .expect("peer");
+    let reply = net.views[from].take_exchange(&out.exchange, net.now);
+    let thawed = net.now + Millis(10_000);
+    net.views[1].take_reply(out.ticket, &reply, thawed);
+    for target in [0, 2] {
+        let choice = net.views[1].choosable(&target_name(target), thawed);
+        assert!(choice.is_err(), "target {target} of another home");
+    }
+}
+
+#[test]
+fn leaving_node_follows_its_phases() {
+    let requests = [RequestId(7)];
+    let cut = |by| LeavingPhase::Cut {
+        by,
+        requests: requests.to_vec(),
+    };
+    // (time, whether a request is in flight, phase)
+    let table = [
+        (0, true, LeavingPhase::ServingOn),
+        (0, false, LeavingPhase::ServingOn),
+        (13_999, false, LeavingPhase::ServingOn),
+        (14_000, true, LeavingPhase::Ending),
+        (14_000, false, LeavingPhase::Empty),
+        (119_999, true, LeavingPhase::Ending),
+        (120_000, true, cut(CutOff::Limit)),
+        (120_000, false, LeavingPhase::Empty),
+    ];
+    for (at, busy, phase) in table {
+        let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
+        let in_flight: &[RequestId] = if busy { &requests } else { &[] };
+        assert_eq!(
+            leaving.step(in_flight, Millis(at)),
+            phase,
+            "at {at}, busy {busy}"
+        );
+    }
+}
+
+#[test]
+fn second_signal_ends_it_and_says_what_was_cut() {
+    let requests = [RequestId(7), RequestId(9)];
+    let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
+    assert!(leaving.step(&requests, Millis(5)).takes_requests());
+    let cut = LeavingPhase::Cut {
+        by: CutOff::SecondSignal,
+        requests: requests.to_vec(),
+    };
+    assert_eq!(leaving.force(&requests), cut);
+    assert_eq!(leaving.step(&[], Millis(20_000)), cut, "the verdict stays");
+    let mut idle = Leaving::new(LeavingSettings::default(), Millis(0));
+    assert_eq!(idle.force(&[]), LeavingPhase::Empty);
+}
--- /dev/null
+++ b/crates/mgw-member/tests/support/mod.rs
@@ -0,0 +1,338 @@
+//! Views joined by in-memory links in logical time, with loss, repeats, delay and cuts.
+#![allow(dead_code, reason = "each test and example uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use mgw_contract::target::{Announcement, LoadReport, Readiness};
+use mgw_member::{
+    Exchange, ExchangeFailure, ExchangeReply, ExchangeTicket, MemberSettings, NodeInfo, NodePhase,
+    NodeRole, View,
+};
+use mgw_world::{
+    AcceleratorKind, Engine, Incarnation, LayerRange, Limits, Millis, NodeName, Target, TargetDuty,
+    TargetName,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Bytes of IP, TCP and frame headers counted for each message.
+pub const OVERHEAD_BYTES: u64 = 100;
+const STEP: Millis = Millis(10);
+const CHECK_EVERY_MS: u64 = 50;
+pub const PLACES: [&str; 4] = ["pos-a", "sfo-b", "chg-c", "pos-d"];
+
+enum Event {
+    Ask(usize, usize, ExchangeTicket, Exchange),
+    Answer(usize, ExchangeTicket, ExchangeReply),
+    Failed(usize, ExchangeTicket, ExchangeFailure),
+}
+
+/// What one node moved over its links.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+}
+
+pub struct Net {
+    pub views: Vec<View>,
+    pub now: Millis,
+    pub loss_percent: u32,
+    pub repeat_percent: u32,
+    pub delay_ms: u64,
+    /// Nodes whose process is gone.
+    pub dead: BTreeSet<usize>,
+    /// Nodes that can't reach, or be reached by, nodes outside their set.
+    pub islands: Vec<BTreeSet<usize>>,
+    /// Targets with their home and what they say.
+    pub targets: Vec<(usize, Announcement)>,
+    pub silent_targets: BTreeSet<usize>,
+    pub load_change_percent: u32,
+    pub traffic: Vec<Traffic>,
+    /// Most differences, in bytes, that one reply held.
+    pub largest_reply: usize,
+    queue: BTreeMap<(Millis, u64), Event>,
+    number: u64,
+    rng: ChaCha8Rng,
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7000))
+}
+
+pub fn node(index: usize, incarnation: u64) -> NodeInfo {
+    NodeInfo {
+        name: NodeName::from(format!("entry-{index:03}")),
+        role: NodeRole::Entry,
+        place: PLACES[index % 3].into(),
+        incarnation: Incarnation(incarnation),
+        peer_address: address(index),
+        url: format!("http://{}", address(index)),
+        weight: 1,
+        phase: NodePhase::Serving,
+    }
+}
+
+pub fn target_name(index: usize) -> TargetName {
+    TargetName::from(format!("engine-{index:03}"))
+}
+
+pub fn announcement(index: usize) -> Announcement {
+    Announcement {
+        target: Target {
+            name: target_name(index),
+            incarnation: Incarnation(1),
+            vm: format!("vm-{index:03}").into(),
+            place: PLACES[index % 3].into(),
+            address: SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 8000)),
+            duty: TargetDuty::Engine(Engine {
+                model: "drill".into(),
+                version: "v1".into(),
+                adapter: None,
+                layers: LayerRange::new(0, 8).expect("range"),
+                accelerator: AcceleratorKind::from("kind-a"),
+            }),
+            limits: Limits {
+                max_requests: 32,
+                kv_bytes: 1 << 30,
+                tokens_per_s: 1000,
+            },
+        },
+        sequence: 1,
+        readiness: Readiness::Ready,
+        load: LoadReport::default(),
+        cache_events: Vec::new(),
+    }
+}
+
+impl Net {
+    pub fn new(nodes: usize, targets: usize, seed: u64) -> Self {
+        Self::with_settings(nodes, targets, seed, &MemberSettings::default())
+    }
+
+    pub fn with_settings(n: usize, targets: usize, seed: u64, settings: &MemberSettings) -> Self {
+        let seeds: Vec<SocketAddr> = (0..n.min(3)).map(address).collect();
+        let views = (0..n).map(|index| {
+            let seed = seed * 1000 + index as u64;
+            View::new(settings.clone(), node(index, 1), &seeds, seed, Millis(0))
+        });
+        Self {
+            views: views.collect(),
+            now: Millis(0),
+            loss_percent: 0,
+            repeat_percent: 0,
+            delay_ms: 5,
+            dead: BTreeSet::new(),
+            islands: Vec::new(),
+            targets: (0..targets).map(|t| (t % n, announcement(t))).collect(),
+            silent_targets: BTreeSet::new(),
+            load_change_percent: 50,
+            traffic: vec![Traffic::default(); n],
+            largest_reply: 0,
+            queue: BTreeMap::new(),
+            number: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Starts a node anew, with an empty view.
+    pub fn restart(&mut self, index: usize, incarnation: u64) {
+        let seeds: Vec<SocketAddr> = (0..self.views.len().min(3)).map(address).collect();
+        let settings = self.views[index].settings().clone();
+        let info = node(index, incarnation);
+        self.views[index] = View::new(settings, info, &seeds, self.rng.random(), self.now);
+        self.dead.remove(&index);
+    }
+
+    pub fn run(&mut self, span: Millis) {
+        self.run_with(span, |_| {});
+    }
+
+    /// Runs for a span and calls the check after each step.
+    pub fn run_with(&mut self, span: Millis, mut check: impl FnMut(&Self)) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.step();
+            check(self);
+        }
+    }
+
+    /// Nodes that may choose the target now.
+    pub fn choosers(&self, target: usize) -> usize {
+        let name = target_name(target);
+        let living = (0..self.views.len()).filter(|index| !self.dead.contains(index));
+        living
+            .filter(|index| self.views[*index].choosable(&name, self.now).is_ok())
+            .count()
+    }
+
+    pub fn say(&mut self, target: usize, readiness: Readiness) {
+        self.targets[target].1.readiness = readiness;
+        self.announce(target);
+    }
+
+    pub fn announce(&mut self, target: usize) {
+        let (home, announcement) = &mut self.targets[target];
+        announcement.sequence += 1;
+        if !self.dead.contains(home) {
+            let _ = self.views[*home].announce(announcement, self.now);
+        }
+    }
+
+    fn step(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let event = entry.remove();
+            self.deliver(event);
+        }
+        self.renew();
+        for index in 0..self.views.len() {
+            if self.dead.contains(&index) {
+                continue;
+            }
+            if (self.now.0 / STEP.0 + index as u64).is_multiple_of(50) {
+                self.views[index].tick(self.now);
+            }
+            while let Some(out) = self.views[index].next_exchange(self.now) {
+                let to = (0..self.views.len()).find(|n| address(*n) == out.peer_address);
+                self.send(index, to.expect("known address"), out.ticket, out.exchange);
+            }
+        }
+    }
+
+    fn renew(&mut self) {
+        for target in 0..self.targets.len() {
+            let due = (self.now.0 / STEP.0 + target as u64 * 7).is_multiple_of(100);
+            if !due || self.silent_targets.contains(&target) {
+                continue;
+            }
+            if self.rng.random_ratio(self.load_change_percent, 100) {
+                self.targets[target].1.load.in_flight = self.rng.random_range(0..32);
+            }
+            self.announce(target);
+        }
+    }
+
+    fn joined(&self, a: usize, b: usize) -> bool {
+        self.islands
+            .iter()
+            .all(|island| island.contains(&a) == island.contains(&b))
+    }
+
+    fn later(&mut self, event: Event) {
+        let delay = Millis(self.rng.random_range(0..=self.delay_ms));
+        self.number += 1;
+        self.queue.insert((self.now + delay, self.number), event);
+    }
+
+    fn send(&mut self, from: usize, to: usize, ticket: ExchangeTicket, exchange: Exchange) {
+        self.count(from, to, encoded(&exchange));
+        if self.dead.contains(&to) {
+            self.later(Event::Failed(from, ticket, ExchangeFailure::Refused));
+            return;
+        }
+        if !self.joined(from, to) || self.rng.random_ratio(self.loss_percent, 100) {
+            return;
+        }
+        if self.rng.random_ratio(self.repeat_percent, 100) {
+            self.later(Event::Ask(from, to, ticket, exchange.clone()));
+        }
+        self.later(Event::Ask(from, to, ticket, exchange));
+    }
+
+    fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Ask(from, to, ticket, exchange) if !self.dead.contains(&to) => {
+                let reply = self.views[to].take_exchange(&exchange, self.now);
+                self.count(to, from, encoded(&reply));
+                self.largest_reply = self.largest_reply.max(encoded(&reply.deltas));
+                if self.joined(from, to) && !self.rng.random_ratio(self.loss_percent, 100) {
+                    self.later(Event::Answer(from, ticket, reply));
+                }
+            }
+            Event::Answer(to, ticket, reply) if !self.dead.contains(&to) => {
+                self.views[to].take_reply(ticket, &reply, self.now);
+            }
+            Event::Failed(to, ticket, failure) if !self.dead.contains(&to) => {
+                self.views[to].exchange_failed(ticket, failure, self.now);
+            }
+            _ => {}
+        }
+    }
+
+    fn count(&mut self, from: usize, to: usize, bytes: usize) {
+        let bytes = bytes as u64 + OVERHEAD_BYTES;
+        self.traffic[from].messages += 1;
+        self.traffic[from].sent_bytes += bytes;
+        self.traffic[to].received_bytes += bytes;
+    }
+}
+
+fn encoded<T: serde::Serialize>(value: &T) -> usize {
+    postcard::experimental::serialized_size(value).expect("size")
+}
+
+/// Time after which a leaving target gets no new work.
+pub const LIMIT: Millis = Millis(3000);
+
+/// What makes a target leave.
+#[derive(Debug, Clone, Copy)]
+pub enum Cause {
+    Word,
+    Order,
+}
+
+/// Lets targets leave one after another and checks every step after the limit.
+pub fn assert_leave_in_time(net: &mut Net, targets: &[usize], every: Millis, cause: Cause) {
+    let mut left: Vec<(usize, Millis)> = Vec::new();
+    let check = |net: &Net, left: &[(usize, Millis)]| {
+        if !net.now.0.is_multiple_of(CHECK_EVERY_MS) {
+            return;
+        }
+        for (target, at) in left.iter().filter(|(_, at)| net.now - *at > LIMIT) {
+            assert_eq!(net.choosers(*target), 0, "target {target} left at {at}");
+        }
+    };
+    for target in targets {
+        assert!(net.choosers(*target) > 0, "target {target} was in choice");
+        match cause {
+            Cause::Word => net.say(*target, Readiness::Leaving),
+            Cause::Order => {
+                let home = net.targets[*target].0;
+                let now = net.now;
+                let named = BTreeSet::from([target_name(*target)]);
+                net.views[home].set_excluded(named, now);
+            }
+        }
+        left.push((*target, net.now));
+        net.run_with(every, |net| check(net, &left));
+    }
+    net.run_with(Millis(3300), |net| check(net, &left));
+}
+
+pub fn cut_every_tenth(net: &mut Net) {
+    let cut = (0..net.views.len()).filter(|node| node % 10 == 9);
+    net.islands = cut.map(|node| BTreeSet::from([node])).collect();
+}
+
+/// Bytes that a node may send and receive in a second.
+pub const BYTES_PER_S: u64 = 27_000;
+
+/// Runs for some seconds and gives the greatest traffic of one node in a second.
+pub fn most_traffic(net: &mut Net, seconds: u64) -> (u64, u64) {
+    net.traffic
+        .iter_mut()
+        .for_each(|traffic| *traffic = Traffic::default());
+    net.run(Millis(seconds * 1000));
+    let bytes = net.traffic.iter().map(|t| t.sent_bytes + t.received_bytes);
+    let messages = net.traffic.iter().map(|t| t.messages);
+    (
+        bytes.max().unwrap_or(0) / seconds,
+        messages.max().unwrap_or(0) / seconds,
+    )
+}
