--- a/crates/mgw-member/tests/support/mod.rs
+++ b/crates/mgw-member/tests/support/mod.rs
@@ -72,6 +72,7 @@
         url: format!("http://{}", address(index)),
         weight: 1,
         phase: NodePhase::Serving,
+        revision: mgw_world::Revision::default(),
     }
 }
 
