Test that the round trip of an exchange counts as age

Cause: the earlier test of a frozen node compared only the choice, which other ages could explain. Change: a table of round trips checks the age of the peer itself, on both sides of the timeout.

--- a/crates/mgw-member/tests/leaving.rs
+++ b/crates/mgw-member/tests/leaving.rs
@@ -28,29 +28,30 @@
 }
 
 #[test]
-fn node_frozen_between_question_and_answer_takes_the_answer_for_old() {
-    let mut net = Net::new(3, 3, 400);
-    net.run(Millis(4000));
-    let out = std::iter::from_fn(|| {
-        net.run(Millis(10));
-        net.views[1].next_exchange(net.now)
-    });
-    let out = out.take(1).next();
-    // The harness sends what is due itself, so ask through a clock slightly ahead.
-    let out = out.or_else(|| {
-        let at = net.views[1].next_exchange_at();
-        net.views[1].next_exchange(at)
-    });
-    let out = out.expect("an exchange");
-    let from = (0..3)
-        .find(|n| support::address(*n) == out.peer_address)
-        .expect("peer");
-    let reply = net.views[from].take_exchange(&out.exchange, net.now);
-    let thawed = net.now + Millis(10_000);
-    net.views[1].take_reply(out.ticket, &reply, thawed);
-    for target in [0, 2] {
-        let choice = net.views[1].choosable(&target_name(target), thawed);
-        assert!(choice.is_err(), "target {target} of another home");
+fn round_trip_counts_as_age() {
+    // (time between question and answer taken, whether the answer still counts)
+    for (span_ms, counts) in [(0, true), (900, true), (1001, false), (10_000, false)] {
+        let mut net = Net::new(3, 3, 400);
+        net.run(Millis(4000));
+        let asked = net.views[1].next_exchange_at();
+        let out = net.views[1].next_exchange(asked).expect("due");
+        let mut peers = 0..3;
+        let peer = peers.find(|n| support::address(*n) == out.peer_address);
+        let peer = peer.expect("known peer");
+        let reply = net.views[peer].take_exchange(&out.exchange, asked);
+        let taken = asked + Millis(span_ms);
+        net.views[1].take_reply(out.ticket, &reply, taken);
+        let nodes = net.views[1].nodes(taken);
+        let age = nodes
+            .iter()
+            .find(|node| node.info.peer_address == out.peer_address);
+        let age_ms = age.expect("known").age_ms;
+        assert_eq!(
+            age_ms == Millis(span_ms),
+            counts,
+            "{age_ms} after {span_ms} ms"
+        );
+        assert!(age_ms >= Millis(span_ms), "news gets no younger on its way");
     }
 }
 
