--- a/crates/mgw-member/tests/leaving.rs
+++ b/crates/mgw-member/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use mgw_member::{CutOff, Leaving, LeavingPhase, LeavingSettings};
 use mgw_world::{Millis, RequestId};
-use support::{Cause, Net, assert_leave_in_time, cut_every_tenth, target_name};
+use support::{Cause, Net, assert_leave_in_time, cut_every_tenth};
 
 #[test]
 fn hundred_targets_leave_thirty_nodes_in_time() {
