--- a/crates/mgw-cli/src/commands/config_apply.rs
+++ b/crates/mgw-cli/src/commands/config_apply.rs
@@ -1,11 +1,10 @@
 //! `mgw config apply`.
 
 use std::path::Path;
-use std::time::Duration;
 
 use mgw_contract::operator::{ApplyReply, ApplyRequest, CONFIG_PATH, ENTRIES_PATH, EntryStatus};
-use mgw_world::Revision;
-use tokio::time::{Instant, sleep};
+use mgw_world::{Clock, Millis, Revision};
+use tokio::time::sleep;
 
 use super::config_check::read_config;
 use crate::client::Client;
@@ -13,7 +12,7 @@
 use crate::{CliError, ExitStatus};
 
 /// Pause between two looks at the entries.
-const POLL_PAUSE: Duration = Duration::from_millis(100);
+const POLL_PAUSE_MS: Millis = Millis(100);
 
 /// A change to apply.
 #[derive(Debug, Clone, Copy)]
@@ -84,7 +83,8 @@
     limit_s: u64,
     json: bool,
 ) -> Result<ExitStatus, CliError> {
-    let until = Instant::now() + Duration::from_secs(limit_s);
+    let clock = Clock::monotonic();
+    let limit_ms = Millis(limit_s).times(1000);
     loop {
         let entries: Vec<EntryStatus> = client.get(ENTRIES_PATH).await?;
         let lagging: Vec<&EntryStatus> = entries
@@ -97,7 +97,7 @@
             }
             return Ok(ExitStatus::Success);
         }
-        if Instant::now() >= until {
+        if clock.now() >= limit_ms {
             for entry in lagging {
                 print_line(&format!(
                     "{} has revision {} only",
@@ -106,6 +106,6 @@
             }
             return Ok(ExitStatus::Lagging);
         }
-        sleep(POLL_PAUSE).await;
+        sleep(POLL_PAUSE_MS.to_duration()).await;
     }
 }
--- a/crates/mgw-cli/src/error.rs
+++ b/crates/mgw-cli/src/error.rs
@@ -11,6 +11,8 @@
     Success = 0,
     /// The configuration has faults.
     Invalid = 1,
+    /// The arguments are wrong.
+    Usage = 2,
     /// Another change was accepted on the same base.
     Conflict = 3,
     /// Nobody answered; the outcome of a change is unknown and it may be sent again.
@@ -77,9 +79,8 @@
         match self {
             Self::Findings { .. } => ExitStatus::Invalid,
             Self::Unreachable { .. } => ExitStatus::Unreachable,
-            Self::File { .. } | Self::Refused { .. } | Self::Usage { .. } | Self::Answer { .. } => {
-                ExitStatus::Refused
-            }
+            Self::Usage { .. } | Self::File { .. } => ExitStatus::Usage,
+            Self::Refused { .. } | Self::Answer { .. } => ExitStatus::Refused,
         }
     }
 }
