Processes prove to one another that they belong to the group, by mutual TLS

Ruled out: a shared key sent on each connection (a protocol of our own, and open to replay); no authentication inside the network. Change: rustls by tokio-rustls under tarpc, certificates of the group's own authority made by mgw group-keys; without [group] in the settings a process warns at start.

--- a/crates/mgw-cli/src/args.rs
+++ b/crates/mgw-cli/src/args.rs
@@ -73,6 +73,14 @@
     Entries,
     /// List the targets
     Targets,
+    /// Make the files by which processes of the system prove to one another that they belong to it
+    GroupKeys {
+        /// Folder for the files; an authority that stands there already is used again
+        folder: PathBuf,
+        /// Names of the processes
+        #[arg(required = true)]
+        names: Vec<String>,
+    },
     /// Operate one entry
     #[command(subcommand)]
     Entry(EntryCommand),
--- a/crates/mgw-cli/src/commands/mod.rs
+++ b/crates/mgw-cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod config_show;
 mod drain;
 mod entries;
+mod group_keys;
 mod ledger;
 mod run;
 mod status;
--- a/crates/mgw-cli/src/commands/run.rs
+++ b/crates/mgw-cli/src/commands/run.rs
@@ -5,7 +5,8 @@
 use crate::{CliError, ExitStatus};
 
 use super::{
-    audit, config_apply, config_check, config_show, drain, entries, ledger, status, targets,
+    audit, config_apply, config_check, config_show, drain, entries, group_keys, ledger, status,
+    targets,
 };
 
 /// Runs the command that the arguments name.
@@ -16,8 +17,12 @@
     if let Command::Config(ConfigCommand::Check { file }) = &args.command {
         return config_check::check_config(file, args.json);
     }
+    if let Command::GroupKeys { folder, names } = &args.command {
+        return group_keys::make_group_keys(folder, names);
+    }
     let client = Client::new(&args)?;
     match &args.command {
+        Command::GroupKeys { folder, names } => group_keys::make_group_keys(folder, names),
         Command::Status => status::show_status(&client, args.json).await,
         Command::Config(ConfigCommand::Check { file }) => {
             config_check::check_config(file, args.json)
--- a/crates/mgw-cli/src/error.rs
+++ b/crates/mgw-cli/src/error.rs
@@ -37,13 +37,18 @@
         /// All faults.
         findings: Findings,
     },
-    /// can't read {path}: {source}
+    /// can't use {path}: {source}
     File {
         /// The file.
         path: String,
         /// What the system said.
         source: std::io::Error,
     },
+    /// can't make the certificates: {message}
+    Certificates {
+        /// What the library said.
+        message: String,
+    },
     /// no answer from {url}: {message}; give other addresses with --at
     Unreachable {
         /// Last address tried.
@@ -80,7 +85,9 @@
             Self::Findings { .. } => ExitStatus::Invalid,
             Self::Unreachable { .. } => ExitStatus::Unreachable,
             Self::Usage { .. } | Self::File { .. } => ExitStatus::Usage,
-            Self::Refused { .. } | Self::Answer { .. } => ExitStatus::Refused,
+            Self::Refused { .. } | Self::Answer { .. } | Self::Certificates { .. } => {
+                ExitStatus::Refused
+            }
         }
     }
 }
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use mgw_peer::{
-    FoundingState, PeerPool, Spread, answer_peers, bind_peer_listener, run_spread, serve_peers,
+    FoundingState, GroupIdentity, PeerPool, Spread, answer_peers, bind_peer_listener, run_spread,
+    serve_peers,
 };
 use mgw_quorum::{Recovered, Replica, ReplicaId, Storage};
 use mgw_serve::Shutdown;
@@ -69,7 +70,8 @@
     let http = listen(settings.listen).await?;
     let peers = listen_peers(settings.peer_listen).await?;
     let (mut storage, mut recovered) = open_storage(&settings)?;
-    let pool = Arc::new(PeerPool::default());
+    let identity = load_identity(&settings)?;
+    let pool = Arc::new(PeerPool::new(identity.clone()));
     let ended = CancellationToken::new();
     let server = PeerServer {
         app: Arc::new(OnceCell::new()),
@@ -92,6 +94,7 @@
     let is_empty = server.founding.is_empty;
     let serving_peers = tokio::spawn(serve_peers(
         peers,
+        identity,
         answer_peers!(server.clone()),
         ended.clone(),
     ));
@@ -220,6 +223,16 @@
     warn!("no other control took leadership over in time");
 }
 
+fn load_identity(settings: &ControlSettings) -> Result<Option<GroupIdentity>, RunError> {
+    let Some(files) = &settings.group else {
+        warn!("no group in the settings: other processes aren't asked to prove who they are");
+        return Ok(None);
+    };
+    GroupIdentity::load(files)
+        .map(Some)
+        .map_err(|error| start_error(&error))
+}
+
 fn open_storage(settings: &ControlSettings) -> Result<(Storage, Recovered), RunError> {
     let hook = Box::new(|_| Ok(()));
     let disk = rand::random();
--- a/crates/mgw-control/src/settings.rs
+++ b/crates/mgw-control/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use mgw_peer::GroupFiles;
 use mgw_quorum::Settings;
 use mgw_settings::LogSettings;
 use mgw_world::{Millis, NodeName, PlaceName, RegionName, VmName};
@@ -80,6 +81,9 @@
     pub data: PathBuf,
     /// All controls, this one included.
     pub controls: Vec<Peer>,
+    /// Files that prove to the other processes that this one belongs to the group.
+    #[serde(default)]
+    pub group: Option<GroupFiles>,
     /// Replicated log.
     #[serde(default)]
     pub quorum: QuorumSettings,
--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -6,6 +6,7 @@
 
 use hyper::Request;
 use mgw_contract::caller::{EntryAddress, WORKSPACE_HEADER};
+use mgw_peer::PeerPool;
 use mgw_pipe::StepTimes;
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
@@ -107,6 +108,7 @@
     pub fn new(
         settings: EntrySettings,
         shutdown: Shutdown,
+        pool: Arc<PeerPool>,
         seed: u64,
     ) -> Result<Arc<Self>, prometheus::Error> {
         let clock = Clock::monotonic();
@@ -124,7 +126,7 @@
             retries: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             times: Mutex::new(StepTimes::new(settings.times.clone())),
             engines: EngineClient::default(),
-            controls: Controls::new(&settings.controls),
+            controls: Controls::new(&settings.controls, pool),
             plain_client: client(),
             once_client: unpooled_client(),
             plain: PlainBalance::default(),
--- a/crates/mgw-entry/src/controls.rs
+++ b/crates/mgw-entry/src/controls.rs
@@ -36,9 +36,9 @@
 impl Controls {
     /// Knows the controls of the settings.
     #[must_use]
-    pub fn new(peers: &[Peer]) -> Self {
+    pub fn new(peers: &[Peer], pool: Arc<PeerPool>) -> Self {
         Self {
-            pool: Arc::default(),
+            pool,
             peers: peers.to_vec(),
             leader: Mutex::new(0),
         }
--- a/crates/mgw-entry/src/run.rs
+++ b/crates/mgw-entry/src/run.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use mgw_peer::{Spread, answer_peers, bind_peer_listener, run_spread, serve_peers};
+use mgw_peer::{
+    GroupIdentity, PeerPool, Spread, answer_peers, bind_peer_listener, run_spread, serve_peers,
+};
 use mgw_serve::Shutdown;
 use mgw_world::Millis;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::app::App;
 use crate::follow::follow_config;
@@ -47,6 +49,8 @@
         message: error.to_string(),
     };
     let shutdown = Shutdown::listen().map_err(|error| start_error(&error))?;
+    let identity = load_identity(&settings)?;
+    let pool = Arc::new(PeerPool::new(identity.clone()));
     let http = listen(settings.listen).await?;
     let peers = bind_peer_listener(settings.peer_listen)
         .await
@@ -64,9 +68,10 @@
         peer_listen = %settings.peer_listen,
         "starting"
     );
-    let app = App::new(settings, shutdown, rand::random()).map_err(|error| start_error(&error))?;
+    let app =
+        App::new(settings, shutdown, pool, rand::random()).map_err(|error| start_error(&error))?;
     let ended = CancellationToken::new();
-    start_parts(&app, peers, &ended);
+    start_parts(&app, peers, identity, &ended);
     let for_requests = Arc::clone(&app);
     let handler = move |request| handle_request(Arc::clone(&for_requests), request);
     let forced = app.shutdown.forced.clone();
@@ -80,7 +85,23 @@
     Ok(())
 }
 
-fn start_parts(app: &Arc<App>, peers: TcpListener, ended: &CancellationToken) {
+fn load_identity(settings: &EntrySettings) -> Result<Option<GroupIdentity>, RunError> {
+    let Some(files) = &settings.group else {
+        warn!("no group in the settings: other processes aren't asked to prove who they are");
+        return Ok(None);
+    };
+    let loaded = GroupIdentity::load(files);
+    loaded.map(Some).map_err(|error| RunError::Start {
+        message: error.to_string(),
+    })
+}
+
+fn start_parts(
+    app: &Arc<App>,
+    peers: TcpListener,
+    identity: Option<GroupIdentity>,
+    ended: &CancellationToken,
+) {
     let view_bytes = app.metrics.view_bytes.clone();
     let spread = Spread {
         view: Arc::clone(&app.members.view),
@@ -91,7 +112,12 @@
     let server = PeerServer {
         app: Arc::clone(app),
     };
-    tokio::spawn(serve_peers(peers, answer_peers!(server), ended.clone()));
+    tokio::spawn(serve_peers(
+        peers,
+        identity,
+        answer_peers!(server),
+        ended.clone(),
+    ));
     tokio::spawn(run_spread(spread, ended.clone()));
     tokio::spawn(follow_config(Arc::clone(app)));
     tokio::spawn(run_refresh(Arc::clone(app)));
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use mgw_peer::GroupFiles;
 use mgw_pipe::{PipeSettings, TimeSettings};
 use mgw_settings::LogSettings;
 use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
@@ -98,6 +99,9 @@
     /// Controls.
     #[serde(default)]
     pub controls: Vec<Peer>,
+    /// Files that prove to the other processes that this one belongs to the group.
+    #[serde(default)]
+    pub group: Option<GroupFiles>,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -5,6 +5,7 @@
 mod rpc;
 mod serve;
 mod spread;
+mod tls;
 
 pub use codec::Postcard;
 pub use pool::{CallFailure, PeerPool};
@@ -14,6 +15,7 @@
 };
 pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
 pub use spread::{Spread, run_spread};
+pub use tls::{GROUP_NAME, GroupError, GroupFiles, GroupIdentity, PeerStream};
 
 /// Used by [`answer_peers`].
 #[doc(hidden)]
--- a/crates/mgw-peer/src/pool.rs
+++ b/crates/mgw-peer/src/pool.rs
@@ -13,8 +13,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
+use tracing::warn;
 
 use crate::codec::{MAX_FRAME_BYTES, Postcard};
+use crate::tls::{GroupIdentity, PeerStream};
 use crate::{PeerError, PeerRpcClient};
 
 /// Time within which a connection must come about.
@@ -49,9 +51,19 @@
 #[derive(Debug, Default)]
 pub struct PeerPool {
     clients: Mutex<BTreeMap<SocketAddr, PeerRpcClient>>,
+    identity: Option<GroupIdentity>,
 }
 
 impl PeerPool {
+    /// A pool whose connections are proven by the group's certificates, if there are any.
+    #[must_use]
+    pub fn new(identity: Option<GroupIdentity>) -> Self {
+        Self {
+            clients: Mutex::default(),
+            identity,
+        }
+    }
+
     /// Calls a process.
     ///
     /// # Errors
@@ -83,16 +95,8 @@
         if let Some(client) = self.clients.lock().get(&address) {
             return Ok(client.clone());
         }
-        let connecting = TcpStream::connect(address);
-        let connected = timeout(CONNECT_TIMEOUT_MS.to_duration(), connecting).await;
-        let stream =
-            connected
-                .map_err(|_| CallFailure::NotConnected)?
-                .map_err(|error| match error.kind() {
-                    ErrorKind::ConnectionRefused => CallFailure::NothingListens,
-                    _ => CallFailure::NotConnected,
-                })?;
-        let _ = stream.set_nodelay(true);
+        let connecting = timeout(CONNECT_TIMEOUT_MS.to_duration(), self.connect(address)).await;
+        let stream = connecting.map_err(|_| CallFailure::NotConnected)??;
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_framed(stream);
@@ -101,4 +105,21 @@
         self.clients.lock().insert(address, client.clone());
         Ok(client)
     }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerStream, CallFailure> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => CallFailure::NothingListens,
+                _ => CallFailure::NotConnected,
+            })?;
+        let _ = stream.set_nodelay(true);
+        let Some(identity) = &self.identity else {
+            return Ok(PeerStream::Left(stream));
+        };
+        identity.connect(stream).await.map_err(|error| {
+            warn!(%address, %error, "the other process didn't prove that it belongs to the group");
+            CallFailure::NotConnected
+        })
+    }
 }
