--- a/crates/mgw-cli/tests/config.rs
+++ b/crates/mgw-cli/tests/config.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[allow(dead_code, reason = "each test file uses a part of it")]
 mod support;
 
 use hyper::StatusCode;
--- /dev/null
+++ b/crates/mgw-peer/tests/group.rs
@@ -0,0 +1,176 @@
+//! Who may call a process of the system, and who is turned away.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use mgw_member::{Exchange, ExchangeReply, NodeId};
+use mgw_peer::{
+    CallFailure, ConfigAnswer, ConfigQuestion, FoundingState, GROUP_NAME, GroupError, GroupFiles,
+    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, answer_peers, bind_peer_listener,
+    serve_peers,
+};
+use mgw_quorum::{Envelope, ReplicaId};
+use mgw_state::{Command, Reply};
+use mgw_world::{Millis, NodeName};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use tarpc::context::Context;
+use tokio_util::sync::CancellationToken;
+
+const LIMIT_MS: Millis = Millis(5_000);
+
+/// Answers the founding call and counts how often it was asked.
+#[derive(Clone, Default)]
+struct Server {
+    asked: Arc<AtomicU32>,
+}
+
+impl PeerRpc for Server {
+    async fn exchange(self, _: Context, _: Exchange) -> ExchangeReply {
+        let from = NodeId::of(&NodeName::from("server"));
+        ExchangeReply {
+            from,
+            buckets: Vec::new(),
+            deltas: Vec::new(),
+        }
+    }
+
+    async fn deliver(self, _: Context, _: Vec<Envelope>) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn submit(self, _: Context, _: Command) -> Result<Reply, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn config(self, _: Context, _: ConfigQuestion) -> Result<ConfigAnswer, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn founding(self, _: Context) -> Result<FoundingState, PeerError> {
+        self.asked.fetch_add(1, Ordering::SeqCst);
+        Ok(FoundingState {
+            replica: ReplicaId::new("server", 1),
+            is_empty: true,
+        })
+    }
+
+    async fn join(self, _: Context, _: JoinRequest) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+}
+
+/// Makes the files of one process of a new group in a folder.
+fn make_group(folder: &Path) -> GroupFiles {
+    std::fs::create_dir_all(folder).unwrap();
+    let authority_key = KeyPair::generate().unwrap();
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    let authority = params.self_signed(&authority_key).unwrap();
+    let key = KeyPair::generate().unwrap();
+    let issuer = Issuer::new(params, authority_key);
+    let own = CertificateParams::new(vec![GROUP_NAME.to_owned()]).unwrap();
+    let certificate = own.signed_by(&key, &issuer).unwrap();
+    let files = GroupFiles {
+        authority: folder.join("authority.crt"),
+        certificate: folder.join("own.crt"),
+        key: folder.join("own.key"),
+    };
+    std::fs::write(&files.authority, authority.pem()).unwrap();
+    std::fs::write(&files.certificate, certificate.pem()).unwrap();
+    std::fs::write(&files.key, key.serialize_pem()).unwrap();
+    files
+}
+
+async fn start_server(identity: Option<GroupIdentity>) -> (SocketAddr, Server) {
+    let listener = bind_peer_listener("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::default();
+    let answer = answer_peers!(server.clone());
+    tokio::spawn(serve_peers(
+        listener,
+        identity,
+        answer,
+        CancellationToken::new(),
+    ));
+    (address, server)
+}
+
+async fn ask(pool: &PeerPool, address: SocketAddr) -> Result<FoundingState, CallFailure> {
+    let answer = pool.call(address, LIMIT_MS, |client, context| async move {
+        client.founding(context).await
+    });
+    answer.await.map(Result::unwrap)
+}
+
+#[tokio::test]
+async fn process_of_the_group_is_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let identity = GroupIdentity::load(&make_group(folder.path())).unwrap();
+    let (address, _) = start_server(Some(identity.clone())).await;
+    let answer = ask(&PeerPool::new(Some(identity)), address).await;
+    assert!(answer.unwrap().is_empty);
+}
+
+#[tokio::test]
+async fn process_of_another_group_is_turned_away() {
+    let folder = tempfile::tempdir().unwrap();
+    let ours = GroupIdentity::load(&make_group(&folder.path().join("ours"))).unwrap();
+    let theirs = GroupIdentity::load(&make_group(&folder.path().join("theirs"))).unwrap();
+    let (address, server) = start_server(Some(ours)).await;
+    assert!(ask(&PeerPool::new(Some(theirs)), address).await.is_err());
+    assert_eq!(server.asked.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn process_without_certificate_is_turned_away() {
+    let folder = tempfile::tempdir().unwrap();
+    let identity = GroupIdentity::load(&make_group(folder.path())).unwrap();
+    let (address, server) = start_server(Some(identity)).await;
+    assert!(ask(&PeerPool::new(None), address).await.is_err());
+    assert_eq!(server.asked.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn server_without_certificate_is_not_trusted() {
+    let folder = tempfile::tempdir().unwrap();
+    let identity = GroupIdentity::load(&make_group(folder.path())).unwrap();
+    let (address, server) = start_server(None).await;
+    assert!(ask(&PeerPool::new(Some(identity)), address).await.is_err());
+    assert_eq!(server.asked.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn address_where_nothing_listens_is_told_apart() {
+    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = probe.local_addr().unwrap();
+    drop(probe);
+    let answer = ask(&PeerPool::new(None), address).await;
+    assert_eq!(answer, Err(CallFailure::NothingListens));
+}
+
+#[test]
+fn missing_file_is_named() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut files = make_group(folder.path());
+    files.key = folder.path().join("lost.key");
+    let error = GroupIdentity::load(&files).unwrap_err();
+    assert!(matches!(error, GroupError::File { .. }));
+    assert!(error.to_string().contains("lost.key"), "{error}");
+}
+
+#[test]
+fn key_of_another_certificate_is_found_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut files = make_group(&folder.path().join("ours"));
+    files.key = make_group(&folder.path().join("theirs")).key;
+    assert!(matches!(
+        GroupIdentity::load(&files),
+        Err(GroupError::Mismatch { .. })
+    ));
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -52,6 +52,7 @@
     done
     cp examples/inventory.toml "$folder/inventory.toml"
     printf %s example-key-anika-not-for-production >"$folder/operator.key"
+    "$bin/mgw" group-keys "$folder/keys" control-{1,2,3} entry-{1,2,3,4,5,6} >/dev/null
 }
 
 declare -A pids=()
