--- a/crates/mgw-cli/tests/pages.rs
+++ b/crates/mgw-cli/tests/pages.rs
@@ -107,7 +107,10 @@
         .skip(1)
         .map(|part| {
             let (name, rest) = part.split_once(" -->").expect("the end of the mark");
-            let rest = rest.trim_start().strip_prefix("```json\n").expect("a box of JSON");
+            let rest = rest
+                .trim_start()
+                .strip_prefix("```json\n")
+                .expect("a box of JSON");
             let (json, _) = rest.split_once("\n```").expect("the end of the box");
             (name, json)
         })
@@ -220,7 +223,9 @@
         expected.sort_unstable();
         listed.sort_unstable();
         if listed != expected {
-            faults.push(format!("{heading}: listed {listed:?}, expected {expected:?}"));
+            faults.push(format!(
+                "{heading}: listed {listed:?}, expected {expected:?}"
+            ));
         }
     }
     assert!(faults.is_empty(), "{faults:#?}");
@@ -279,8 +284,11 @@
 
 /// Names of the metrics in the sources of control and entry.
 fn metric_names() -> Vec<String> {
-    let sources = ["mgw-control", "mgw-entry"].map(|area| read(&format!("crates/{area}/src/metrics.rs")));
-    let texts = sources.iter().flat_map(|source| source.split('"').skip(1).step_by(2));
+    let sources =
+        ["mgw-control", "mgw-entry"].map(|area| read(&format!("crates/{area}/src/metrics.rs")));
+    let texts = sources
+        .iter()
+        .flat_map(|source| source.split('"').skip(1).step_by(2));
     let names: Vec<String> = texts
         .filter(|text| text.starts_with("mgw_"))
         .map(ToOwned::to_owned)
