--- a/crates/mgw-cli/tests/pages.rs
+++ b/crates/mgw-cli/tests/pages.rs
@@ -25,8 +25,10 @@
 fn defines_test(source: &str, name: &str) -> bool {
     let forms = [
         format!("fn {name}("),
+        format!("async fn {name}("),
         format!("{name}:"),
         format!("{name},"),
+        format!("overload_case!({name},"),
     ];
     source.lines().any(|line| {
         let line = line.trim_start();
@@ -191,6 +193,7 @@
     let sections = sections! {
         "Entry": mgw_entry::EntrySettings;
         "Entry: `peers`, `controls`; control: `controls`": mgw_entry::Peer;
+        "`group`": mgw_peer::GroupFiles;
         "`log`": mgw_settings::LogSettings;
         "Entry: `pipe`": mgw_pipe::PipeSettings;
         "Entry: `times`": mgw_pipe::TimeSettings;
