Replace a lost stage together with its neighbours where no target holds just its layers

Cause: a pipeline asked for the exact range of the dead stage only. Each search, ten a second and request, also took from the entry's retry budget (10 saved), so that requests with a replacement waited too. Ruled out: excluded targets covering all (the list was cleared on an empty answer). Change: Replace names spans of whole stages, fewest layers first and the whole path last; the replacement takes over the inputs of the span's first stage and the delivered count of its last. Moves no longer draw on the retry budget; MoveBudget bounds them for each surviving target, and rebuilds for each request (8 and one more for each 64 tokens). A replacement that can't be connected to doesn't count again within the search. A silent target is suspected at once, and failures of many requests count as one suspicion. An exported image must lead up to inputs that are held. TargetPaces judges which target became slow against its peers; the run sends Degraded; such a move is optional: without a better target the stage stays where it is.

--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -6,7 +6,7 @@
 
 use hyper::Request;
 use mgw_contract::caller::{EntryAddress, WORKSPACE_HEADER};
-use mgw_pipe::StepTimes;
+use mgw_pipe::{MoveBudget, StepTimes, TargetPaces};
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
 use mgw_serve::http::{HttpClient, client, unpooled_client};
@@ -73,8 +73,12 @@
     pub gate_changed: Notify,
     /// One budget of retries for all stages and calls.
     pub retries: Mutex<RetryBudget>,
+    /// Moves of running requests to each target.
+    pub moves: Mutex<MoveBudget>,
     /// Observed step times.
     pub times: Mutex<StepTimes>,
+    /// Judges which targets became much slower.
+    pub paces: Mutex<TargetPaces>,
     /// Client of the engines.
     pub engines: EngineClient,
     /// Client of the controls.
@@ -122,7 +126,9 @@
             gate: Mutex::default(),
             gate_changed: Notify::new(),
             retries: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
+            moves: Mutex::new(MoveBudget::new(settings.moves.clone())),
             times: Mutex::new(StepTimes::new(settings.times.clone())),
+            paces: Mutex::new(TargetPaces::new(settings.paces.clone())),
             engines: EngineClient::default(),
             controls: Controls::new(&settings.controls),
             plain_client: client(),
@@ -173,22 +179,35 @@
             .other_entries(self.ids.lock().random(), self.clock.now())
     }
 
-    /// Takes in the time of a step.
-    pub fn observe_step(&self, target: &TargetName, count: u32, took_us: u64) {
+    /// Takes in the time of a step; returns whether the target became much slower than it was.
+    pub fn observe_step(&self, target: &TargetName, count: u32, took_us: u64) -> bool {
         #[expect(clippy::cast_precision_loss)]
         let took_ms = took_us as f64 / 1000.0;
         self.metrics.steps.inc();
         self.metrics.step_seconds.observe(took_ms / 1000.0);
-        if count == 1 {
-            self.times.lock().observe(target, took_ms);
-            let latency = mgw_world::Millis(took_us / 1000);
-            self.router.lock().observe_step(target, latency);
+        if count > 1 {
+            return false;
         }
+        self.times.lock().observe(target, took_ms);
+        let latency = mgw_world::Millis(took_us / 1000);
+        self.router.lock().observe_step(target, latency);
+        let degraded = self.paces.lock().observe(target, took_ms);
+        if degraded {
+            self.suspect(target);
+        }
+        degraded
     }
 
-    /// Takes a target out of this entry's choice for a while.
+    /// Takes a target out of this entry's choice for a while; failures of several requests at the
+    /// same time count once.
     pub fn suspect(&self, target: &TargetName) {
-        self.router.lock().suspect(target, self.clock.now());
+        let now = self.clock.now();
+        let mut router = self.router.lock();
+        let known = router.targets().into_iter().find(|it| it.name == *target);
+        let until = known.and_then(|view| view.suspect_until);
+        if until.is_none_or(|until| until <= now) {
+            router.suspect(target, now);
+        }
     }
 
     /// Counts a request as in flight.
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -5,8 +5,8 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use mgw_contract::caller::{Outcome, Reason};
-use mgw_pipe::{Action, Event, Order, Pipeline, Stage};
-use mgw_world::{Millis, ModelName, TargetName};
+use mgw_pipe::{Action, CallId, Event, Order, Pipeline, Stage};
+use mgw_world::{LayerRange, Millis, ModelName, TargetName};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, warn};
@@ -46,13 +46,28 @@
     pub items: mpsc::Sender<RunItem>,
 }
 
+/// What came of a call, and whether the target that answered is degraded.
+struct Answer {
+    event: Event,
+    degraded: Option<TargetName>,
+}
+
+impl From<Event> for Answer {
+    fn from(event: Event) -> Self {
+        Self {
+            event,
+            degraded: None,
+        }
+    }
+}
+
 struct Run {
     app: Arc<App>,
     model: ModelName,
     pipeline: Pipeline,
     path: PathLease,
     items: mpsc::Sender<RunItem>,
-    calls: FuturesUnordered<BoxFuture<'static, Event>>,
+    calls: FuturesUnordered<BoxFuture<'static, Answer>>,
 }
 
 /// Runs a request until its final answer was handed over or the caller went away.
@@ -97,17 +112,25 @@
             .next_wakeup()
             .map_or(Millis::ZERO, |wakeup| wakeup - now);
         let has_wakeup = self.pipeline.next_wakeup().is_some();
-        let event = tokio::select! {
-            Some(event) = self.calls.next() => event,
-            () = self.items.closed() => Event::Cancelled { reason: Reason::Cancelled },
+        let answer = tokio::select! {
+            Some(answer) = self.calls.next() => answer,
+            () = self.items.closed() => Event::Cancelled { reason: Reason::Cancelled }.into(),
             () = self.app.shutdown.forced.cancelled() => {
-                Event::Cancelled { reason: Reason::Leaving }
+                Event::Cancelled { reason: Reason::Leaving }.into()
             }
             () = sleep(pause.to_duration()), if has_wakeup => {
                 return self.pipeline.tick(self.app.clock.now(), &patience);
             }
         };
-        self.pipeline.handle(event, self.app.clock.now(), &patience)
+        let now = self.app.clock.now();
+        let mut actions = self.pipeline.handle(answer.event, now, &patience);
+        if let Some(target) = answer.degraded {
+            actions.extend(
+                self.pipeline
+                    .handle(Event::Degraded { target }, now, &patience),
+            );
+        }
+        actions
     }
 
     async fn perform(&mut self, actions: Vec<Action>) {
@@ -139,6 +162,7 @@
                     Ok(standing) => Event::Standing { call, standing },
                     Err(_) => Event::CallFailed { call },
                 }
+                .into()
             })),
             Action::Export {
                 call,
@@ -149,6 +173,7 @@
                     Ok(image) => Event::Exported { call, image },
                     Err(_) => Event::CallFailed { call },
                 }
+                .into()
             })),
             Action::Import {
                 call,
@@ -161,6 +186,7 @@
                         Ok(()) => Event::Imported { call },
                         Err(_) => Event::CallFailed { call },
                     }
+                    .into()
                 }));
             }
             Action::Free { stage, session } => {
@@ -173,14 +199,10 @@
             Action::Replace {
                 call,
                 old,
-                layers,
+                spans,
                 excluded,
-            } => {
-                warn!(target = %old.target, %layers, "stage failed; looking for a replacement");
-                let stages = self.path.replace(&old, layers, &excluded);
-                self.app.metrics.stage_rebuilds.inc();
-                return Some(Event::Replacement { call, stages });
-            }
+                failed,
+            } => return self.replace(call, &old, &spans, &excluded, failed),
             Action::Emit { index, token } => {
                 self.app.count_token(&self.model);
                 return emit(&self.items, RunItem::Token { index, token }, slow_ms).await;
@@ -191,6 +213,30 @@
         }
         None
     }
+
+    /// Looks for targets that take over a stage, unless the pipeline went on without them.
+    fn replace(
+        &mut self,
+        call: CallId,
+        old: &Stage,
+        spans: &[LayerRange],
+        excluded: &[TargetName],
+        failed: bool,
+    ) -> Option<Event> {
+        if !self.pipeline.awaits(call) {
+            return None;
+        }
+        if failed {
+            self.app.suspect(&old.target);
+        }
+        let stages = self.path.replace(old, spans, excluded);
+        if !stages.is_empty() {
+            self.app.metrics.stage_rebuilds.inc();
+        }
+        let chosen: Vec<_> = stages.iter().map(|it| it.target.as_str()).collect();
+        warn!(target = %old.target, failed, ?chosen, "replaces a stage");
+        Some(Event::Replacement { call, stages })
+    }
 }
 
 /// Hands an item to the caller's side, which is held back by a slow reader up to a limit.
@@ -208,20 +254,23 @@
 
 async fn send_step(
     app: Arc<App>,
-    call: mgw_pipe::CallId,
+    call: CallId,
     stage: Stage,
     step: mgw_contract::engine::StageStep,
-) -> Event {
+) -> Answer {
     let count = step.count;
     let started = app.clock.now_us();
     let result = app.engines.step(stage.address, step).await;
     match result {
         Ok(output) => {
             let took_us = app.clock.now_us() - started;
-            app.observe_step(&stage.target, count, took_us);
-            Event::StepDone { call, output }
+            let degraded = app.observe_step(&stage.target, count, took_us);
+            Answer {
+                event: Event::StepDone { call, output },
+                degraded: degraded.then_some(stage.target),
+            }
         }
-        Err(StepError::Refused(refusal)) => Event::StepRefused { call, refusal },
+        Err(StepError::Refused(refusal)) => Event::StepRefused { call, refusal }.into(),
         Err(StepError::NoAnswer(error)) => {
             warn!(target = %stage.target, %error, "step got no answer");
             app.suspect(&stage.target);
@@ -229,6 +278,7 @@
                 call,
                 sent: error.may_have_been_sent(),
             }
+            .into()
         }
     }
 }
--- a/crates/mgw-entry/src/paths.rs
+++ b/crates/mgw-entry/src/paths.rs
@@ -34,31 +34,34 @@
         to_pipe_stages(&self.path.stages, &self.path.version)
     }
 
-    /// Replaces the stages that cover some layers; empty when there is no replacement now or the
-    /// retry budget is used up.
+    /// Replaces the stages that cover the first of `spans` that others can cover; empty when there
+    /// is no replacement now.
+    ///
+    /// Targets to which many requests moved just now take no more for a moment.
     pub fn replace(
         &mut self,
         old: &Stage,
-        layers: LayerRange,
+        spans: &[LayerRange],
         excluded: &[TargetName],
     ) -> Vec<Stage> {
-        if !self.app.retries.lock().try_retry() {
-            info!(target = %old.target, "retry budget is used up; the stage waits");
-            return Vec::new();
-        }
         let now = self.app.clock.now();
-        let replaced = self
-            .app
-            .router
-            .lock()
-            .replace_stage(&mut self.path, layers, excluded, now);
-        match replaced {
-            Ok(stages) => to_pipe_stages(&stages, &self.path.version),
-            Err(error) => {
-                info!(target = %old.target, %error, "no replacement for the stage yet");
-                Vec::new()
+        let mut left_out = self.app.moves.lock().list_spent(now);
+        left_out.extend_from_slice(excluded);
+        let mut router = self.app.router.lock();
+        for span in spans {
+            let replaced = router.replace_stage(&mut self.path, *span, &left_out, now);
+            let Ok(stages) = replaced else {
+                continue;
+            };
+            drop(router);
+            let mut moves = self.app.moves.lock();
+            for stage in &stages {
+                moves.count(&stage.target, now);
             }
+            return to_pipe_stages(&stages, &self.path.version);
         }
+        info!(target = %old.target, "no replacement for the stage now");
+        Vec::new()
     }
 }
 
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mgw_pipe::{PipeSettings, TimeSettings};
+use mgw_pipe::{MoveSettings, PaceSettings, PipeSettings, TimeSettings};
 use mgw_settings::LogSettings;
 use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
 use serde::Deserialize;
@@ -68,7 +68,7 @@
 }
 
 /// Settings of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// Name of the entry.
@@ -104,6 +104,12 @@
     /// Pipelines.
     #[serde(default)]
     pub pipe: PipeSettings,
+    /// Moves of running requests when targets fail.
+    #[serde(default)]
+    pub moves: MoveSettings,
+    /// Judgement of targets that became slower.
+    #[serde(default)]
+    pub paces: PaceSettings,
     /// Step deadlines.
     #[serde(default)]
     pub times: TimeSettings,
--- a/crates/mgw-pipe/src/event.rs
+++ b/crates/mgw-pipe/src/event.rs
@@ -63,11 +63,11 @@
         /// The call.
         call: CallId,
     },
-    /// Targets that take over a range of layers; none if there are none now.
+    /// Targets that take over one of the spans asked for; none if there are none now.
     Replacement {
         /// The call.
         call: CallId,
-        /// Stages that cover the range.
+        /// Stages that cover one of the spans.
         stages: Vec<Stage>,
     },
     /// A target is leaving or became much slower; its stages move away.
@@ -130,16 +130,19 @@
         /// The session.
         session: SessionKey,
     },
-    /// Look for targets that take over a range of layers.
+    /// Look for targets that take over a stage, alone or with its neighbours.
     Replace {
         /// The call.
         call: CallId,
         /// Stage that is given up.
         old: Stage,
-        /// Layers to cover.
-        layers: LayerRange,
+        /// Ranges of whole stages, the stage given up among them; the first that can be covered
+        /// is taken.
+        spans: Vec<LayerRange>,
         /// Targets that failed this request.
         excluded: Vec<TargetName>,
+        /// Whether the stage's target gave no answer.
+        failed: bool,
     },
     /// Hand a token to the caller.
     Emit {
--- a/crates/mgw-pipe/src/lib.rs
+++ b/crates/mgw-pipe/src/lib.rs
@@ -6,13 +6,19 @@
 
 mod buffer;
 mod event;
+mod moves;
+mod pace;
 mod pipeline;
 mod recover;
+mod replace;
 mod settings;
 mod stage;
 mod times;
+mod transfer;
 
 pub use event::{Action, CallId, Event, Patience};
+pub use moves::{MoveBudget, MoveSettings};
+pub use pace::{PaceSettings, TargetPaces};
 pub use pipeline::{Order, Pipeline};
 pub use settings::PipeSettings;
 pub use stage::Stage;
--- a/crates/mgw-pipe/src/pipeline.rs
+++ b/crates/mgw-pipe/src/pipeline.rs
@@ -5,6 +5,7 @@
 use mgw_contract::engine::{StageInput, StageOutput, StageStep};
 use mgw_world::{Attempt, Millis, Position, RequestId, TargetName};
 
+use crate::replace::Cause;
 use crate::stage::{Phase, StageRun};
 use crate::{Action, CallId, Event, Patience, PipeSettings, Stage};
 
@@ -38,6 +39,8 @@
     pub(crate) tokens: Vec<u32>,
     pub(crate) excluded: Vec<TargetName>,
     pub(crate) rebuilds: u32,
+    /// Generated tokens when a stage last moved, or couldn't, without need.
+    pub(crate) moved_at: Option<u32>,
     pub(crate) may_have_run: bool,
     finished: bool,
     next_call: u64,
@@ -55,6 +58,7 @@
             stages: Vec::with_capacity(stages.len()),
             excluded: Vec::new(),
             rebuilds: 0,
+            moved_at: None,
             may_have_run: false,
             finished: false,
             next_call: 0,
@@ -127,6 +131,12 @@
         self.finished
     }
 
+    /// Whether the answer to a call still counts; an action whose call doesn't need not be done.
+    #[must_use]
+    pub fn awaits(&self, call: CallId) -> bool {
+        !self.finished && self.find_stage(call).is_some()
+    }
+
     /// The stages in use.
     pub fn stages(&self) -> impl Iterator<Item = &Stage> {
         self.stages.iter().map(|run| &run.stage)
@@ -170,6 +180,10 @@
         }
     }
 
+    pub(crate) const fn generated_count(&self) -> u32 {
+        (self.tokens.len() - self.order.prompt.len()) as u32
+    }
+
     fn token_count(&self) -> u32 {
         u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
     }
@@ -211,12 +225,13 @@
             }
         };
         if !is_valid {
-            self.give_up_target(index, now, actions);
+            self.give_up_target(index, Cause::NoAnswer, now, actions);
             return;
         }
         let run = &mut self.stages[index];
         run.phase = Phase::Idle;
         run.computed = first + count;
+        run.lost_since = None;
         match output {
             StageOutput::Token(token) => self.take_token(index, token, actions),
             StageOutput::Activations(bytes) => self.deliver(index, first, count, &bytes),
@@ -244,7 +259,7 @@
         if run.computed != self.token_count() {
             return;
         }
-        let generated = u32::try_from(self.generated().len()).unwrap_or(u32::MAX);
+        let generated = self.generated_count();
         actions.push(Action::Emit {
             index: generated,
             token,
--- a/crates/mgw-pipe/src/recover.rs
+++ b/crates/mgw-pipe/src/recover.rs
@@ -5,11 +5,12 @@
 //! stages again from the tokens.
 
 use mgw_contract::caller::Reason;
-use mgw_contract::engine::{KvImage, SessionStanding, StepRefusal};
-use mgw_world::{LayerRange, Millis, TargetName};
+use mgw_contract::engine::{SessionStanding, StepRefusal};
+use mgw_world::Millis;
 
-use crate::stage::{Phase, StageRun, is_usable_image};
-use crate::{Action, CallId, Event, Pipeline, Stage};
+use crate::replace::Cause;
+use crate::stage::Phase;
+use crate::{Action, CallId, Event, Pipeline};
 
 impl Pipeline {
     pub(crate) fn take_fault(&mut self, event: Event, now: Millis, actions: &mut Vec<Action>) {
@@ -34,23 +35,14 @@
             Phase::Idle => {}
             Phase::Stepping { extended: true, .. } => {
                 self.may_have_run = true;
-                self.exclude(index);
-                self.replace(index, true, now, actions);
+                self.give_up_target(index, Cause::NoAnswer, now, actions);
             }
             Phase::Stepping { .. } => self.ask(index, true, now, actions),
             Phase::Asking { .. } => {
                 self.may_have_run = true;
-                self.give_up_target(index, now, actions);
-            }
-            Phase::Exporting {
-                former,
-                former_session,
-                ..
-            } => {
-                let (stage, session) = (former.clone(), *former_session);
-                actions.push(Action::Free { stage, session });
-                self.stages[index].phase = Phase::Idle;
+                self.give_up_target(index, Cause::NoAnswer, now, actions);
             }
+            Phase::Exporting { .. } => self.abandon_export(index, actions),
             Phase::Importing { .. } => self.start_replay(index, actions),
             Phase::Replacing { .. } => self.look_again(index, now, actions),
         }
@@ -75,8 +67,7 @@
             | StepRefusal::Full
             | StepRefusal::WrongLayers
             | StepRefusal::WrongInput => {
-                self.exclude(index);
-                self.replace(index, self.stages[index].computed > 0, now, actions);
+                self.give_up_target(index, Cause::Refused, now, actions);
             }
             StepRefusal::TooLate => {
                 self.finish_early(Reason::Deadline, actions);
@@ -94,7 +85,7 @@
             Phase::Stepping { .. } if sent => self.ask(index, false, now, actions),
             _ => {
                 self.stages[index].phase = Phase::Idle;
-                self.give_up_target(index, now, actions);
+                self.give_up_target(index, Cause::NotConnected, now, actions);
             }
         }
     }
@@ -178,219 +169,14 @@
         match &self.stages[index].phase {
             Phase::Asking { ask, .. } if *ask == call => {
                 self.may_have_run = true;
-                self.give_up_target(index, now, actions);
-            }
-            Phase::Exporting {
-                former,
-                former_session,
-                ..
-            } => {
-                let (stage, session) = (former.clone(), *former_session);
-                actions.push(Action::Free { stage, session });
-                self.stages[index].phase = Phase::Idle;
+                self.give_up_target(index, Cause::NoAnswer, now, actions);
             }
+            Phase::Exporting { .. } => self.abandon_export(index, actions),
             Phase::Importing { .. } => self.start_replay(index, actions),
             _ => {}
         }
     }
 
-    /// Goes on without the KV cache of the former target.
-    fn abandon_export(&mut self, index: usize, actions: &mut Vec<Action>) {
-        let run = &mut self.stages[index];
-        if let Phase::Exporting {
-            former,
-            former_session,
-            ..
-        } = &run.phase
-        {
-            actions.push(Action::Free {
-                stage: former.clone(),
-                session: *former_session,
-            });
-            run.phase = Phase::Idle;
-        }
-    }
-
-    /// Takes the target out of this request's choice and looks for others.
-    pub(crate) fn give_up_target(&mut self, index: usize, now: Millis, actions: &mut Vec<Action>) {
-        self.exclude(index);
-        self.replace(index, false, now, actions);
-    }
-
-    fn exclude(&mut self, index: usize) {
-        let target = self.stages[index].stage.target.clone();
-        if !self.excluded.contains(&target) {
-            self.excluded.push(target);
-        }
-    }
-
-    /// Moves all stages away from a target that still answers.
-    fn leave_target(&mut self, target: &TargetName, now: Millis, actions: &mut Vec<Action>) {
-        for index in (0..self.stages.len()).rev() {
-            let run = &self.stages[index];
-            // A step under way is left to end; its output is worth more than an early move.
-            if run.stage.target == *target && matches!(run.phase, Phase::Idle) {
-                self.exclude(index);
-                self.replace(index, true, now, actions);
-            }
-        }
-    }
-
-    /// Looks for targets that take over a stage.
-    fn replace(&mut self, index: usize, export: bool, now: Millis, actions: &mut Vec<Action>) {
-        self.may_have_run |= self.stages[index].computed > 0;
-        if !self.count_rebuild(actions) {
-            return;
-        }
-        let until_ms = now + self.settings.replace_limit_ms;
-        self.stages[index].phase = Phase::Replacing {
-            call: None,
-            again_ms: now,
-            until_ms,
-            export,
-        };
-        self.look_again(index, now, actions);
-    }
-
-    fn look_again(&mut self, index: usize, now: Millis, actions: &mut Vec<Action>) {
-        let next_call = self.take_call();
-        let pause_ms = self.settings.replace_pause_ms;
-        let run = &mut self.stages[index];
-        let Phase::Replacing {
-            call,
-            again_ms,
-            until_ms,
-            ..
-        } = &mut run.phase
-        else {
-            return;
-        };
-        if now >= *until_ms {
-            run.phase = Phase::Idle;
-            self.finish_early(Reason::TargetFailed, actions);
-            return;
-        }
-        *call = Some(next_call);
-        *again_ms = now + pause_ms;
-        actions.push(Action::Replace {
-            call: next_call,
-            old: run.stage.clone(),
-            layers: run.stage.layers,
-            excluded: self.excluded.clone(),
-        });
-    }
-
-    fn take_replacement(
-        &mut self,
-        call: CallId,
-        stages: Vec<Stage>,
-        now: Millis,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(index) = self.find_stage(call) else {
-            return;
-        };
-        let Phase::Replacing { export, .. } = self.stages[index].phase else {
-            return;
-        };
-        if !covers(self.stages[index].stage.layers, &stages) {
-            // The target may have been out for a moment only: it may be chosen again.
-            self.excluded.clear();
-            return;
-        }
-        let old = self.stages[index].clone();
-        let former_session = old.session(self.order.request);
-        let is_same_range = stages.len() == 1;
-        self.splice(index, &old, stages);
-        if export && is_same_range && old.opened && old.computed > 0 {
-            let export_call = self.take_call();
-            let deadline_ms = now + self.settings.transfer_timeout_ms;
-            let former = old.stage.clone();
-            actions.push(Action::Export {
-                call: export_call,
-                stage: former.clone(),
-                session: former_session,
-            });
-            self.stages[index].phase = Phase::Exporting {
-                call: export_call,
-                deadline_ms,
-                former,
-                former_session,
-            };
-        } else if old.opened {
-            actions.push(Action::Free {
-                stage: old.stage,
-                session: former_session,
-            });
-        }
-    }
-
-    /// Puts new stages in the place of an old one; they start from the old one's inputs.
-    fn splice(&mut self, index: usize, old: &StageRun, stages: Vec<Stage>) {
-        let mut runs = Vec::with_capacity(stages.len());
-        for stage in stages {
-            let attempt = self.take_attempt();
-            runs.push(StageRun::new(stage, attempt));
-        }
-        if let Some(first) = runs.first_mut() {
-            first.inputs = old.inputs.clone();
-        }
-        if let Some(last) = runs.last_mut() {
-            last.delivered = old.delivered;
-        }
-        self.stages.splice(index..=index, runs);
-    }
-
-    fn take_image(&mut self, call: CallId, image: KvImage, now: Millis, actions: &mut Vec<Action>) {
-        let Some(index) = self.find_stage(call) else {
-            return;
-        };
-        let import_call = self.take_call();
-        let request = self.order.request;
-        let deadline_ms = now + self.settings.transfer_timeout_ms;
-        let run = &mut self.stages[index];
-        let Phase::Exporting {
-            former,
-            former_session,
-            ..
-        } = &run.phase
-        else {
-            return;
-        };
-        actions.push(Action::Free {
-            stage: former.clone(),
-            session: *former_session,
-        });
-        if !is_usable_image(&image, run) {
-            run.phase = Phase::Idle;
-            return;
-        }
-        run.opened = true;
-        run.phase = Phase::Importing {
-            call: import_call,
-            deadline_ms,
-            image_next: image.next.0,
-        };
-        let (stage, session) = (run.stage.clone(), run.session(request));
-        actions.push(Action::Import {
-            call: import_call,
-            stage,
-            session,
-            image,
-        });
-    }
-
-    fn take_import(&mut self, call: CallId) {
-        let Some(index) = self.find_stage(call) else {
-            return;
-        };
-        let run = &mut self.stages[index];
-        if let Phase::Importing { image_next, .. } = run.phase {
-            run.computed = image_next;
-            run.phase = Phase::Idle;
-        }
-    }
-
     /// Starts a stage anew at the same target, under a new attempt.
     fn start_replay(&mut self, index: usize, actions: &mut Vec<Action>) {
         if !self.count_rebuild(actions) {
@@ -413,6 +199,9 @@
     /// Runs the stages before one whose inputs are no longer held again, from the nearest stage
     /// that still has all its inputs; the first stage always has, as they are the tokens.
     pub(crate) fn rebuild_upstream(&mut self, index: usize, actions: &mut Vec<Action>) {
+        if self.stages[index].computed > 0 {
+            self.reset_session(index, actions);
+        }
         self.stages[index].inputs = Default::default();
         let mut from = index;
         while from > 0 {
@@ -426,23 +215,18 @@
     }
 
     /// Counts a rebuilt stage; ends the request when there were too many.
-    fn count_rebuild(&mut self, actions: &mut Vec<Action>) -> bool {
-        self.rebuilds += 1;
-        if self.rebuilds <= self.settings.max_rebuilds {
+    pub(crate) fn count_rebuild(&mut self, actions: &mut Vec<Action>) -> bool {
+        if self.has_rebuilds() {
+            self.rebuilds += 1;
             return true;
         }
         self.finish_early(Reason::TargetFailed, actions);
         false
     }
-}
 
-/// Whether stages cover a range once and in order.
-fn covers(layers: LayerRange, stages: &[Stage]) -> bool {
-    let (Some(first), Some(last)) = (stages.first(), stages.last()) else {
-        return false;
-    };
-    let is_chain = stages
-        .windows(2)
-        .all(|pair| pair[0].layers.is_followed_by(pair[1].layers));
-    is_chain && first.layers.first() == layers.first() && last.layers.end() == layers.end()
+    /// Whether another stage may be rebuilt: generated tokens earn further rebuilds.
+    pub(crate) const fn has_rebuilds(&self) -> bool {
+        let earned = self.generated_count() / self.settings.tokens_per_rebuild.get();
+        self.rebuilds < self.settings.max_rebuilds + earned
+    }
 }
--- a/crates/mgw-pipe/src/stage.rs
+++ b/crates/mgw-pipe/src/stage.rs
@@ -7,6 +7,7 @@
 
 use crate::CallId;
 use crate::buffer::ActivationBuffer;
+use crate::replace::Cause;
 
 /// A target chosen for a range of layers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,7 +47,7 @@
         call: Option<CallId>,
         again_ms: Millis,
         until_ms: Millis,
-        export: bool,
+        cause: Cause,
     },
     /// The KV cache is exported from the former target.
     Exporting {
@@ -77,6 +78,8 @@
     /// Inputs; unused for the first stage, whose inputs are the tokens.
     pub inputs: ActivationBuffer,
     pub phase: Phase,
+    /// When the stage was lost, until a step runs again.
+    pub lost_since: Option<Millis>,
 }
 
 impl StageRun {
@@ -89,6 +92,7 @@
             delivered: 0,
             inputs: ActivationBuffer::default(),
             phase: Phase::Idle,
+            lost_since: None,
         }
     }
 
@@ -134,9 +138,12 @@
     }
 }
 
-/// Whether an exported cache belongs to a stage and holds no position whose output was lost.
-pub fn is_usable_image(image: &KvImage, run: &StageRun) -> bool {
+/// Whether an exported cache belongs to a stage, holds no position whose output was lost, and
+/// leads up to inputs that are held.
+pub fn is_usable_image(image: &KvImage, run: &StageRun, received: u32, kept_from: u32) -> bool {
+    let next = image.next.0;
     image.layers == run.stage.layers
         && image.version == run.stage.version
-        && image.next.0 <= run.delivered
+        && next <= run.delivered
+        && (kept_from..=received).contains(&next)
 }
--- a/crates/mgw-pipe/tests/support/mod.rs
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -139,6 +139,24 @@
     Millis(300 + u64::from(count) / 4)
 }
 
+/// The shortest chain that covers a range, in the order of the engines.
+fn find_chain(usable: &[&Stage], layers: LayerRange) -> Option<Vec<Stage>> {
+    let starts = usable
+        .iter()
+        .filter(|stage| stage.layers.first() == layers.first());
+    let chains = starts.filter_map(|stage| {
+        let end = stage.layers.end();
+        if end >= layers.end() {
+            return (end == layers.end()).then(|| vec![(*stage).clone()]);
+        }
+        let rest = LayerRange::new(end, layers.end()).ok()?;
+        let mut chain = find_chain(usable, rest)?;
+        chain.insert(0, (*stage).clone());
+        Some(chain)
+    });
+    chains.min_by_key(Vec::len)
+}
+
 impl Engine {
     pub fn new(stage: Stage) -> Self {
         Self {
@@ -262,11 +280,15 @@
                 }
                 Action::Replace {
                     call,
-                    layers,
+                    spans,
                     excluded,
                     ..
                 } => {
-                    let stages = self.choose(layers, &excluded);
+                    let found = spans.into_iter().map(|span| self.choose(span, &excluded));
+                    let stages = found
+                        .into_iter()
+                        .find(|it| !it.is_empty())
+                        .unwrap_or_default();
                     self.later(Millis::ZERO, Event::Replacement { call, stages });
                 }
                 Action::Emit { index, token } => {
@@ -288,7 +310,7 @@
         }
     }
 
-    /// A live engine with exactly these layers, or a chain of two that covers them.
+    /// An engine with exactly these layers, or a chain that covers them.
     fn choose(&self, layers: LayerRange, excluded: &[TargetName]) -> Vec<Stage> {
         let usable: Vec<&Stage> = self
             .engines
@@ -296,21 +318,7 @@
             .map(|engine| &engine.stage)
             .filter(|stage| !excluded.contains(&stage.target))
             .collect();
-        if let Some(stage) = usable.iter().find(|stage| stage.layers == layers) {
-            return vec![(*stage).clone()];
-        }
-        for first in usable
-            .iter()
-            .filter(|stage| stage.layers.first() == layers.first())
-        {
-            let next = usable.iter().find(|stage| {
-                first.layers.is_followed_by(stage.layers) && stage.layers.end() == layers.end()
-            });
-            if let Some(next) = next {
-                return vec![(*first).clone(), (*next).clone()];
-            }
-        }
-        Vec::new()
+        find_chain(&usable, layers).unwrap_or_default()
     }
 
     fn step(&mut self, call: CallId, stage: &Stage, step: &StageStep) {
--- /dev/null
+++ b/crates/mgw-pipe/tests/widening.rs
@@ -0,0 +1,83 @@
+//! Stages whose layers no other target holds just so: whole neighbours are replaced with them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_pipe::PipeSettings;
+use mgw_world::Millis;
+use support::{Bench, Engine, Fault, order, reference, stage};
+
+const PROMPT: usize = 20;
+const ANSWER: u32 = 12;
+
+/// Three chains whose stages have no boundary in common but those named in each case.
+fn engines() -> Vec<Engine> {
+    vec![
+        Engine::new(stage("pos-1", 0, 4)),
+        Engine::new(stage("pos-2", 4, 8)),
+        Engine::new(stage("pos-3", 8, 12)),
+        Engine::new(stage("sfo-1", 0, 6)),
+        Engine::new(stage("sfo-2", 6, 12)),
+        Engine::new(stage("chg-1", 0, 3)),
+        Engine::new(stage("chg-2", 3, 8)),
+        Engine::new(stage("chg-3", 8, 12)),
+    ]
+}
+
+macro_rules! widening {
+    ($($name:ident: path $path:expr, faults $faults:expr, buffer $buffer:expr, within $gap_ms:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut engines = engines();
+                let faults: &[(usize, u32, Fault)] = &$faults;
+                for (engine, step, fault) in faults {
+                    engines[*engine] = engines[*engine].clone().with_fault(*step, *fault);
+                }
+                let settings = PipeSettings { buffer_bytes: $buffer, ..PipeSettings::default() };
+                let order = order(PROMPT, ANSWER);
+                let bench = Bench::run(engines, &$path, &order, settings);
+                assert_eq!(bench.end, Some((Outcome::Done, Reason::Complete)));
+                assert_eq!(bench.tokens, reference(12, &order.prompt, ANSWER as usize));
+                let doubled = bench.runs.iter().find(|(_, count)| **count > 1);
+                assert_eq!(doubled, None, "a position ran twice in one session");
+                let left: usize = bench.engines.iter().map(Engine::sessions).sum();
+                assert_eq!(left, 0, "sessions were left behind");
+                assert!(bench.longest_gap <= Millis($gap_ms), "gap of {}", bench.longest_gap);
+            }
+        )+
+    };
+}
+
+widening! {
+    last_stage_dies_and_the_first_goes_with_it: path [3, 4],
+        faults [(4, 5, Fault::Die)], buffer 1 << 20, within 1000;
+    first_stage_dies_and_the_last_goes_with_it: path [3, 4],
+        faults [(3, 5, Fault::Die)], buffer 1 << 20, within 1000;
+    first_stage_dies_before_any_position: path [3, 4],
+        faults [(3, 0, Fault::Die)], buffer 1 << 20, within 1000;
+    last_stage_dies_at_prefill: path [3, 4],
+        faults [(4, 0, Fault::Die)], buffer 1 << 20, within 1000;
+    middle_stage_dies_and_the_first_goes_with_it: path [0, 1, 2],
+        faults [(1, 6, Fault::Die)], buffer 1 << 20, within 1000;
+    first_stage_dies_and_the_middle_goes_with_it: path [5, 6, 7],
+        faults [(5, 6, Fault::Die)], buffer 1 << 20, within 1000;
+    widened_without_kept_inputs: path [0, 1, 2],
+        faults [(1, 6, Fault::Die)], buffer 0, within 1000;
+    replacement_of_the_wider_range_dies_too: path [3, 4],
+        faults [(4, 5, Fault::Die), (1, 0, Fault::Die)], buffer 1 << 20, within 1000;
+    replacement_dies_after_its_prefill: path [3, 4],
+        faults [(4, 5, Fault::Die), (1, 2, Fault::Die), (6, 0, Fault::LoseAnswer)], buffer 1 << 20, within 1000;
+    both_stages_die_together: path [3, 4],
+        faults [(3, 5, Fault::Die), (4, 5, Fault::Die)], buffer 1 << 20, within 1000;
+    last_stage_falls_silent: path [3, 4],
+        faults [(4, 5, Fault::Hang)], buffer 1 << 20, within 2000;
+    last_stage_slows_beyond_patience: path [3, 4],
+        faults [(4, 5, Fault::Slow(5000))], buffer 1 << 20, within 2000;
+    wider_replacement_forgets_its_session: path [3, 4],
+        faults [(4, 5, Fault::Die), (1, 3, Fault::Forget)], buffer 1 << 20, within 1000;
+    leaving_stage_without_a_twin: path [3, 4],
+        faults [(4, 5, Fault::Refuse(1))], buffer 1 << 20, within 1000;
+}
