Search for faults in wider replacements, transfers and moves of slow stages

Change: random_faults runs two fleets, one of chains with few boundaries in common; adds lost, hanging, failing, late and overlong exports and imports, degraded targets, late answers after abandonment, and two checks: no step follows one of unknown fate in the same session before the target was asked, and a request ends whole whenever targets without faults cover the model. Tables for each transfer fault, for degraded stages and for the judgement of slow targets.

--- /dev/null
+++ b/crates/mgw-pipe/tests/paces.rs
@@ -0,0 +1,94 @@
+//! When a target counts as degraded, and how fast requests may move to one.
+
+use mgw_pipe::{MoveBudget, MoveSettings, TargetPaces};
+use mgw_world::{Millis, TargetName};
+
+const STEPS: u32 = 200;
+
+/// Observes steps of two peers and of one more target, at a multiple of their usual times.
+fn observe(paces: &mut TargetPaces, steps: u32, peers: f64, target: f64) -> Vec<bool> {
+    let mut judged = Vec::new();
+    for _ in 0..steps {
+        paces.observe(&"pos-engine-1".into(), 5.0 * peers);
+        paces.observe(&"sfo-engine-1".into(), 9.0 * peers);
+        judged.push(paces.observe(&"chg-engine-1".into(), 6.0 * target));
+    }
+    judged
+}
+
+macro_rules! paces {
+    ($($name:ident: peers $peers:literal, target $target:literal, degraded $degraded:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut paces = TargetPaces::default();
+                observe(&mut paces, STEPS, 1.0, 1.0);
+                let judged = observe(&mut paces, STEPS, $peers, $target);
+                assert_eq!(judged.last(), Some(&$degraded));
+                let changes = judged.windows(2).filter(|pair| pair[0] != pair[1]).count();
+                assert!(changes <= 1, "the judgement changed {changes} times");
+            }
+        )+
+    };
+}
+
+paces! {
+    steady_target_is_sound: peers 1.0, target 1.0, degraded false;
+    threefold_time_is_sound: peers 1.0, target 3.0, degraded false;
+    tenfold_time_is_degraded: peers 1.0, target 10.0, degraded true;
+    tenfold_time_of_all_is_load: peers 10.0, target 10.0, degraded false;
+    sixfold_time_under_threefold_load_is_load: peers 3.0, target 6.0, degraded false;
+    thirtyfold_time_under_threefold_load_is_degraded: peers 3.0, target 30.0, degraded true;
+}
+
+#[test]
+fn tenfold_time_is_seen_within_eight_steps() {
+    let mut paces = TargetPaces::default();
+    observe(&mut paces, STEPS, 1.0, 1.0);
+    let judged = observe(&mut paces, 8, 1.0, 10.0);
+    assert_eq!(judged.last(), Some(&true), "{judged:?}");
+}
+
+#[test]
+fn one_slow_step_is_not_a_slow_target() {
+    let mut paces = TargetPaces::default();
+    observe(&mut paces, STEPS, 1.0, 1.0);
+    assert!(!paces.observe(&"chg-engine-1".into(), 70.0));
+}
+
+#[test]
+fn target_is_sound_again_after_it_recovered() {
+    let mut paces = TargetPaces::default();
+    observe(&mut paces, STEPS, 1.0, 1.0);
+    observe(&mut paces, STEPS, 1.0, 10.0);
+    let judged = observe(&mut paces, 16, 1.0, 1.0);
+    assert_eq!(judged.last(), Some(&false));
+}
+
+#[test]
+fn target_without_peers_is_never_degraded() {
+    let mut paces = TargetPaces::default();
+    for step in 0..STEPS {
+        let took_ms = if step < STEPS / 2 { 5.0 } else { 50.0 };
+        assert!(!paces.observe(&"pos-engine-1".into(), took_ms));
+    }
+}
+
+#[test]
+fn moves_to_one_target_are_bounded() {
+    let settings = MoveSettings {
+        burst: 5,
+        per_s: 10,
+    };
+    let mut budget = MoveBudget::new(settings);
+    let target = TargetName::from("pos-engine-1");
+    let mut moved = 0;
+    for now in (0..2000).map(Millis) {
+        if !budget.list_spent(now).contains(&target) {
+            budget.count(&target, now);
+            moved += 1;
+        }
+    }
+    assert_eq!(moved, 5 + 19);
+    assert!(budget.list_spent(Millis(10_000)).is_empty());
+}
--- a/crates/mgw-pipe/tests/random_faults.rs
+++ b/crates/mgw-pipe/tests/random_faults.rs
@@ -1,13 +1,57 @@
-//! Random faults at random steps: every whole answer is right and no session runs a position twice.
+//! Random faults at random steps: every whole answer is right, no session runs a position twice, and
+//! nothing is lost that sound targets could serve.
 
 #![allow(clippy::unwrap_used)]
 
 mod support;
 
 use mgw_contract::caller::Outcome;
-use mgw_pipe::PipeSettings;
+use mgw_pipe::{PipeSettings, Stage};
 use proptest::prelude::*;
-use support::{Bench, Engine, Fault, order, reference, stage};
+use support::{Bench, Engine, Fault, TransferFault, find_chain, order, reference, stage};
+
+const LAYERS: u16 = 12;
+const ANSWER: u32 = 8;
+
+/// Targets and the paths that a request may start on.
+struct Fleet {
+    engines: &'static [(&'static str, u16, u16)],
+    paths: &'static [&'static [usize]],
+}
+
+/// Each range is held by three targets.
+const TWINS: Fleet = Fleet {
+    engines: &[
+        ("a1", 0, 4),
+        ("b1", 4, 8),
+        ("c1", 8, 12),
+        ("a2", 0, 4),
+        ("b2", 4, 8),
+        ("c2", 8, 12),
+        ("a3", 0, 4),
+        ("b3", 4, 8),
+        ("c3", 8, 12),
+    ],
+    paths: &[&[0, 1, 2]],
+};
+
+/// Chains with few boundaries in common: most replacements take neighbours along.
+const UNLIKE: Fleet = Fleet {
+    engines: &[
+        ("pos-1", 0, 4),
+        ("pos-2", 4, 8),
+        ("pos-3", 8, 12),
+        ("sfo-1", 0, 6),
+        ("sfo-2", 6, 12),
+        ("sfo-3", 4, 8),
+        ("chg-1", 0, 3),
+        ("chg-2", 3, 8),
+        ("chg-3", 8, 12),
+        ("pos-4", 0, 6),
+        ("chg-4", 0, 12),
+    ],
+    paths: &[&[0, 1, 2], &[3, 4], &[6, 7, 8], &[0, 5, 8], &[10]],
+};
 
 fn any_fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
@@ -16,11 +60,92 @@
         Just(Fault::LoseStep),
         Just(Fault::Hang),
         Just(Fault::Forget),
-        (0_u64..900).prop_map(Fault::Slow),
+        Just(Fault::Degrade),
+        (0_u64..3000).prop_map(Fault::Slow),
         (0_u8..3).prop_map(Fault::Refuse),
     ]
 }
 
+fn any_transfer_fault() -> impl Strategy<Value = TransferFault> {
+    prop_oneof![
+        Just(TransferFault::Fail),
+        Just(TransferFault::LoseAnswer),
+        Just(TransferFault::Hang),
+        Just(TransferFault::Ahead),
+        (0_u64..1500).prop_map(TransferFault::Slow),
+    ]
+}
+
+/// Faults of one case: target, step or transfer, and what goes wrong.
+#[derive(Debug, Clone)]
+struct Faults {
+    steps: Vec<(usize, u32, Fault)>,
+    transfers: Vec<(usize, u32, TransferFault)>,
+}
+
+fn any_faults(engines: usize) -> impl Strategy<Value = Faults> {
+    let step = (0..engines, 0_u32..20, any_fault());
+    let transfer = (0..engines, 0_u32..2, any_transfer_fault());
+    let steps = proptest::collection::vec(step, 0..7);
+    let transfers = proptest::collection::vec(transfer, 0..4);
+    (steps, transfers).prop_map(|(steps, transfers)| Faults { steps, transfers })
+}
+
+fn any_settings() -> impl Strategy<Value = PipeSettings> {
+    let buffer_bytes = prop_oneof![Just(0_u64), Just(100), Just(1 << 20)];
+    (1_u32..40, buffer_bytes).prop_map(|(chunk_positions, buffer_bytes)| PipeSettings {
+        chunk_positions,
+        buffer_bytes,
+        min_move_tokens: 1,
+        move_pause_tokens: 1,
+        ..PipeSettings::default()
+    })
+}
+
+fn check(
+    fleet: &Fleet,
+    path: usize,
+    faults: &Faults,
+    prompt: usize,
+    settings: PipeSettings,
+) -> Result<(), TestCaseError> {
+    let engines = fleet.engines.iter();
+    let engines = engines.map(|(name, first, end)| Engine::new(stage(name, *first, *end)));
+    let mut engines: Vec<Engine> = engines.collect();
+    for (engine, step, fault) in &faults.steps {
+        engines[*engine] = engines[*engine].clone().with_fault(*step, *fault);
+    }
+    for (engine, transfer, fault) in &faults.transfers {
+        let faulty = engines[*engine].clone();
+        engines[*engine] = faulty.with_transfer_fault(*transfer, *fault);
+    }
+    let sound = engines.iter().filter(|engine| engine.faults.is_empty());
+    let sound: Vec<&Stage> = sound.map(|engine| &engine.stage).collect();
+    let is_served = find_chain(&sound, stage("", 0, LAYERS).layers).is_some();
+    let order = order(prompt, ANSWER);
+    let whole = reference(LAYERS, &order.prompt, ANSWER as usize);
+    let bench = Bench::run(engines, fleet.paths[path], &order, settings);
+    let doubled = bench.runs.iter().find(|(_, count)| **count > 1);
+    prop_assert_eq!(doubled, None);
+    prop_assert!(whole.starts_with(&bench.tokens), "a wrong token came out");
+    let outcome = bench.end.map(|(outcome, _)| outcome);
+    match outcome {
+        Some(Outcome::Done) => prop_assert_eq!(&bench.tokens, &whole),
+        Some(Outcome::NotRun) => prop_assert!(bench.runs.is_empty(), "it did run"),
+        _ => {}
+    }
+    if is_served {
+        prop_assert_eq!(
+            outcome,
+            Some(Outcome::Done),
+            "lost, but sound targets were left"
+        );
+    }
+    let alive_sessions: usize = bench.engines.iter().map(Engine::sessions).sum();
+    prop_assert_eq!(alive_sessions, 0);
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2000,
@@ -30,34 +155,21 @@
     })]
 
     #[test]
-    fn answers_are_whole_and_right_or_said_not_to_be(
-        faults in proptest::collection::vec((0_usize..9, 0_u32..20, any_fault()), 0..6),
+    fn stages_with_twins(
+        faults in any_faults(TWINS.engines.len()),
+        prompt in 1_usize..40,
+        settings in any_settings(),
+    ) {
+        check(&TWINS, 0, &faults, prompt, settings)?;
+    }
+
+    #[test]
+    fn stages_of_unlike_chains(
+        faults in any_faults(UNLIKE.engines.len()),
+        path in 0..UNLIKE.paths.len(),
         prompt in 1_usize..40,
-        chunk in 1_u32..40,
-        buffer_bytes in prop_oneof![Just(0_u64), Just(100), Just(1 << 20)],
+        settings in any_settings(),
     ) {
-        let names = ["a1", "b1", "c1", "a2", "b2", "c2", "a3", "b3", "c3"];
-        let mut engines: Vec<Engine> = names.iter().enumerate().map(|(index, name)| {
-            let first = u16::try_from(index % 3).unwrap() * 4;
-            Engine::new(stage(name, first, first + 4))
-        }).collect();
-        for (engine, step, fault) in faults {
-            engines[engine] = engines[engine].clone().with_fault(step, fault);
-        }
-        let settings =
-            PipeSettings { chunk_positions: chunk, buffer_bytes, ..PipeSettings::default() };
-        let order = order(prompt, 8);
-        let whole = reference(12, &order.prompt, 8);
-        let bench = Bench::run(engines, &[0, 1, 2], &order, settings);
-        let doubled = bench.runs.iter().find(|(_, count)| **count > 1);
-        prop_assert_eq!(doubled, None);
-        prop_assert!(whole.starts_with(&bench.tokens), "a wrong token came out");
-        match bench.end.map(|(outcome, _)| outcome) {
-            Some(Outcome::Done) => prop_assert_eq!(&bench.tokens, &whole),
-            Some(Outcome::NotRun) => prop_assert!(bench.runs.is_empty(), "it did run"),
-            _ => {}
-        }
-        let alive_sessions: usize = bench.engines.iter().map(Engine::sessions).sum();
-        prop_assert_eq!(alive_sessions, 0);
+        check(&UNLIKE, path, &faults, prompt, settings)?;
     }
 }
--- a/crates/mgw-pipe/tests/recovery.rs
+++ b/crates/mgw-pipe/tests/recovery.rs
@@ -7,7 +7,7 @@
 use mgw_contract::caller::{Outcome, Reason};
 use mgw_pipe::PipeSettings;
 use mgw_world::Millis;
-use support::{Bench, Engine, Fault, order, reference, stage};
+use support::{Bench, Engine, Fault, TransferFault, order, reference, stage};
 
 const PROMPT: usize = 20;
 const ANSWER: u32 = 12;
@@ -177,6 +177,74 @@
     );
 }
 
+macro_rules! failed_transfer {
+    ($($name:ident: export $export:expr, import $import:expr, within $gap_ms:literal;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut engines = engines();
+                let leaving = engines[1].clone().with_fault(6, Fault::Refuse(1));
+                engines[1] = match $export {
+                    Some(fault) => leaving.with_transfer_fault(0, fault),
+                    None => leaving,
+                };
+                if let Some(fault) = $import {
+                    engines[4] = engines[4].clone().with_transfer_fault(0, fault);
+                }
+                let order = order(PROMPT, ANSWER);
+                let bench = Bench::run(engines, &[0, 1, 2], &order, PipeSettings::default());
+                check_whole(&bench);
+                assert!(bench.longest_gap <= Millis($gap_ms), "gap of {}", bench.longest_gap);
+            }
+        )+
+    };
+}
+
+failed_transfer! {
+    export_is_refused: export Some(TransferFault::Fail), import None, within 100;
+    export_is_never_answered: export Some(TransferFault::Hang), import None, within 1000;
+    export_comes_too_late: export Some(TransferFault::Slow(900)), import None, within 1000;
+    export_holds_a_position_too_many: export Some(TransferFault::Ahead), import None, within 100;
+    import_is_refused: export None, import Some(TransferFault::Fail), within 100;
+    answer_of_import_is_lost: export None, import Some(TransferFault::LoseAnswer), within 100;
+    import_is_never_answered: export None, import Some(TransferFault::Hang), within 1000;
+    answer_of_import_comes_too_late: export None, import Some(TransferFault::Slow(900)), within 1000;
+}
+
+#[test]
+fn degraded_stage_hands_its_cache_over() {
+    let mut engines = engines();
+    engines[1] = engines[1].clone().with_fault(3, Fault::Degrade);
+    let settings = PipeSettings {
+        min_move_tokens: 1,
+        ..PipeSettings::default()
+    };
+    let bench = Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), settings);
+    check_whole(&bench);
+    assert_eq!(bench.pipeline.rebuilds(), 1);
+    let positions = (PROMPT + ANSWER as usize - 1) * 12;
+    assert_eq!(bench.runs.len(), positions, "no position was run again");
+}
+
+#[test]
+fn degraded_stage_without_a_better_one_stays() {
+    let mut engines = engines();
+    engines.truncate(3);
+    engines[1] = engines[1].clone().with_fault(3, Fault::Degrade);
+    let settings = PipeSettings {
+        min_move_tokens: 1,
+        ..PipeSettings::default()
+    };
+    let bench = Bench::run(engines, &[0, 1, 2], &order(PROMPT, ANSWER), settings);
+    check_whole(&bench);
+    assert_eq!(bench.pipeline.rebuilds(), 0);
+    assert!(
+        bench.longest_gap <= Millis(100),
+        "gap of {}",
+        bench.longest_gap
+    );
+}
+
 #[test]
 fn request_without_replacement_ends_with_a_truthful_outcome() {
     let mut engines = engines();
--- a/crates/mgw-pipe/tests/support/mod.rs
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small engine model in logical time: enough to see which position ran where and how often.
 
-use std::collections::{BTreeMap, VecDeque};
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use mgw_contract::caller::{Outcome, Reason};
@@ -32,6 +34,23 @@
     Refuse(u8),
     /// The target forgets all sessions before this step.
     Forget,
+    /// The step runs, and the target is judged to have become slow.
+    Degrade,
+}
+
+/// What goes wrong with one export or import, counted over all that reach the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransferFault {
+    /// The call is refused.
+    Fail,
+    /// The call takes effect, but its answer is lost.
+    LoseAnswer,
+    /// The call is never answered.
+    Hang,
+    /// The answer takes this much longer.
+    Slow(u64),
+    /// An image holds a position more than the session ran.
+    Ahead,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -45,6 +64,8 @@
 pub struct Engine {
     pub stage: Stage,
     pub faults: BTreeMap<u32, Fault>,
+    pub transfer_faults: BTreeMap<u32, TransferFault>,
+    transfers: u32,
     sessions: BTreeMap<SessionKey, Session>,
     steps: u32,
     dead: bool,
@@ -65,6 +86,10 @@
     last_token_at: Millis,
     pub now: Millis,
     due: VecDeque<(Millis, Event)>,
+    /// Sessions by the calls that were sent for them.
+    calls: BTreeMap<CallId, SessionKey>,
+    /// Sessions with a step whose fate isn't known.
+    unknown: BTreeSet<SessionKey>,
 }
 
 fn mix(left: u64, right: u64) -> u64 {
@@ -140,7 +165,7 @@
 }
 
 /// The shortest chain that covers a range, in the order of the engines.
-fn find_chain(usable: &[&Stage], layers: LayerRange) -> Option<Vec<Stage>> {
+pub fn find_chain(usable: &[&Stage], layers: LayerRange) -> Option<Vec<Stage>> {
     let starts = usable
         .iter()
         .filter(|stage| stage.layers.first() == layers.first());
@@ -162,6 +187,8 @@
         Self {
             stage,
             faults: BTreeMap::new(),
+            transfer_faults: BTreeMap::new(),
+            transfers: 0,
             sessions: BTreeMap::new(),
             steps: 0,
             dead: false,
@@ -175,6 +202,17 @@
         self
     }
 
+    pub fn with_transfer_fault(mut self, transfer: u32, fault: TransferFault) -> Self {
+        self.transfer_faults.insert(transfer, fault);
+        self
+    }
+
+    fn take_transfer_fault(&mut self) -> Option<TransferFault> {
+        let number = self.transfers;
+        self.transfers += 1;
+        self.transfer_faults.get(&number).copied()
+    }
+
     pub fn sessions(&self) -> usize {
         self.sessions.len()
     }
@@ -203,6 +241,8 @@
             last_token_at: Millis::ZERO,
             now: Millis::ZERO,
             due: VecDeque::new(),
+            calls: BTreeMap::new(),
+            unknown: BTreeSet::new(),
         };
         let actions = bench.pipeline.start(bench.now, &patience);
         bench.perform(actions);
@@ -223,6 +263,7 @@
         assert!(self.now < Millis(120_000), "the request never ends");
         if let Some(index) = self.due.iter().position(|(due, _)| *due <= self.now) {
             let (_, event) = self.due.remove(index).unwrap();
+            self.note_fate(&event);
             let actions = self.pipeline.handle(event, self.now, &patience);
             self.perform(actions);
         } else {
@@ -231,6 +272,19 @@
         }
     }
 
+    /// Keeps account of the sessions that may not be stepped before they were asked.
+    fn note_fate(&mut self, event: &Event) {
+        match event {
+            Event::StepFailed { call, sent: true } => self.unknown.extend(self.calls.get(call)),
+            Event::Standing { call, .. } => {
+                if let Some(session) = self.calls.get(call) {
+                    self.unknown.remove(session);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Delivers what is still under way after the end; nothing may come of it.
     fn drain(&mut self) {
         while let Some((_, event)) = self.due.pop_front() {
@@ -322,6 +376,11 @@
     }
 
     fn step(&mut self, call: CallId, stage: &Stage, step: &StageStep) {
+        assert!(
+            !self.unknown.contains(&step.session),
+            "a step was sent blindly after one of unknown fate"
+        );
+        self.calls.insert(call, step.session);
         let engine = self.find(&stage.target);
         let number = engine.steps;
         engine.steps += 1;
@@ -362,6 +421,10 @@
             return self.later(took, Event::StepFailed { call, sent: true });
         }
         self.later(took, event);
+        if fault == Some(Fault::Degrade) {
+            let target = stage.target.clone();
+            self.later(took, Event::Degraded { target });
+        }
     }
 
     fn execute(&mut self, stage: &Stage, step: &StageStep) -> Result<StageOutput, StepRefusal> {
@@ -425,6 +488,7 @@
     }
 
     fn ask(&mut self, call: CallId, stage: &Stage, session: SessionKey) {
+        self.calls.insert(call, session);
         let engine = self.find(&stage.target);
         if engine.hung {
             return;
@@ -444,28 +508,42 @@
 
     fn export(&mut self, call: CallId, stage: &Stage, key: SessionKey) {
         let engine = self.find(&stage.target);
-        if engine.hung {
+        let fault = engine.take_transfer_fault();
+        if engine.hung || fault == Some(TransferFault::Hang) {
             return;
         }
-        let Some(session) = engine.sessions.get(&key).filter(|_| !engine.dead) else {
+        let session = engine.sessions.get(&key).filter(|_| !engine.dead);
+        let Some(mut session) = session.cloned() else {
             return self.later(Millis(1), Event::CallFailed { call });
         };
-        let bytes: Vec<u8> = session
-            .states
-            .values()
-            .flat_map(|state| state.to_le_bytes())
-            .collect();
+        if matches!(fault, Some(TransferFault::Fail | TransferFault::LoseAnswer)) {
+            return self.later(Millis(1), Event::CallFailed { call });
+        }
+        let layers = engine.stage.layers;
+        if fault == Some(TransferFault::Ahead) {
+            run_layers(&mut session.states, layers, session.next, 0);
+            session.next += 1;
+        }
+        let states = session.states.values();
+        let bytes: Vec<u8> = states.flat_map(|state| state.to_le_bytes()).collect();
         let image = KvImage {
-            layers: engine.stage.layers,
+            layers,
             version: engine.stage.version.clone(),
             next: Position(session.next),
             bytes: Bytes::from(bytes),
         };
-        self.later(Millis(2), Event::Exported { call, image });
+        self.later(transfer_time(fault), Event::Exported { call, image });
     }
 
     fn import(&mut self, call: CallId, stage: &Stage, key: SessionKey, image: &KvImage) {
         let engine = self.find(&stage.target);
+        let fault = engine.take_transfer_fault();
+        if engine.hung {
+            return;
+        }
+        if engine.dead || fault == Some(TransferFault::Fail) {
+            return self.later(Millis(1), Event::CallFailed { call });
+        }
         let layers = image.layers.first()..image.layers.end();
         let states = layers
             .zip(image.bytes.chunks_exact(8))
@@ -475,6 +553,17 @@
             states: states.collect(),
         };
         engine.sessions.insert(key, session);
-        self.later(Millis(2), Event::Imported { call });
+        match fault {
+            Some(TransferFault::Hang) => {}
+            Some(TransferFault::LoseAnswer) => self.later(Millis(1), Event::CallFailed { call }),
+            _ => self.later(transfer_time(fault), Event::Imported { call }),
+        }
+    }
+}
+
+const fn transfer_time(fault: Option<TransferFault>) -> Millis {
+    match fault {
+        Some(TransferFault::Slow(ms)) => Millis(2 + ms),
+        _ => Millis(2),
     }
 }
