Bound the stage inputs that all requests of an entry hold together

Cause: a stage ran ahead of a slower one without limit, so a prompt of 32k positions at 8 KiB could hold 256 MiB for one request; the limit for a request only drops what ran already. A request that ended during an export left the former target's session behind, and freeing a session at a silent target waited for ever. Change: a stage runs at most two chunks ahead of the next one, and none while the entry's budget (256 MiB) is exceeded; a request goes on with one chunk at a time, so none starves. Held inputs for replay are dropped first. The end of a request frees the former target's session too.

--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -6,7 +6,7 @@
 
 use hyper::Request;
 use mgw_contract::caller::{EntryAddress, WORKSPACE_HEADER};
-use mgw_pipe::{MoveBudget, StepTimes, TargetPaces};
+use mgw_pipe::{ActivationBudget, MoveBudget, StepTimes, TargetPaces};
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
 use mgw_serve::http::{HttpClient, client, unpooled_client};
@@ -73,6 +73,8 @@
     pub gate_changed: Notify,
     /// One budget of retries for all stages and calls.
     pub retries: Mutex<RetryBudget>,
+    /// Stage inputs held for all requests together.
+    pub activations: ActivationBudget,
     /// Moves of running requests to each target.
     pub moves: Mutex<MoveBudget>,
     /// Observed step times.
@@ -126,6 +128,7 @@
             gate: Mutex::default(),
             gate_changed: Notify::new(),
             retries: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
+            activations: ActivationBudget::new(settings.activation_bytes),
             moves: Mutex::new(MoveBudget::new(settings.moves.clone())),
             times: Mutex::new(StepTimes::new(settings.times.clone())),
             paces: Mutex::new(TargetPaces::new(settings.paces.clone())),
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -15,6 +15,9 @@
 use crate::engines::StepError;
 use crate::paths::PathLease;
 
+/// How long a target may take to free a session; afterwards it frees the idle session by itself.
+const FREE_LIMIT_MS: Millis = Millis(5_000);
+
 /// What the caller's side hears of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunItem {
@@ -78,7 +81,8 @@
         path,
         items,
     } = request;
-    let pipeline = Pipeline::new(order, path.stages(), app.settings.pipe.clone());
+    let pipeline = Pipeline::new(order, path.stages(), app.settings.pipe.clone())
+        .with_budget(app.activations.clone());
     let mut run = Run {
         app,
         model,
@@ -191,8 +195,13 @@
             }
             Action::Free { stage, session } => {
                 tokio::spawn(async move {
-                    if let Err(error) = engines.free(stage.address, session).await {
-                        debug!(target = %stage.target, %session, %error, "couldn't free the session");
+                    let freeing = engines.free(stage.address, session);
+                    match timeout(FREE_LIMIT_MS.to_duration(), freeing).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(error)) => {
+                            debug!(target = %stage.target, %session, %error, "couldn't free the session");
+                        }
+                        Err(_) => debug!(target = %stage.target, %session, "no answer to freeing"),
                     }
                 });
             }
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -104,6 +104,9 @@
     /// Pipelines.
     #[serde(default)]
     pub pipe: PipeSettings,
+    /// Most bytes of stage inputs held for all requests together.
+    #[serde(default = "default_activation_bytes")]
+    pub activation_bytes: u64,
     /// Moves of running requests when targets fail.
     #[serde(default)]
     pub moves: MoveSettings,
@@ -121,6 +124,11 @@
     pub leaving: LeavingSettings,
 }
 
+/// Bytes of stage inputs that a small machine holds.
+const fn default_activation_bytes() -> u64 {
+    256 * 1024 * 1024
+}
+
 const fn default_weight() -> u32 {
     1
 }
--- a/crates/mgw-pipe/src/lib.rs
+++ b/crates/mgw-pipe/src/lib.rs
@@ -4,6 +4,7 @@
 //! takes the positions that the stage before it has delivered, so that prefill in chunks, decoding
 //! and the rebuilding of a lost stage are the same data flow.
 
+mod budget;
 mod buffer;
 mod event;
 mod moves;
@@ -16,6 +17,7 @@
 mod times;
 mod transfer;
 
+pub use budget::ActivationBudget;
 pub use event::{Action, CallId, Event, Patience};
 pub use moves::{MoveBudget, MoveSettings};
 pub use pace::{PaceSettings, TargetPaces};
--- a/crates/mgw-pipe/src/pipeline.rs
+++ b/crates/mgw-pipe/src/pipeline.rs
@@ -5,9 +5,13 @@
 use mgw_contract::engine::{StageInput, StageOutput, StageStep};
 use mgw_world::{Attempt, Millis, Position, RequestId, TargetName};
 
+use crate::budget::HeldBytes;
 use crate::replace::Cause;
 use crate::stage::{Phase, StageRun};
-use crate::{Action, CallId, Event, Patience, PipeSettings, Stage};
+use crate::{Action, ActivationBudget, CallId, Event, Patience, PipeSettings, Stage};
+
+/// Chunks of a prompt by which a stage may run ahead of the next one.
+const CHUNKS_AHEAD: u32 = 2;
 
 /// What shall be generated.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,7 +34,7 @@
 ///
 /// Every answer of a target is matched by call, and every session is named by request and attempt,
 /// so that a late answer of an abandoned attempt can't enter the caller's answer.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Pipeline {
     pub(crate) order: Order,
     pub(crate) settings: PipeSettings,
@@ -42,6 +46,7 @@
     /// Generated tokens when a stage last moved, or couldn't, without need.
     pub(crate) moved_at: Option<u32>,
     pub(crate) may_have_run: bool,
+    held: HeldBytes,
     finished: bool,
     next_call: u64,
     next_attempt: Attempt,
@@ -60,6 +65,7 @@
             rebuilds: 0,
             moved_at: None,
             may_have_run: false,
+            held: HeldBytes::default(),
             finished: false,
             next_call: 0,
             next_attempt: Attempt(0),
@@ -71,6 +77,13 @@
         pipeline
     }
 
+    /// Shares a bound on held stage inputs with other pipelines.
+    #[must_use]
+    pub fn with_budget(mut self, budget: ActivationBudget) -> Self {
+        self.held = HeldBytes::new(budget);
+        self
+    }
+
     /// Starts the first steps.
     pub fn start(&mut self, now: Millis, patience: Patience<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -273,7 +286,8 @@
     /// Drops inputs that already ran where more are held than allowed; such a stage can no longer
     /// be replayed by itself.
     fn trim_buffers(&mut self) {
-        while self.buffered_bytes() > self.settings.buffer_bytes {
+        self.held.set(self.buffered_bytes());
+        while self.buffered_bytes() > self.settings.buffer_bytes || self.held.is_exceeded() {
             let droppable = |run: &StageRun| {
                 let held_from = run.inputs.first_kept();
                 if held_from < run.delivered {
@@ -290,6 +304,7 @@
             if run.inputs.kept_bytes() == before {
                 return;
             }
+            self.held.set(self.buffered_bytes());
         }
     }
 
@@ -306,7 +321,8 @@
             }
             let run = &self.stages[index];
             let waiting = self.received(index) - run.computed;
-            if waiting == 0 || !matches!(run.phase, Phase::Idle) {
+            let is_idle = matches!(run.phase, Phase::Idle);
+            if waiting == 0 || !is_idle || !self.has_room_after(index) {
                 continue;
             }
             let count = waiting.min(self.settings.chunk_positions);
@@ -328,6 +344,23 @@
         }
     }
 
+    /// Whether the following stage may be given more inputs than it has.
+    ///
+    /// A stage may run ahead of the next one by a few chunks, and by none while the budget is
+    /// exceeded; what the next one has already may always be run again.
+    fn has_room_after(&self, index: usize) -> bool {
+        let Some(next) = self.stages.get(index + 1) else {
+            return true;
+        };
+        let received = next.inputs.received();
+        let ahead = received - next.computed;
+        if self.stages[index].computed < received || ahead == 0 {
+            return true;
+        }
+        let most = self.settings.chunk_positions.saturating_mul(CHUNKS_AHEAD);
+        ahead < most && !self.held.is_exceeded()
+    }
+
     pub(crate) fn send_step(
         &mut self,
         index: usize,
@@ -381,8 +414,11 @@
             return;
         }
         for index in 0..self.stages.len() {
+            self.abandon_export(index, actions);
             self.free_session(index, actions);
+            self.stages[index].inputs = Default::default();
         }
+        self.held.set(0);
         actions.push(Action::Finish { outcome, reason });
     }
 
--- /dev/null
+++ b/crates/mgw-pipe/tests/cancelling.rs
@@ -0,0 +1,63 @@
+//! A caller that goes away at any moment: the targets' sessions are freed at once.
+
+mod support;
+
+use mgw_contract::caller::{Outcome, Reason};
+use mgw_pipe::PipeSettings;
+use mgw_world::Millis;
+use support::{Bench, Engine, Fault, TransferFault, order, stage};
+
+/// Later than the end of any of the requests here.
+const LAST_MS: u64 = 1200;
+
+fn engines() -> Vec<Engine> {
+    vec![
+        Engine::new(stage("a1", 0, 4)),
+        Engine::new(stage("b1", 4, 8)),
+        Engine::new(stage("c1", 8, 12)),
+        Engine::new(stage("a2", 0, 4)),
+        Engine::new(stage("b2", 4, 8)),
+        Engine::new(stage("c2", 8, 12)),
+    ]
+}
+
+macro_rules! cancelled {
+    ($($name:ident: middle $fault:expr, transfer $transfer:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                for at in (0..LAST_MS).step_by(3).map(Millis) {
+                    let mut engines = engines();
+                    if let Some(fault) = $fault {
+                        engines[1] = engines[1].clone().with_fault(4, fault);
+                    }
+                    if let Some(fault) = $transfer {
+                        engines[1] = engines[1].clone().with_transfer_fault(0, fault);
+                        engines[4] = engines[4].clone().with_transfer_fault(0, fault);
+                    }
+                    let order = order(12, 8);
+                    let settings = PipeSettings::default();
+                    let bench = Bench::run_cancelled(engines, &[0, 1, 2], &order, settings, at);
+                    let left: usize = bench.engines.iter().map(Engine::sessions).sum();
+                    assert_eq!(left, 0, "sessions were left by a cancellation at {at}");
+                    if bench.end != Some((Outcome::Done, Reason::Complete)) {
+                        assert_eq!(bench.end.map(|(_, reason)| reason), Some(Reason::Cancelled));
+                        assert_eq!(bench.end_at, at);
+                    }
+                }
+            }
+        )+
+    };
+}
+
+cancelled! {
+    without_faults: middle None, transfer None;
+    while_a_stage_is_dead: middle Some(Fault::Die), transfer None;
+    while_a_stage_is_silent: middle Some(Fault::Hang), transfer None;
+    while_a_stage_is_slow: middle Some(Fault::Slow(400)), transfer None;
+    while_a_cache_is_moved: middle Some(Fault::Refuse(1)), transfer None;
+    while_a_slow_cache_is_moved:
+        middle Some(Fault::Refuse(1)), transfer Some(TransferFault::Slow(100));
+    while_an_export_or_import_hangs:
+        middle Some(Fault::Refuse(1)), transfer Some(TransferFault::Hang);
+}
--- a/crates/mgw-pipe/tests/support/mod.rs
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use mgw_contract::engine::{
     KvImage, SessionKey, SessionStanding, StageInput, StageOutput, StageStep, StepRefusal,
 };
-use mgw_pipe::{Action, CallId, Event, Order, PipeSettings, Pipeline, Stage};
+use mgw_pipe::{Action, ActivationBudget, CallId, Event, Order, PipeSettings, Pipeline, Stage};
 use mgw_world::{LayerRange, Millis, ModelVersion, Position, RequestId, TargetName};
 
 /// Bytes of one position's activation in these tests.
@@ -85,6 +85,8 @@
     pub longest_gap: Millis,
     last_token_at: Millis,
     pub now: Millis,
+    /// Most bytes of stage inputs that were held.
+    pub most_bytes: u64,
     due: VecDeque<(Millis, Event)>,
     /// Sessions by the calls that were sent for them.
     calls: BTreeMap<CallId, SessionKey>,
@@ -225,14 +227,62 @@
         path: &[usize],
         order: &Order,
         settings: PipeSettings,
+    ) -> Self {
+        Self::run_within(engines, path, order, settings, ActivationBudget::default())
+    }
+
+    /// Runs a request that shares a budget of held inputs.
+    pub fn run_within(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        budget: ActivationBudget,
+    ) -> Self {
+        let mut bench = Self::new(engines, path, order, settings, budget);
+        bench.finish();
+        bench
+    }
+
+    /// Runs a request whose caller goes away at some point.
+    pub fn run_cancelled(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        at: Millis,
+    ) -> Self {
+        let budget = ActivationBudget::default();
+        let mut bench = Self::new(engines, path, order, settings, budget);
+        let reason = Reason::Cancelled;
+        bench.later(at, Event::Cancelled { reason });
+        bench.finish();
+        bench
+    }
+
+    fn finish(&mut self) {
+        let actions = self.pipeline.start(self.now, &patience);
+        self.perform(actions);
+        while self.end.is_none() {
+            self.advance();
+        }
+        self.drain();
+    }
+
+    fn new(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        budget: ActivationBudget,
     ) -> Self {
         let stages = path
             .iter()
             .map(|index| engines[*index].stage.clone())
             .collect();
-        let mut bench = Self {
+        Self {
             engines,
-            pipeline: Pipeline::new(order.clone(), stages, settings),
+            pipeline: Pipeline::new(order.clone(), stages, settings).with_budget(budget),
             tokens: Vec::new(),
             end: None,
             end_at: Millis::ZERO,
@@ -240,17 +290,11 @@
             longest_gap: Millis::ZERO,
             last_token_at: Millis::ZERO,
             now: Millis::ZERO,
+            most_bytes: 0,
             due: VecDeque::new(),
             calls: BTreeMap::new(),
             unknown: BTreeSet::new(),
-        };
-        let actions = bench.pipeline.start(bench.now, &patience);
-        bench.perform(actions);
-        while bench.end.is_none() {
-            bench.advance();
         }
-        bench.drain();
-        bench
     }
 
     fn advance(&mut self) {
@@ -265,6 +309,7 @@
             let (_, event) = self.due.remove(index).unwrap();
             self.note_fate(&event);
             let actions = self.pipeline.handle(event, self.now, &patience);
+            self.most_bytes = self.most_bytes.max(self.pipeline.buffered_bytes());
             self.perform(actions);
         } else {
             let actions = self.pipeline.tick(self.now, &patience);
