Resolve the merge in the entry's parts

Cause: conflict marks of the last merge were left in app.rs. Change: both imports stand. Conclusion: the workspace builds again.

--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -6,12 +6,8 @@
 
 use hyper::Request;
 use mgw_contract::caller::{EntryAddress, WORKSPACE_HEADER};
-<<<<<<< HEAD
 use mgw_peer::PeerPool;
-use mgw_pipe::StepTimes;
-=======
 use mgw_pipe::{ActivationBudget, MoveBudget, StepTimes, TargetPaces};
->>>>>>> recovery
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
 use mgw_serve::http::{HttpClient, client, unpooled_client};
