A flush of the replica no longer asks for the next one

Cause: each message to the replica actor scheduled a flush, the flush itself too, so that one thread of every control was busy all the time (151 of 300 clock ticks in 3 s at load 55; perf showed take_output called in a loop). Ruled out: the spreading of views and the long polls; their threads slept. Change: only other messages schedule a flush.

--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -105,8 +105,11 @@
         message: Self::Msg,
         run: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
+        let is_flush = matches!(message, ReplicaMessage::Flush);
         run.take_message(message);
-        run.schedule_flush(&myself);
+        if !is_flush {
+            run.schedule_flush(&myself);
+        }
         Ok(())
     }
 }
