--- a/crates/mgw-load/src/caller.rs
+++ b/crates/mgw-load/src/caller.rs
@@ -1,5 +1,5 @@
 //! A caller: asks for addresses, sends requests to entries, and sends one again only when it
-//! certainly didn't run.
+//! certainly didn't run or, where it is told so, when its stream broke off.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -42,6 +42,8 @@
     pub expected: Option<Vec<u32>>,
     /// Most times that it is sent.
     pub tries: u32,
+    /// Whether it is sent again after its stream broke off.
+    pub repeat_cut: bool,
     /// When the caller needs the answer.
     pub deadline: Instant,
 }
@@ -125,6 +127,11 @@
                     continue;
                 }
             };
+            let is_cut = matches!(verdict, Verdict::Truncated | Verdict::Broken);
+            if is_cut && ask.repeat_cut && progress.sent < ask.tries {
+                self.book().note_failure(&url, self.now());
+                continue;
+            }
             let ran = verdict.outcome() != Outcome::NotRun || !progress.answer.tokens.is_empty();
             if ran || progress.sent >= ask.tries {
                 return verdict;
--- a/crates/mgw-load/src/run.rs
+++ b/crates/mgw-load/src/run.rs
@@ -81,6 +81,7 @@
         workspace: arrival.workspace.clone(),
         expected,
         tries: settings.tries,
+        repeat_cut: settings.repeat_cut,
         deadline: arrived + settings.deadline_ms.to_duration(),
     }
 }
--- a/crates/mgw-load/src/settings.rs
+++ b/crates/mgw-load/src/settings.rs
@@ -50,6 +50,9 @@
     pub callers: u32,
     /// Most times that one request is sent.
     pub tries: u32,
+    /// Whether a request whose stream broke off is sent again from the start, to another entry:
+    /// its outcome is unknown, and a completion is harmless to repeat.
+    pub repeat_cut: bool,
     /// Time that a caller gives a request.
     pub deadline_ms: Millis,
     /// Tokens asked for.
@@ -95,6 +98,7 @@
             workspaces: Vec::new(),
             callers: 8,
             tries: 3,
+            repeat_cut: false,
             deadline_ms: Millis(30_000),
             max_tokens: 32,
             prompt: None,
--- a/crates/mgw-load/tests/callers.rs
+++ b/crates/mgw-load/tests/callers.rs
@@ -190,6 +190,17 @@
         => Verdict::Wrong { .. }, sent 1;
 }
 
+#[tokio::test]
+async fn truncated_is_sent_again_where_that_is_wanted() {
+    let entry = start_entry(&[Act::Cut, Act::Whole], &[]).await;
+    let settings = Settings {
+        repeat_cut: true,
+        ..settings()
+    };
+    let (verdict, progress, _) = complete(vec![entry.url], &settings).await;
+    assert_eq!((verdict, progress.sent), (Verdict::Whole, 2));
+}
+
 #[tokio::test]
 async fn an_unreachable_entry_is_passed_over_without_sending() {
     let entry = start_entry(&[Act::Whole], &["http://127.0.0.1:1"]).await;
--- a/crates/mgw-pipe/tests/widening.rs
+++ b/crates/mgw-pipe/tests/widening.rs
@@ -23,6 +23,8 @@
         Engine::new(stage("chg-1", 0, 3)),
         Engine::new(stage("chg-2", 3, 8)),
         Engine::new(stage("chg-3", 8, 12)),
+        Engine::new(stage("chg-4", 4, 9)),
+        Engine::new(stage("chg-5", 9, 12)),
     ]
 }
 
@@ -78,6 +80,10 @@
         faults [(4, 5, Fault::Slow(5000))], buffer 1 << 20, within 2000;
     wider_replacement_forgets_its_session: path [3, 4],
         faults [(4, 5, Fault::Die), (1, 3, Fault::Forget)], buffer 1 << 20, within 1000;
+    last_stage_dies_and_the_middle_goes_with_it: path [0, 8, 9],
+        faults [(9, 5, Fault::Die)], buffer 1 << 20, within 1000;
+    last_stage_dies_and_the_middle_without_kept_inputs: path [0, 8, 9],
+        faults [(9, 5, Fault::Die)], buffer 0, within 1000;
     leaving_stage_without_a_twin: path [3, 4],
         faults [(4, 5, Fault::Refuse(1))], buffer 1 << 20, within 1000;
 }
