--- a/crates/mgw-cli/src/error.rs
+++ b/crates/mgw-cli/src/error.rs
@@ -11,6 +11,8 @@
     Success = 0,
     /// The configuration has faults.
     Invalid = 1,
+    /// The arguments are wrong.
+    Usage = 2,
     /// Another change was accepted on the same base.
     Conflict = 3,
     /// Nobody answered; the outcome of a change is unknown and it may be sent again.
@@ -35,13 +37,18 @@
         /// All faults.
         findings: Findings,
     },
-    /// can't read {path}: {source}
+    /// can't use {path}: {source}
     File {
         /// The file.
         path: String,
         /// What the system said.
         source: std::io::Error,
     },
+    /// can't make the certificates: {message}
+    Certificates {
+        /// What the library said.
+        message: String,
+    },
     /// no answer from {url}: {message}; give other addresses with --at
     Unreachable {
         /// Last address tried.
@@ -77,7 +84,8 @@
         match self {
             Self::Findings { .. } => ExitStatus::Invalid,
             Self::Unreachable { .. } => ExitStatus::Unreachable,
-            Self::File { .. } | Self::Refused { .. } | Self::Usage { .. } | Self::Answer { .. } => {
+            Self::Usage { .. } | Self::File { .. } => ExitStatus::Usage,
+            Self::Refused { .. } | Self::Answer { .. } | Self::Certificates { .. } => {
                 ExitStatus::Refused
             }
         }
--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -6,6 +6,7 @@
 
 use hyper::Request;
 use mgw_contract::caller::{EntryAddress, WORKSPACE_HEADER};
+use mgw_peer::PeerPool;
 use mgw_pipe::{ActivationBudget, MoveBudget, StepTimes, TargetPaces};
 use mgw_route::{RetryBudget, RetryBudgetSettings, Router, RouterSettings};
 use mgw_serve::Shutdown;
@@ -113,6 +114,7 @@
     pub fn new(
         settings: EntrySettings,
         shutdown: Shutdown,
+        pool: Arc<PeerPool>,
         seed: u64,
     ) -> Result<Arc<Self>, prometheus::Error> {
         let clock = Clock::monotonic();
@@ -133,7 +135,7 @@
             times: Mutex::new(StepTimes::new(settings.times.clone())),
             paces: Mutex::new(TargetPaces::new(settings.paces.clone())),
             engines: EngineClient::default(),
-            controls: Controls::new(&settings.controls),
+            controls: Controls::new(&settings.controls, pool),
             plain_client: client(),
             once_client: unpooled_client(),
             plain: PlainBalance::default(),
--- a/crates/mgw-pipe/tests/cancelling.rs
+++ b/crates/mgw-pipe/tests/cancelling.rs
@@ -1,5 +1,7 @@
 //! A caller that goes away at any moment: the targets' sessions are freed at once.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use mgw_contract::caller::{Outcome, Reason};
--- a/crates/mgw-pipe/tests/memory.rs
+++ b/crates/mgw-pipe/tests/memory.rs
@@ -1,5 +1,7 @@
 //! Bounds on the stage inputs that pipelines hold.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use bytes::Bytes;
