Membership: even pace, callers' hash, calls that wait hold a leaving node up

Cause: at 330 nodes the busiest node moved 30.2 KB/s in a window of 2 s, since random peers ask a node unevenly and it asked at its usual pace besides. Callers that sent the same address call all got the same first entry. A call that waited for admission didn't count when a leaving entry looked whether it was empty, and a validity over the limit cut requests off that were still being taken. Ruled out: asking less often in general (news would get older than the 2.8 s that a target may be chosen by); leaving loads out of every other exchange (their age would be understated). Change: a node that answers over 110% of the usual exchanges in a second asks up to half as often meanwhile; digests of 6 bytes; hash_caller; Unended; taking requests ends at half of the limit at the latest; an entry that was frozen names the others as last heard. The server accepts what the system has connected before it closes its listener. Tests changed: leaving.rs calls step and force with Unended in place of a list; same verdicts.

--- a/crates/mgw-member/examples/spread_cost.rs
+++ b/crates/mgw-member/examples/spread_cost.rs
@@ -3,6 +3,7 @@
 //! `spread_cost [SECONDS]` prints one line for each number of nodes, with 600 targets that renew
 //! once a second, half of the renewals with a changed load. `spread_cost leaving [RUNS]` makes
 //! seeded runs in which ten targets leave while one node in ten has lost its links.
+//! `spread_cost windows [RUNS]` prints the greatest traffic of one of 330 nodes in any two seconds.
 #![allow(clippy::print_stdout, reason = "a measurement prints its result")]
 
 #[path = "../tests/support/mod.rs"]
@@ -13,7 +14,7 @@
 
 use mgw_contract::target::Readiness;
 use mgw_world::Millis;
-use support::{Net, Traffic};
+use support::{Net, Traffic, busiest_window};
 
 const TARGETS: usize = 600;
 const SIZES: [usize; 4] = [10, 30, 100, 330];
@@ -26,6 +27,10 @@
             let runs = arguments.next().and_then(|text| text.parse().ok());
             measure_leaving(runs.unwrap_or(10));
         }
+        Some("windows") => {
+            let runs = arguments.next().and_then(|text| text.parse().ok());
+            measure_windows(runs.unwrap_or(5));
+        }
         seconds => measure_cost(seconds.and_then(|text| text.parse().ok()).unwrap_or(20)),
     }
 }
@@ -65,6 +70,30 @@
     }
 }
 
+/// Time after which the catch-up of a common start is over, and the time that is measured then.
+const SETTLED: Millis = Millis(7_000);
+const WINDOWS_S: u64 = 20;
+
+fn measure_windows(runs: u64) {
+    println!("seed busiest_B/s mean_B/s unsure_ppm");
+    for seed in 1..=runs {
+        let nodes = 330;
+        let mut net = Net::new(nodes, TARGETS, seed);
+        net.run(SETTLED);
+        net.traffic = vec![Traffic::default(); nodes];
+        let busiest = busiest_window(&mut net, WINDOWS_S);
+        let moved = net.traffic.iter().map(|t| t.sent_bytes + t.received_bytes);
+        let mean = moved.sum::<u64>() / WINDOWS_S / nodes as u64;
+        let mut unsure = 0;
+        for _ in 0..10 {
+            net.run(Millis(500));
+            unsure += (0..TARGETS).map(|t| nodes - net.choosers(t)).sum::<usize>();
+        }
+        let unsure_ppm = unsure * 100_000 / (TARGETS * nodes);
+        println!("{seed:4} {busiest:11} {mean:8} {unsure_ppm:10}");
+    }
+}
+
 /// Greatest age of any node's news of any other.
 fn oldest_age(net: &Net) -> u64 {
     let ages = net.views.iter().flat_map(|view| view.nodes(net.now));
--- a/crates/mgw-member/src/addresses.rs
+++ b/crates/mgw-member/src/addresses.rs
@@ -4,7 +4,7 @@
 use mgw_world::{EntryName, Millis, PlaceName};
 use serde::{Deserialize, Serialize};
 
-use crate::node::mix;
+use crate::node::{hash_bytes, mix};
 use crate::trust::ramp;
 use crate::{NodeInfo, NodePhase, NodeRole, NodeStatus, View};
 
@@ -79,6 +79,20 @@
     }
 }
 
+/// Hashes a caller for [`choose_addresses`], alike on every entry and in every build.
+///
+/// A caller that names itself keeps its entries from answer to answer. One that doesn't is spread by
+/// `draw`, a new random number for each call, so that callers which send the same call aren't all
+/// sent to the same entry.
+#[must_use]
+pub fn hash_caller(workspace: Option<&str>, caller: Option<&str>, draw: u64) -> u64 {
+    let Some(caller) = caller else {
+        return mix(draw);
+    };
+    let workspace = hash_bytes(workspace.unwrap_or_default().as_bytes());
+    mix(workspace) ^ mix(hash_bytes(caller.as_bytes()).rotate_left(32))
+}
+
 /// Chooses the entries that a caller shall use, best first.
 ///
 /// Callers with the same hash and place get the same entries while the view doesn't change; over
@@ -101,6 +115,13 @@
             .filter(|node| node.is_alive && !node.is_refused)
             .collect(),
     };
+    // A process that was frozen has heard nobody yet: the others are named as last heard.
+    let hears_nobody = usable.is_empty();
+    if hears_nobody {
+        let entries = nodes.iter().filter(|node| is_serving_entry(node.info));
+        let others = entries.filter(|node| node.info.name != view.me().name);
+        usable.extend(others.filter(|node| view.is_believed(node)));
+    }
     if availability.gives_itself_out() || usable.is_empty() {
         let own = nodes.iter().filter(|node| node.info.name == view.me().name);
         usable.extend(own.filter(|node| node.info.role == NodeRole::Entry));
@@ -109,7 +130,7 @@
     let picked = pick(&ranked, caller_place, settings);
     AddressesReply {
         entries: picked.into_iter().map(to_address).collect(),
-        valid_ms: if availability == Availability::Full {
+        valid_ms: if availability == Availability::Full && !hears_nobody {
             settings.valid_ms
         } else {
             settings.unsure_valid_ms
--- a/crates/mgw-member/src/leaving.rs
+++ b/crates/mgw-member/src/leaving.rs
@@ -11,7 +11,8 @@
     pub hear_ms: Millis,
     /// How long callers keep an answer that names it.
     pub valid_ms: Millis,
-    /// Time after which the rest is cut off.
+    /// Time after which the rest is cut off; no longer than half of it is spent on taking further
+    /// requests.
     pub limit_ms: Millis,
 }
 
@@ -51,9 +52,34 @@
         by: CutOff,
         /// Requests that were in flight.
         requests: Vec<RequestId>,
+        /// Calls that had no answer yet; those of requests that run are among them.
+        open_calls: usize,
     },
 }
 
+/// What a leaving node still has to end.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Unended<'a> {
+    /// Requests in flight.
+    pub requests: &'a [RequestId],
+    /// Calls whose answer hasn't begun, such as those that wait for admission.
+    pub open_calls: usize,
+}
+
+impl Unended<'_> {
+    const fn is_empty(&self) -> bool {
+        self.requests.is_empty() && self.open_calls == 0
+    }
+
+    fn cut(&self, by: CutOff) -> LeavingPhase {
+        LeavingPhase::Cut {
+            by,
+            requests: self.requests.to_vec(),
+            open_calls: self.open_calls,
+        }
+    }
+}
+
 impl LeavingPhase {
     /// Whether the process may exit.
     #[must_use]
@@ -71,11 +97,11 @@
 /// The procedure of one node, from the first signal on.
 ///
 /// ```
-/// use mgw_member::{Leaving, LeavingPhase, LeavingSettings};
+/// use mgw_member::{Leaving, LeavingPhase, LeavingSettings, Unended};
 /// use mgw_world::Millis;
 /// let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
-/// assert_eq!(leaving.step(&[], Millis(1)), LeavingPhase::ServingOn);
-/// assert_eq!(leaving.step(&[], Millis(14_000)), LeavingPhase::Empty);
+/// assert_eq!(leaving.step(Unended::default(), Millis(1)), LeavingPhase::ServingOn);
+/// assert_eq!(leaving.step(Unended::default(), Millis(14_000)), LeavingPhase::Empty);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Leaving {
@@ -95,12 +121,23 @@
         }
     }
 
-    /// The phase now, given the requests in flight. Once over, it stays as it is.
-    pub fn step(&mut self, in_flight: &[RequestId], now: Millis) -> LeavingPhase {
+    /// Starts the procedure of a node that never took callers: no answer names it.
+    #[must_use]
+    pub fn before_serving(settings: LeavingSettings, now: Millis) -> Self {
+        let settings = LeavingSettings {
+            hear_ms: Millis::ZERO,
+            valid_ms: Millis::ZERO,
+            ..settings
+        };
+        Self::new(settings, now)
+    }
+
+    /// The phase now, given what hasn't ended yet. Once over, it stays as it is.
+    pub fn step(&mut self, unended: Unended<'_>, now: Millis) -> LeavingPhase {
         if let Some(ended) = &self.ended {
             return ended.clone();
         }
-        let phase = self.judge(in_flight, now);
+        let phase = self.judge(unended, now);
         if phase.is_over() {
             self.ended = Some(phase.clone());
         }
@@ -108,31 +145,37 @@
     }
 
     /// Ends the procedure at the second signal.
-    pub fn force(&mut self, in_flight: &[RequestId]) -> LeavingPhase {
-        let forced = if in_flight.is_empty() {
+    pub fn force(&mut self, unended: Unended<'_>) -> LeavingPhase {
+        let forced = if unended.is_empty() {
             LeavingPhase::Empty
         } else {
-            LeavingPhase::Cut {
-                by: CutOff::SecondSignal,
-                requests: in_flight.to_vec(),
-            }
+            unended.cut(CutOff::SecondSignal)
         };
         self.ended.get_or_insert(forced).clone()
     }
 
-    fn judge(&self, in_flight: &[RequestId], now: Millis) -> LeavingPhase {
+    /// When the limit is reached.
+    #[must_use]
+    pub fn limit_at(&self) -> Millis {
+        self.since + self.settings.limit_ms
+    }
+
+    fn judge(&self, unended: Unended<'_>, now: Millis) -> LeavingPhase {
         let span = now - self.since;
-        let answers_run_out = span >= self.settings.hear_ms + self.settings.valid_ms;
-        if span >= self.settings.limit_ms && !in_flight.is_empty() {
-            return LeavingPhase::Cut {
-                by: CutOff::Limit,
-                requests: in_flight.to_vec(),
-            };
+        let answers_run_out = span >= self.serving_on_ms();
+        if span >= self.settings.limit_ms && !unended.is_empty() {
+            return unended.cut(CutOff::Limit);
         }
-        match (answers_run_out, in_flight.is_empty()) {
+        match (answers_run_out, unended.is_empty()) {
             (false, _) => LeavingPhase::ServingOn,
             (true, false) => LeavingPhase::Ending,
             (true, true) => LeavingPhase::Empty,
         }
     }
+
+    /// How long further requests are taken. The rest of the limit is left for ending them.
+    fn serving_on_ms(&self) -> Millis {
+        let answers_ms = self.settings.hear_ms + self.settings.valid_ms;
+        answers_ms.min(Millis(self.settings.limit_ms.0 / 2))
+    }
 }
--- a/crates/mgw-member/src/lib.rs
+++ b/crates/mgw-member/src/lib.rs
@@ -13,8 +13,10 @@
 mod trust;
 mod view;
 
-pub use addresses::{AddressSettings, Availability, choose_addresses, judge_availability};
-pub use leaving::{CutOff, Leaving, LeavingPhase, LeavingSettings};
+pub use addresses::{
+    AddressSettings, Availability, choose_addresses, hash_caller, judge_availability,
+};
+pub use leaving::{CutOff, Leaving, LeavingPhase, LeavingSettings, Unended};
 pub use message::{
     Age, BucketReply, Exchange, ExchangeReply, LoadLevel, NodeDelta, OriginLine, TargetChange,
     Vouch, VouchState, Want,
--- a/crates/mgw-member/src/message.rs
+++ b/crates/mgw-member/src/message.rs
@@ -123,6 +123,9 @@
     pub releases_since: u64,
 }
 
+/// Bytes of a bucket's digest.
+pub(crate) const DIGEST_BYTES: usize = 6;
+
 /// Starts an exchange: digests of what the sender holds, and what it knows to be missing.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
@@ -135,7 +138,7 @@
     /// Where the sender is reached.
     pub peer_address: std::net::SocketAddr,
     /// Digest of each bucket of nodes; empty when only differences are asked for.
-    pub digests: Vec<[u8; 8]>,
+    pub digests: Vec<[u8; DIGEST_BYTES]>,
     /// Differences asked for.
     pub wants: Vec<Want>,
 }
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::core::View;
+use crate::message::DIGEST_BYTES;
 use crate::node::mix;
 use crate::origin::encoded_bytes;
 use crate::{Age, BucketReply, Exchange, ExchangeReply, NodeDelta, NodeId, OriginLine, Want};
@@ -24,6 +25,15 @@
 /// One exchange in this many goes to a peer that isn't known to be alive, if there is one.
 const REST_EVERY: u64 = 8;
 
+/// Span over which answers to others are counted for the pace.
+const PACE_WINDOW_MS: Millis = Millis(1_000);
+/// Answers, in percent of the expected ones, above which a node asks less often itself.
+const PACE_FROM_PERCENT: u64 = 110;
+/// How many times its usual interval a node waits at most.
+const PACE_MOST: u64 = 2;
+/// Most answers that are counted.
+const MAX_ANSWERS: usize = 1024;
+
 /// Names an exchange that waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ExchangeTicket(u64);
@@ -85,6 +95,8 @@
     pub give_free_at: Millis,
     /// Addresses at which nothing listens.
     pub refused: BTreeMap<SocketAddr, Millis>,
+    /// When this node lately answered digests of others.
+    pub answers: VecDeque<Millis>,
     /// When any other node last answered.
     pub answered_at: Option<Millis>,
 }
@@ -101,6 +113,7 @@
             take_free_at: Millis::ZERO,
             give_free_at: Millis::ZERO,
             refused: BTreeMap::new(),
+            answers: VecDeque::new(),
             answered_at: None,
         }
     }
@@ -142,6 +155,7 @@
     pub fn take_exchange(&mut self, exchange: &Exchange, now: Millis) -> ExchangeReply {
         self.touch_own(now);
         self.notice_sender(exchange, now);
+        self.note_answer(exchange, now);
         let mine = self.lines(now);
         let buckets = exchange
             .digests
@@ -179,11 +193,29 @@
     }
 
     pub(crate) fn schedule_exchange(&mut self, now: Millis) {
-        let mean = self.settings.exchange_every_ms.0.max(2);
+        let mean = self.paced_ms(now);
         let span = self.rng.random_range(mean / 2..=mean + mean / 2);
         self.exchanges.next_at = now + Millis(span);
     }
 
+    /// Mean time to the next exchange: the usual one, up to twice as long while more others than
+    /// usual ask this node, so that the sum of both stays even.
+    fn paced_ms(&mut self, now: Millis) -> u64 {
+        let usual = self.settings.exchange_every_ms.0.max(2);
+        let from = now - PACE_WINDOW_MS;
+        self.exchanges.answers.retain(|at| *at > from);
+        let answers = u64::try_from(self.exchanges.answers.len()).unwrap_or(u64::MAX);
+        let expected = PACE_WINDOW_MS.0 / usual;
+        let paced = usual * answers * 100 / (expected.max(1) * PACE_FROM_PERCENT);
+        paced.clamp(usual, usual * PACE_MOST)
+    }
+
+    fn note_answer(&mut self, exchange: &Exchange, now: Millis) {
+        if !exchange.digests.is_empty() && self.exchanges.answers.len() < MAX_ANSWERS {
+            self.exchanges.answers.push_back(now);
+        }
+    }
+
     /// Plans to ask a peer for a record, unless that was asked a moment ago.
     pub(crate) fn want(&mut self, peer_address: SocketAddr, id: NodeId, now: Millis) {
         let timeout = self.settings.exchange_timeout_ms;
@@ -217,7 +249,7 @@
     fn open_exchange(
         &mut self,
         peer_address: SocketAddr,
-        digests: Vec<[u8; 8]>,
+        digests: Vec<[u8; DIGEST_BYTES]>,
         buckets: Vec<Vec<SentLine>>,
         ids: Vec<NodeId>,
         now: Millis,
@@ -328,7 +360,12 @@
         buckets
     }
 
-    fn answer_bucket(&self, theirs: &[u8; 8], lines: &[SentLine], now: Millis) -> BucketReply {
+    fn answer_bucket(
+        &self,
+        theirs: &[u8; DIGEST_BYTES],
+        lines: &[SentLine],
+        now: Millis,
+    ) -> BucketReply {
         let found = lines.iter().map(|line| (line.id, &self.origins[&line.id]));
         if digest(lines) == *theirs {
             let ages = found.clone();
@@ -382,11 +419,12 @@
     }
 }
 
-fn digest(lines: &[SentLine]) -> [u8; 8] {
+fn digest(lines: &[SentLine]) -> [u8; DIGEST_BYTES] {
     let hash = lines.iter().fold(0, |hash, line| {
         let hash = mix(hash ^ line.id.get());
         let hash = mix(hash.wrapping_add(line.incarnation.0));
         mix(hash.wrapping_add(line.version))
     });
-    hash.to_le_bytes()
+    let [a, b, c, d, e, f, ..] = hash.to_le_bytes();
+    [a, b, c, d, e, f]
 }
--- a/crates/mgw-member/tests/addresses.rs
+++ b/crates/mgw-member/tests/addresses.rs
@@ -6,7 +6,7 @@
 
 use mgw_member::{
     AddressSettings, Availability, MemberSettings, NodePhase, NodeRole, View, choose_addresses,
-    judge_availability,
+    hash_caller, judge_availability,
 };
 use mgw_world::Millis;
 use support::{Net, node};
@@ -205,3 +205,51 @@
     );
     assert_eq!(names(&only.views[0], None, 3, only.now), ["entry-000"]);
 }
+
+/// Greatest share above or below an even one that a spread may show.
+const IMBALANCE_PERCENT: u32 = 10;
+
+#[test]
+fn callers_that_send_the_same_call_are_spread() {
+    let mut net = Net::new(6, 0, 31);
+    net.run(Millis(30_000));
+    // (workspace, whether each caller names itself)
+    for (workspace, is_named) in [("classrooms", false), ("classrooms", true), ("", true)] {
+        let mut counts = BTreeMap::<String, u32>::new();
+        for number in 0..12_000_u64 {
+            let caller = format!("studio-{number}");
+            let caller = is_named.then_some(caller.as_str());
+            let hash = hash_caller(Some(workspace), caller, number);
+            let first = names(&net.views[0], None, hash, net.now).swap_remove(0);
+            *counts.entry(first).or_default() += 1;
+        }
+        let even = 2000;
+        let bound = even * IMBALANCE_PERCENT / 100;
+        assert_eq!(counts.len(), 6);
+        assert!(
+            counts.values().all(|count| count.abs_diff(even) <= bound),
+            "{counts:?}"
+        );
+    }
+}
+
+#[test]
+fn caller_that_names_itself_keeps_its_entries() {
+    for caller in ["a", "studio-7"] {
+        let draws = (0..50).map(|draw| hash_caller(Some("classrooms"), Some(caller), draw));
+        assert_eq!(draws.collect::<BTreeSet<u64>>().len(), 1);
+        let elsewhere = hash_caller(Some("hr-officers"), Some(caller), 0);
+        assert_ne!(hash_caller(Some("classrooms"), Some(caller), 0), elsewhere);
+    }
+}
+
+#[test]
+fn entry_that_was_frozen_names_the_others_as_last_heard() {
+    let mut net = Net::new(6, 0, 32);
+    net.run(Millis(6000));
+    let resumed = net.now + Millis(20_000);
+    let settings = AddressSettings::default();
+    let reply = choose_addresses(&net.views[5], &settings, None, 1, resumed);
+    assert_eq!(reply.entries.len(), 3);
+    assert_eq!(reply.valid_ms, settings.unsure_valid_ms);
+}
--- a/crates/mgw-member/tests/leaving.rs
+++ b/crates/mgw-member/tests/leaving.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use mgw_member::{CutOff, Leaving, LeavingPhase, LeavingSettings};
+use mgw_member::{CutOff, Leaving, LeavingPhase, LeavingSettings, Unended};
 use mgw_world::{Millis, RequestId};
 use support::{Cause, Net, assert_leave_in_time, cut_every_tenth};
 
@@ -55,12 +55,20 @@
     }
 }
 
+const fn running(requests: &[RequestId]) -> Unended<'_> {
+    Unended {
+        requests,
+        open_calls: 0,
+    }
+}
+
 #[test]
 fn leaving_node_follows_its_phases() {
     let requests = [RequestId(7)];
     let cut = |by| LeavingPhase::Cut {
         by,
         requests: requests.to_vec(),
+        open_calls: 0,
     };
     // (time, whether a request is in flight, phase)
     let table = [
@@ -76,6 +84,7 @@
     for (at, busy, phase) in table {
         let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
         let in_flight: &[RequestId] = if busy { &requests } else { &[] };
+        let in_flight = running(in_flight);
         assert_eq!(
             leaving.step(in_flight, Millis(at)),
             phase,
@@ -88,13 +97,65 @@
 fn second_signal_ends_it_and_says_what_was_cut() {
     let requests = [RequestId(7), RequestId(9)];
     let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
-    assert!(leaving.step(&requests, Millis(5)).takes_requests());
+    assert!(leaving.step(running(&requests), Millis(5)).takes_requests());
     let cut = LeavingPhase::Cut {
         by: CutOff::SecondSignal,
         requests: requests.to_vec(),
+        open_calls: 0,
     };
-    assert_eq!(leaving.force(&requests), cut);
-    assert_eq!(leaving.step(&[], Millis(20_000)), cut, "the verdict stays");
+    assert_eq!(leaving.force(running(&requests)), cut);
+    assert_eq!(
+        leaving.step(Unended::default(), Millis(20_000)),
+        cut,
+        "the verdict stays"
+    );
     let mut idle = Leaving::new(LeavingSettings::default(), Millis(0));
-    assert_eq!(idle.force(&[]), LeavingPhase::Empty);
+    assert_eq!(idle.force(Unended::default()), LeavingPhase::Empty);
+}
+
+#[test]
+fn call_that_waits_holds_the_exit_up() {
+    let waiting = Unended {
+        requests: &[],
+        open_calls: 1,
+    };
+    let mut leaving = Leaving::new(LeavingSettings::default(), Millis(0));
+    assert_eq!(leaving.step(waiting, Millis(14_000)), LeavingPhase::Ending);
+    let cut = LeavingPhase::Cut {
+        by: CutOff::Limit,
+        requests: Vec::new(),
+        open_calls: 1,
+    };
+    assert_eq!(leaving.step(waiting, Millis(120_000)), cut);
+}
+
+#[test]
+fn limit_leaves_time_for_the_requests_taken_last() {
+    // (validity, limit, end of taking requests)
+    let table = [
+        (10_000, 120_000, 14_000),
+        (300_000, 120_000, 60_000),
+        (10_000, 8_000, 4_000),
+    ];
+    for (valid_ms, limit_ms, until_ms) in table {
+        let settings = LeavingSettings {
+            valid_ms: Millis(valid_ms),
+            limit_ms: Millis(limit_ms),
+            ..LeavingSettings::default()
+        };
+        let requests = [RequestId(7)];
+        let busy = running(&requests);
+        let mut leaving = Leaving::new(settings, Millis(0));
+        assert!(leaving.step(busy, Millis(until_ms - 1)).takes_requests());
+        assert_eq!(leaving.step(busy, Millis(until_ms)), LeavingPhase::Ending);
+    }
+}
+
+#[test]
+fn node_that_never_served_ends_at_once() {
+    let mut leaving = Leaving::before_serving(LeavingSettings::default(), Millis(7));
+    assert_eq!(
+        leaving.step(Unended::default(), Millis(7)),
+        LeavingPhase::Empty
+    );
 }
--- a/crates/mgw-member/tests/scale.rs
+++ b/crates/mgw-member/tests/scale.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use mgw_world::Millis;
-use support::{BYTES_PER_S, Cause, Net, assert_leave_in_time, cut_every_tenth, most_traffic};
+use support::{
+    BYTES_PER_S, Cause, Net, assert_leave_in_time, busiest_window, cut_every_tenth, most_traffic,
+};
 
 /// Bytes that the nodes may send and receive in a second on average.
 const MEAN_BYTES_PER_S: u64 = 20_000;
@@ -25,6 +27,14 @@
     assert!(messages <= 24, "{messages} messages/s");
 }
 
+#[test]
+fn busiest_of_330_nodes_stays_below_its_bytes_in_each_window() {
+    let mut net = Net::new(330, 600, 41);
+    net.run(Millis(7000));
+    let bytes = busiest_window(&mut net, 15);
+    assert!(bytes <= BYTES_PER_S, "{bytes} B/s");
+}
+
 #[test]
 fn hundred_targets_leave_330_nodes_in_time() {
     let mut net = Net::new(330, 600, 200);
--- a/crates/mgw-member/tests/support/mod.rs
+++ b/crates/mgw-member/tests/support/mod.rs
@@ -337,3 +337,30 @@
         messages.max().unwrap_or(0) / seconds,
     )
 }
+
+/// Steps of [`busiest_window`] in a window.
+const WINDOW_STEPS: usize = 8;
+const WINDOW_STEP: Millis = Millis(250);
+
+/// Runs for some seconds and gives the greatest traffic, in bytes a second, of one node in any two
+/// seconds, looked at four times a second.
+pub fn busiest_window(net: &mut Net, seconds: u64) -> u64 {
+    let sums = |net: &Net| -> Vec<u64> {
+        let traffic = net.traffic.iter();
+        traffic.map(|t| t.sent_bytes + t.received_bytes).collect()
+    };
+    let mut samples = vec![sums(net)];
+    let mut most = 0;
+    for _ in 0..seconds * 1000 / WINDOW_STEP.0 {
+        net.run(WINDOW_STEP);
+        samples.push(sums(net));
+        if samples.len() <= WINDOW_STEPS {
+            continue;
+        }
+        let first = &samples[samples.len() - 1 - WINDOW_STEPS];
+        let last = &samples[samples.len() - 1];
+        let moved = last.iter().zip(first).map(|(last, first)| last - first);
+        most = most.max(moved.max().unwrap_or(0));
+    }
+    most * 1000 / (WINDOW_STEP.0 * WINDOW_STEPS as u64)
+}
--- a/crates/mgw-serve/src/http.rs
+++ b/crates/mgw-serve/src/http.rs
@@ -19,7 +19,8 @@
 use mgw_world::Millis;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -37,6 +38,11 @@
 /// Time within which a ping must be answered.
 const PING_TIMEOUT_MS: Millis = Millis(2000);
 
+/// Time without a further connection after which a closing server stops accepting.
+const LAST_ACCEPT_MS: Millis = Millis(20);
+/// Time in which a connection accepted while closing may send its first request.
+const LAST_REQUEST_MS: Millis = Millis(200);
+
 /// A fault in reading a body.
 #[derive(Debug, displaydoc::Display, derive_more::Error)]
 pub enum BodyError {
@@ -158,32 +164,52 @@
     let handler = Arc::new(handler);
     let connections = TaskTracker::new();
     while let Some(accepted) = graceful.run_until_cancelled(listener.accept()).await {
-        let Ok((stream, _peer)) = accepted else {
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let handler = Arc::clone(&handler);
-        let graceful = graceful.clone();
+        if let Ok((stream, _peer)) = accepted {
+            let answering = serve_connection(stream, Arc::clone(&handler), graceful.clone());
+            connections.spawn(answering);
+        }
+    }
+    // Callers that were connected by the system but not yet accepted would be reset.
+    while let Ok(Ok((stream, _peer))) =
+        timeout(LAST_ACCEPT_MS.to_duration(), listener.accept()).await
+    {
+        let closing = CancellationToken::new();
+        connections.spawn(serve_connection(
+            stream,
+            Arc::clone(&handler),
+            closing.clone(),
+        ));
         connections.spawn(async move {
-            let service = service_fn(move |request| {
-                let answer = handler(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let mut builder = Builder::new(TokioExecutor::new());
-            builder.http1().timer(TokioTimer::new());
-            builder
-                .http2()
-                .timer(TokioTimer::new())
-                .max_concurrent_streams(None);
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            let mut connection = pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                () = graceful.cancelled() => connection.as_mut().graceful_shutdown(),
-            }
-            let _ = connection.await;
+            sleep(LAST_REQUEST_MS.to_duration()).await;
+            closing.cancel();
         });
     }
+    drop(listener);
     connections.close();
     forced.run_until_cancelled(connections.wait()).await;
 }
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: Arc<H>, graceful: CancellationToken)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(None);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = graceful.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
