--- a/crates/mgw-cli/tests/pages.rs
+++ b/crates/mgw-cli/tests/pages.rs
@@ -197,6 +197,8 @@
         "`log`": mgw_settings::LogSettings;
         "Entry: `pipe`": mgw_pipe::PipeSettings;
         "Entry: `times`": mgw_pipe::TimeSettings;
+        "Entry: `moves`": mgw_pipe::MoveSettings;
+        "Entry: `paces`": mgw_pipe::PaceSettings;
         "Entry: `callers`": mgw_entry::CallerLimits;
         "Entry: `leaving`": mgw_entry::LeavingSettings;
         "Control": mgw_control::ControlSettings;
@@ -259,6 +261,8 @@
         "`log`": mgw_settings::LogSettings;
         "Entry: `pipe`": mgw_pipe::PipeSettings;
         "Entry: `times`": mgw_pipe::TimeSettings;
+        "Entry: `moves`": mgw_pipe::MoveSettings;
+        "Entry: `paces`": mgw_pipe::PaceSettings;
         "Entry: `callers`": mgw_entry::CallerLimits;
         "Entry: `leaving`": mgw_entry::LeavingSettings;
         "Control: `quorum`": mgw_control::QuorumSettings;
