--- a/crates/mgw-load/src/run.rs
+++ b/crates/mgw-load/src/run.rs
@@ -82,6 +82,7 @@
         expected,
         tries: settings.tries,
         impatient_ms: settings.impatient_ms,
+        repeat_cut: settings.repeat_cut,
         deadline: arrived + settings.deadline_ms.to_duration(),
     }
 }
--- a/crates/mgw-load/src/settings.rs
+++ b/crates/mgw-load/src/settings.rs
@@ -58,6 +58,9 @@
     pub tries: u32,
     /// Pause of callers that don't wait as long as they were told.
     pub impatient_ms: Option<Millis>,
+    /// Whether a request whose stream broke off is sent again from the start, to another entry:
+    /// its outcome is unknown, and a completion is harmless to repeat.
+    pub repeat_cut: bool,
     /// Time that a caller gives a request.
     pub deadline_ms: Millis,
     /// Tokens asked for.
@@ -104,6 +107,7 @@
             callers: 8,
             tries: 3,
             impatient_ms: None,
+            repeat_cut: false,
             deadline_ms: Millis(30_000),
             max_tokens: 32,
             prompt: None,
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use super::core::View;
-use crate::node::{hash_bytes, mix};
+use crate::message::DIGEST_BYTES;
+use crate::node::mix;
 use crate::origin::encoded_bytes;
 use crate::{Age, BucketReply, Exchange, ExchangeReply, NodeDelta, NodeId, OriginLine, Want};
 
@@ -17,8 +18,21 @@
 const MAX_IN_FLIGHT: usize = 16;
 /// Most records asked for in one exchange.
 const MAX_WANTS: usize = 64;
-/// One exchange in this many goes to an address from the settings, so that separated groups meet.
-const SEED_EVERY: u64 = 32;
+/// Room that a further record's differences need in a reply.
+const MIN_DELTA_BYTES: usize = 512;
+/// Most bytes of the length of a list on the wire.
+const LENGTH_BYTES: usize = 2;
+/// One exchange in this many goes to a peer that isn't known to be alive, if there is one.
+const REST_EVERY: u64 = 8;
+
+/// Span over which answers to others are counted for the pace.
+const PACE_WINDOW_MS: Millis = Millis(1_000);
+/// Answers, in percent of the expected ones, above which a node asks less often itself.
+const PACE_FROM_PERCENT: u64 = 110;
+/// How many times its usual interval a node waits at most.
+const PACE_MOST: u64 = 2;
+/// Most answers that are counted.
+const MAX_ANSWERS: usize = 1024;
 
 /// Names an exchange that waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -81,6 +95,8 @@
     pub give_free_at: Millis,
     /// Addresses at which nothing listens.
     pub refused: BTreeMap<SocketAddr, Millis>,
+    /// When this node lately answered digests of others.
+    pub answers: VecDeque<Millis>,
     /// When any other node last answered.
     pub answered_at: Option<Millis>,
 }
@@ -97,6 +113,7 @@
             take_free_at: Millis::ZERO,
             give_free_at: Millis::ZERO,
             refused: BTreeMap::new(),
+            answers: VecDeque::new(),
             answered_at: None,
         }
     }
@@ -128,7 +145,7 @@
             return None;
         }
         self.schedule_exchange(now);
-        let peer_address = self.pick_peer()?;
+        let peer_address = self.pick_peer(now)?;
         let buckets = self.lines(now);
         let digests = buckets.iter().map(|lines| digest(lines)).collect();
         Some(self.open_exchange(peer_address, digests, buckets, Vec::new(), now))
@@ -138,6 +155,7 @@
     pub fn take_exchange(&mut self, exchange: &Exchange, now: Millis) -> ExchangeReply {
         self.touch_own(now);
         self.notice_sender(exchange, now);
+        self.note_answer(exchange, now);
         let mine = self.lines(now);
         let buckets = exchange
             .digests
@@ -175,11 +193,29 @@
     }
 
     pub(crate) fn schedule_exchange(&mut self, now: Millis) {
-        let mean = self.settings.exchange_every_ms.0.max(2);
+        let mean = self.paced_ms(now);
         let span = self.rng.random_range(mean / 2..=mean + mean / 2);
         self.exchanges.next_at = now + Millis(span);
     }
 
+    /// Mean time to the next exchange: the usual one, up to twice as long while more others than
+    /// usual ask this node, so that the sum of both stays even.
+    fn paced_ms(&mut self, now: Millis) -> u64 {
+        let usual = self.settings.exchange_every_ms.0.max(2);
+        let from = now - PACE_WINDOW_MS;
+        self.exchanges.answers.retain(|at| *at > from);
+        let answers = u64::try_from(self.exchanges.answers.len()).unwrap_or(u64::MAX);
+        let expected = PACE_WINDOW_MS.0 / usual;
+        let paced = usual * answers * 100 / (expected.max(1) * PACE_FROM_PERCENT);
+        paced.clamp(usual, usual * PACE_MOST)
+    }
+
+    fn note_answer(&mut self, exchange: &Exchange, now: Millis) {
+        if !exchange.digests.is_empty() && self.exchanges.answers.len() < MAX_ANSWERS {
+            self.exchanges.answers.push_back(now);
+        }
+    }
+
     /// Plans to ask a peer for a record, unless that was asked a moment ago.
     pub(crate) fn want(&mut self, peer_address: SocketAddr, id: NodeId, now: Millis) {
         let timeout = self.settings.exchange_timeout_ms;
@@ -213,7 +249,7 @@
     fn open_exchange(
         &mut self,
         peer_address: SocketAddr,
-        digests: Vec<[u8; 8]>,
+        digests: Vec<[u8; DIGEST_BYTES]>,
         buckets: Vec<Vec<SentLine>>,
         ids: Vec<NodeId>,
         now: Millis,
@@ -265,25 +301,33 @@
         }
     }
 
-    fn pick_peer(&mut self) -> Option<SocketAddr> {
-        let others = self.origins.iter().filter(|(id, _)| **id != self.me);
-        let known: Vec<SocketAddr> = others.map(|(_, o)| o.info.peer_address).collect();
-        let seeds = &self.exchanges.seeds;
-        let from_seeds = known.is_empty() || self.exchanges.number % SEED_EVERY == SEED_EVERY - 1;
-        let pool = if from_seeds && !seeds.is_empty() {
-            seeds
+    /// Picks a peer at random: mostly one that is alive, now and then a silent or refused one or an
+    /// address from the settings that no known node has, so that separated groups meet again.
+    fn pick_peer(&mut self, now: Millis) -> Option<SocketAddr> {
+        let mut alive = Vec::new();
+        let mut rest = Vec::new();
+        for (id, origin) in self.origins.iter().filter(|(id, _)| **id != self.me) {
+            let address = origin.info.peer_address;
+            let refused = self.exchanges.refused.contains_key(&address);
+            if refused || self.age_of(*id, origin, now) > self.settings.alive_ms {
+                rest.push(address);
+            } else {
+                alive.push(address);
+            }
+        }
+        let seeds = self.exchanges.seeds.iter();
+        let strange = seeds.filter(|seed| !alive.contains(seed) && !rest.contains(seed));
+        rest.extend(strange.copied().collect::<Vec<_>>());
+        let to_rest = self.exchanges.number % REST_EVERY == REST_EVERY - 1;
+        let pool = if alive.is_empty() || (to_rest && !rest.is_empty()) {
+            rest
         } else {
-            &known
+            alive
         };
         if pool.is_empty() {
             return None;
         }
-        // A refused address is tried again now and then, but mostly another one is taken.
-        let mut picked = pool[self.rng.random_range(0..pool.len())];
-        if self.exchanges.refused.contains_key(&picked) {
-            picked = pool[self.rng.random_range(0..pool.len())];
-        }
-        Some(picked)
+        Some(pool[self.rng.random_range(0..pool.len())])
     }
 
     fn notice_sender(&mut self, exchange: &Exchange, now: Millis) {
@@ -316,7 +360,12 @@
         buckets
     }
 
-    fn answer_bucket(&self, theirs: &[u8; 8], lines: &[SentLine], now: Millis) -> BucketReply {
+    fn answer_bucket(
+        &self,
+        theirs: &[u8; DIGEST_BYTES],
+        lines: &[SentLine],
+        now: Millis,
+    ) -> BucketReply {
         let found = lines.iter().map(|line| (line.id, &self.origins[&line.id]));
         if digest(lines) == *theirs {
             let ages = found.clone();
@@ -340,9 +389,9 @@
             return deltas;
         }
         let cap = self.settings.reply_cap_bytes;
-        let mut bytes = 0;
+        let mut bytes = LENGTH_BYTES;
         for want in wants {
-            if bytes >= cap {
+            if !deltas.is_empty() && cap.saturating_sub(bytes) < MIN_DELTA_BYTES {
                 break;
             }
             let Some(origin) = self.origins.get(&want.id) else {
@@ -352,11 +401,13 @@
                 continue;
             }
             let age = Age::from_span(self.age_of(want.id, origin, now));
-            let delta = origin.delta(want, age, cap - bytes);
+            let delta = origin.delta(want, age, cap.saturating_sub(bytes));
             bytes += encoded_bytes(&delta);
             deltas.push(delta);
         }
-        self.exchanges.give_free_at = now + self.catch_up_time(bytes);
+        if !deltas.is_empty() {
+            self.exchanges.give_free_at = now + self.catch_up_time(bytes);
+        }
         deltas
     }
 
@@ -368,13 +419,12 @@
     }
 }
 
-fn digest(lines: &[SentLine]) -> [u8; 8] {
+fn digest(lines: &[SentLine]) -> [u8; DIGEST_BYTES] {
     let hash = lines.iter().fold(0, |hash, line| {
-        let mut bytes = [0; 24];
-        bytes[..8].copy_from_slice(&line.id.get().to_le_bytes());
-        bytes[8..16].copy_from_slice(&line.incarnation.0.to_le_bytes());
-        bytes[16..].copy_from_slice(&line.version.to_le_bytes());
-        mix(hash_bytes(hash, &bytes))
+        let hash = mix(hash ^ line.id.get());
+        let hash = mix(hash.wrapping_add(line.incarnation.0));
+        mix(hash.wrapping_add(line.version))
     });
-    hash.to_le_bytes()
+    let [a, b, c, d, e, f, ..] = hash.to_le_bytes();
+    [a, b, c, d, e, f]
 }
--- a/crates/mgw-pipe/tests/support/mod.rs
+++ b/crates/mgw-pipe/tests/support/mod.rs
@@ -1,13 +1,15 @@
 //! A small engine model in logical time: enough to see which position ran where and how often.
 
-use std::collections::{BTreeMap, VecDeque};
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use mgw_contract::caller::{Outcome, Reason};
 use mgw_contract::engine::{
     KvImage, SessionKey, SessionStanding, StageInput, StageOutput, StageStep, StepRefusal,
 };
-use mgw_pipe::{Action, CallId, Event, Order, PipeSettings, Pipeline, Stage};
+use mgw_pipe::{Action, ActivationBudget, CallId, Event, Order, PipeSettings, Pipeline, Stage};
 use mgw_world::{LayerRange, Millis, ModelVersion, Position, RequestId, TargetName};
 
 /// Bytes of one position's activation in these tests.
@@ -32,6 +34,23 @@
     Refuse(u8),
     /// The target forgets all sessions before this step.
     Forget,
+    /// The step runs, and the target is judged to have become slow.
+    Degrade,
+}
+
+/// What goes wrong with one export or import, counted over all that reach the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransferFault {
+    /// The call is refused.
+    Fail,
+    /// The call takes effect, but its answer is lost.
+    LoseAnswer,
+    /// The call is never answered.
+    Hang,
+    /// The answer takes this much longer.
+    Slow(u64),
+    /// An image holds a position more than the session ran.
+    Ahead,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -45,6 +64,8 @@
 pub struct Engine {
     pub stage: Stage,
     pub faults: BTreeMap<u32, Fault>,
+    pub transfer_faults: BTreeMap<u32, TransferFault>,
+    transfers: u32,
     sessions: BTreeMap<SessionKey, Session>,
     steps: u32,
     dead: bool,
@@ -64,7 +85,13 @@
     pub longest_gap: Millis,
     last_token_at: Millis,
     pub now: Millis,
+    /// Most bytes of stage inputs that were held.
+    pub most_bytes: u64,
     due: VecDeque<(Millis, Event)>,
+    /// Sessions by the calls that were sent for them.
+    calls: BTreeMap<CallId, SessionKey>,
+    /// Sessions with a step whose fate isn't known.
+    unknown: BTreeSet<SessionKey>,
 }
 
 fn mix(left: u64, right: u64) -> u64 {
@@ -139,11 +166,31 @@
     Millis(300 + u64::from(count) / 4)
 }
 
+/// The shortest chain that covers a range, in the order of the engines.
+pub fn find_chain(usable: &[&Stage], layers: LayerRange) -> Option<Vec<Stage>> {
+    let starts = usable
+        .iter()
+        .filter(|stage| stage.layers.first() == layers.first());
+    let chains = starts.filter_map(|stage| {
+        let end = stage.layers.end();
+        if end >= layers.end() {
+            return (end == layers.end()).then(|| vec![(*stage).clone()]);
+        }
+        let rest = LayerRange::new(end, layers.end()).ok()?;
+        let mut chain = find_chain(usable, rest)?;
+        chain.insert(0, (*stage).clone());
+        Some(chain)
+    });
+    chains.min_by_key(Vec::len)
+}
+
 impl Engine {
     pub fn new(stage: Stage) -> Self {
         Self {
             stage,
             faults: BTreeMap::new(),
+            transfer_faults: BTreeMap::new(),
+            transfers: 0,
             sessions: BTreeMap::new(),
             steps: 0,
             dead: false,
@@ -157,6 +204,17 @@
         self
     }
 
+    pub fn with_transfer_fault(mut self, transfer: u32, fault: TransferFault) -> Self {
+        self.transfer_faults.insert(transfer, fault);
+        self
+    }
+
+    fn take_transfer_fault(&mut self) -> Option<TransferFault> {
+        let number = self.transfers;
+        self.transfers += 1;
+        self.transfer_faults.get(&number).copied()
+    }
+
     pub fn sessions(&self) -> usize {
         self.sessions.len()
     }
@@ -169,14 +227,62 @@
         path: &[usize],
         order: &Order,
         settings: PipeSettings,
+    ) -> Self {
+        Self::run_within(engines, path, order, settings, ActivationBudget::default())
+    }
+
+    /// Runs a request that shares a budget of held inputs.
+    pub fn run_within(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        budget: ActivationBudget,
+    ) -> Self {
+        let mut bench = Self::new(engines, path, order, settings, budget);
+        bench.finish();
+        bench
+    }
+
+    /// Runs a request whose caller goes away at some point.
+    pub fn run_cancelled(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        at: Millis,
+    ) -> Self {
+        let budget = ActivationBudget::default();
+        let mut bench = Self::new(engines, path, order, settings, budget);
+        let reason = Reason::Cancelled;
+        bench.later(at, Event::Cancelled { reason });
+        bench.finish();
+        bench
+    }
+
+    fn finish(&mut self) {
+        let actions = self.pipeline.start(self.now, &patience);
+        self.perform(actions);
+        while self.end.is_none() {
+            self.advance();
+        }
+        self.drain();
+    }
+
+    fn new(
+        engines: Vec<Engine>,
+        path: &[usize],
+        order: &Order,
+        settings: PipeSettings,
+        budget: ActivationBudget,
     ) -> Self {
         let stages = path
             .iter()
             .map(|index| engines[*index].stage.clone())
             .collect();
-        let mut bench = Self {
+        Self {
             engines,
-            pipeline: Pipeline::new(order.clone(), stages, settings),
+            pipeline: Pipeline::new(order.clone(), stages, settings).with_budget(budget),
             tokens: Vec::new(),
             end: None,
             end_at: Millis::ZERO,
@@ -184,15 +290,11 @@
             longest_gap: Millis::ZERO,
             last_token_at: Millis::ZERO,
             now: Millis::ZERO,
+            most_bytes: 0,
             due: VecDeque::new(),
-        };
-        let actions = bench.pipeline.start(bench.now, &patience);
-        bench.perform(actions);
-        while bench.end.is_none() {
-            bench.advance();
+            calls: BTreeMap::new(),
+            unknown: BTreeSet::new(),
         }
-        bench.drain();
-        bench
     }
 
     fn advance(&mut self) {
@@ -205,7 +307,9 @@
         assert!(self.now < Millis(120_000), "the request never ends");
         if let Some(index) = self.due.iter().position(|(due, _)| *due <= self.now) {
             let (_, event) = self.due.remove(index).unwrap();
+            self.note_fate(&event);
             let actions = self.pipeline.handle(event, self.now, &patience);
+            self.most_bytes = self.most_bytes.max(self.pipeline.buffered_bytes());
             self.perform(actions);
         } else {
             let actions = self.pipeline.tick(self.now, &patience);
@@ -213,6 +317,19 @@
         }
     }
 
+    /// Keeps account of the sessions that may not be stepped before they were asked.
+    fn note_fate(&mut self, event: &Event) {
+        match event {
+            Event::StepFailed { call, sent: true } => self.unknown.extend(self.calls.get(call)),
+            Event::Standing { call, .. } => {
+                if let Some(session) = self.calls.get(call) {
+                    self.unknown.remove(session);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Delivers what is still under way after the end; nothing may come of it.
     fn drain(&mut self) {
         while let Some((_, event)) = self.due.pop_front() {
@@ -262,11 +379,15 @@
                 }
                 Action::Replace {
                     call,
-                    layers,
+                    spans,
                     excluded,
                     ..
                 } => {
-                    let stages = self.choose(layers, &excluded);
+                    let found = spans.into_iter().map(|span| self.choose(span, &excluded));
+                    let stages = found
+                        .into_iter()
+                        .find(|it| !it.is_empty())
+                        .unwrap_or_default();
                     self.later(Millis::ZERO, Event::Replacement { call, stages });
                 }
                 Action::Emit { index, token } => {
@@ -288,7 +409,7 @@
         }
     }
 
-    /// A live engine with exactly these layers, or a chain of two that covers them.
+    /// An engine with exactly these layers, or a chain that covers them.
     fn choose(&self, layers: LayerRange, excluded: &[TargetName]) -> Vec<Stage> {
         let usable: Vec<&Stage> = self
             .engines
@@ -296,24 +417,15 @@
             .map(|engine| &engine.stage)
             .filter(|stage| !excluded.contains(&stage.target))
             .collect();
-        if let Some(stage) = usable.iter().find(|stage| stage.layers == layers) {
-            return vec![(*stage).clone()];
-        }
-        for first in usable
-            .iter()
-            .filter(|stage| stage.layers.first() == layers.first())
-        {
-            let next = usable.iter().find(|stage| {
-                first.layers.is_followed_by(stage.layers) && stage.layers.end() == layers.end()
-            });
-            if let Some(next) = next {
-                return vec![(*first).clone(), (*next).clone()];
-            }
-        }
-        Vec::new()
+        find_chain(&usable, layers).unwrap_or_default()
     }
 
     fn step(&mut self, call: CallId, stage: &Stage, step: &StageStep) {
+        assert!(
+            !self.unknown.contains(&step.session),
+            "a step was sent blindly after one of unknown fate"
+        );
+        self.calls.insert(call, step.session);
         let engine = self.find(&stage.target);
         let number = engine.steps;
         engine.steps += 1;
@@ -354,6 +466,10 @@
             return self.later(took, Event::StepFailed { call, sent: true });
         }
         self.later(took, event);
+        if fault == Some(Fault::Degrade) {
+            let target = stage.target.clone();
+            self.later(took, Event::Degraded { target });
+        }
     }
 
     fn execute(&mut self, stage: &Stage, step: &StageStep) -> Result<StageOutput, StepRefusal> {
@@ -417,6 +533,7 @@
     }
 
     fn ask(&mut self, call: CallId, stage: &Stage, session: SessionKey) {
+        self.calls.insert(call, session);
         let engine = self.find(&stage.target);
         if engine.hung {
             return;
@@ -436,28 +553,42 @@
 
     fn export(&mut self, call: CallId, stage: &Stage, key: SessionKey) {
         let engine = self.find(&stage.target);
-        if engine.hung {
+        let fault = engine.take_transfer_fault();
+        if engine.hung || fault == Some(TransferFault::Hang) {
             return;
         }
-        let Some(session) = engine.sessions.get(&key).filter(|_| !engine.dead) else {
+        let session = engine.sessions.get(&key).filter(|_| !engine.dead);
+        let Some(mut session) = session.cloned() else {
             return self.later(Millis(1), Event::CallFailed { call });
         };
-        let bytes: Vec<u8> = session
-            .states
-            .values()
-            .flat_map(|state| state.to_le_bytes())
-            .collect();
+        if matches!(fault, Some(TransferFault::Fail | TransferFault::LoseAnswer)) {
+            return self.later(Millis(1), Event::CallFailed { call });
+        }
+        let layers = engine.stage.layers;
+        if fault == Some(TransferFault::Ahead) {
+            run_layers(&mut session.states, layers, session.next, 0);
+            session.next += 1;
+        }
+        let states = session.states.values();
+        let bytes: Vec<u8> = states.flat_map(|state| state.to_le_bytes()).collect();
         let image = KvImage {
-            layers: engine.stage.layers,
+            layers,
             version: engine.stage.version.clone(),
             next: Position(session.next),
             bytes: Bytes::from(bytes),
         };
-        self.later(Millis(2), Event::Exported { call, image });
+        self.later(transfer_time(fault), Event::Exported { call, image });
     }
 
     fn import(&mut self, call: CallId, stage: &Stage, key: SessionKey, image: &KvImage) {
         let engine = self.find(&stage.target);
+        let fault = engine.take_transfer_fault();
+        if engine.hung {
+            return;
+        }
+        if engine.dead || fault == Some(TransferFault::Fail) {
+            return self.later(Millis(1), Event::CallFailed { call });
+        }
         let layers = image.layers.first()..image.layers.end();
         let states = layers
             .zip(image.bytes.chunks_exact(8))
@@ -467,6 +598,17 @@
             states: states.collect(),
         };
         engine.sessions.insert(key, session);
-        self.later(Millis(2), Event::Imported { call });
+        match fault {
+            Some(TransferFault::Hang) => {}
+            Some(TransferFault::LoseAnswer) => self.later(Millis(1), Event::CallFailed { call }),
+            _ => self.later(transfer_time(fault), Event::Imported { call }),
+        }
+    }
+}
+
+const fn transfer_time(fault: Option<TransferFault>) -> Millis {
+    match fault {
+        Some(TransferFault::Slow(ms)) => Millis(2 + ms),
+        _ => Millis(2),
     }
 }
