Keep slow targets' requests where they are, and bound what late steps may move

By trace: the survivors slowed down more than fourfold under the load of the dead, were judged degraded, and each entry moved all of their requests to the weakest target at once; there steps were late, were moved again and the target suspected (623 moves away from chg-engine-1). Change: moves away from degraded targets are off by default (moves_requests) until slowness by load and by fault are told apart; a late step at a target that still works on it takes from the retry budget and doesn't make the target suspect, as before. Moves from dead, silent and refusing targets stay outside of the retry budget.

--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -197,6 +197,7 @@
         let latency = mgw_world::Millis(took_us / 1000);
         self.router.lock().observe_step(target, latency);
         let degraded = self.paces.lock().observe(target, took_ms);
+        let degraded = degraded && self.settings.paces.moves_requests;
         if degraded {
             self.suspect(target);
         }
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -5,7 +5,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use mgw_contract::caller::{Outcome, Reason};
-use mgw_pipe::{Action, CallId, Event, Order, Pipeline, Stage};
+use mgw_pipe::{Action, CallId, Cause, Event, Order, Pipeline, Stage};
 use mgw_world::{LayerRange, Millis, ModelName, TargetName};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -210,8 +210,8 @@
                 old,
                 spans,
                 excluded,
-                failed,
-            } => return self.replace(call, &old, &spans, &excluded, failed),
+                cause,
+            } => return self.replace(call, &old, &spans, &excluded, cause),
             Action::Emit { index, token } => {
                 self.app.count_token(&self.model);
                 return emit(&self.items, RunItem::Token { index, token }, slow_ms).await;
@@ -230,20 +230,26 @@
         old: &Stage,
         spans: &[LayerRange],
         excluded: &[TargetName],
-        failed: bool,
+        cause: Cause,
     ) -> Option<Event> {
         if !self.pipeline.awaits(call) {
             return None;
         }
-        if failed {
+        if matches!(cause, Cause::NotConnected | Cause::NoAnswer) {
             self.app.suspect(&old.target);
         }
-        let stages = self.path.replace(old, spans, excluded);
+        // Work that is taken from a target which still does it is a retry, and adds to its load.
+        let is_allowed = cause != Cause::Late || self.app.retries.lock().try_retry();
+        let stages = if is_allowed {
+            self.path.replace(old, spans, excluded)
+        } else {
+            Vec::new()
+        };
         if !stages.is_empty() {
             self.app.metrics.stage_rebuilds.inc();
         }
         let chosen: Vec<_> = stages.iter().map(|it| it.target.as_str()).collect();
-        warn!(target = %old.target, failed, ?chosen, "replaces a stage");
+        warn!(target = %old.target, ?cause, ?chosen, "replaces a stage");
         Some(Event::Replacement { call, stages })
     }
 }
--- a/crates/mgw-pipe/src/event.rs
+++ b/crates/mgw-pipe/src/event.rs
@@ -6,7 +6,7 @@
 };
 use mgw_world::{LayerRange, Millis, TargetName};
 
-use crate::Stage;
+use crate::{Cause, Stage};
 
 /// Names a call that a pipeline asked for; an answer to a call that it has given up is ignored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
@@ -141,8 +141,8 @@
         spans: Vec<LayerRange>,
         /// Targets that failed this request.
         excluded: Vec<TargetName>,
-        /// Whether the stage's target gave no answer.
-        failed: bool,
+        /// Why the stage moves.
+        cause: Cause,
     },
     /// Hand a token to the caller.
     Emit {
--- a/crates/mgw-pipe/src/lib.rs
+++ b/crates/mgw-pipe/src/lib.rs
@@ -22,6 +22,7 @@
 pub use moves::{MoveBudget, MoveSettings};
 pub use pace::{PaceSettings, TargetPaces};
 pub use pipeline::{Order, Pipeline};
+pub use replace::Cause;
 pub use settings::PipeSettings;
 pub use stage::Stage;
 pub use times::{StepTimes, TimeSettings};
--- a/crates/mgw-pipe/src/pace.rs
+++ b/crates/mgw-pipe/src/pace.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PaceSettings {
+    /// Whether running requests move away from degraded targets.
+    pub moves_requests: bool,
     /// Rise of the step time, relative to the peers' rise, from which a target is degraded.
     pub degraded_factor: f64,
     /// Relative rise below which it is sound again.
@@ -26,6 +28,7 @@
 impl Default for PaceSettings {
     fn default() -> Self {
         Self {
+            moves_requests: false,
             degraded_factor: 4.0,
             sound_factor: 2.0,
             min_rise_ms: Millis(10),
--- a/crates/mgw-pipe/src/recover.rs
+++ b/crates/mgw-pipe/src/recover.rs
@@ -35,7 +35,7 @@
             Phase::Idle => {}
             Phase::Stepping { extended: true, .. } => {
                 self.may_have_run = true;
-                self.give_up_target(index, Cause::NoAnswer, now, actions);
+                self.give_up_target(index, Cause::Late, now, actions);
             }
             Phase::Stepping { .. } => self.ask(index, true, now, actions),
             Phase::Asking { .. } => {
--- a/crates/mgw-pipe/src/replace.rs
+++ b/crates/mgw-pipe/src/replace.rs
@@ -16,6 +16,8 @@
     NotConnected,
     /// The target gave no usable answer.
     NoAnswer,
+    /// The target says that it works on the step, but takes too long.
+    Late,
     /// The target answered that it doesn't run the step.
     Refused,
     /// The target works but another one is better.
@@ -132,7 +134,7 @@
             old: run.stage.clone(),
             spans,
             excluded: self.excluded.clone(),
-            failed: matches!(cause, Cause::NotConnected | Cause::NoAnswer),
+            cause: *cause,
         });
     }
 
