Trials on processes, orders by the leader, holes in the shells mended

Cause: the shells around the log and the ledger had been read by nobody and shown by no process that was killed or frozen.

Holes found by reading, each mended: - A flush waited for the sync, so a slow disk held back heartbeats. Found by a trial: the new claim of a thawed entry was declared lost at once, before the entry was heard again. A claim now counts as a sign of life.

Ruled out: leaving out the wait for an entry that was never heard.

--- a/crates/mgw-control/src/duties.rs
+++ b/crates/mgw-control/src/duties.rs
@@ -1,10 +1,11 @@
 //! What a control does by itself: a leader follows entries and members, others ask to be members.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use mgw_peer::{JoinRequest, PeerError};
 use mgw_quorum::{ReplicaId, Role};
-use mgw_state::{Action, ClaimantId};
+use mgw_state::{Action, ClaimantId, Reply};
 use mgw_world::{FenceNumber, Millis};
 use tokio::time::sleep;
 use tracing::{debug, info, warn};
@@ -27,6 +28,8 @@
     fenced_term: u64,
     advanced_at: Millis,
     joined_at: Millis,
+    /// Entries with open claims, by the time from which this leader saw them.
+    claimants: BTreeMap<ClaimantId, Millis>,
 }
 
 /// Does the duties of this control until it ends.
@@ -71,11 +74,11 @@
             fence,
             leader: app.settings.name.clone(),
         };
-        if app.replica.submit(action).await.is_ok() {
+        if let Ok(Reply::Fence { .. }) = app.replica.submit(action).await {
             memory.fenced_term = report.term.0;
         }
     }
-    declare_lost_entries(app).await;
+    declare_lost_entries(app, memory).await;
     arrange_members(app, report).await;
     let now = app.clock.now();
     if now - memory.advanced_at >= ADVANCE_MS {
@@ -85,12 +88,19 @@
 }
 
 /// Declares entries lost that hold claims and are gone, so that nobody waits for them.
-async fn declare_lost_entries(app: &App) {
-    let claimants = app.replica.state.read().ledger().claimants();
-    for claimant in claimants
+async fn declare_lost_entries(app: &App, memory: &mut Memory) {
+    let now = app.clock.now();
+    let open = app.replica.state.read().ledger().claimants();
+    let seen = std::mem::take(&mut memory.claimants);
+    let since = |claimant: &ClaimantId| seen.get(claimant).copied().unwrap_or(now);
+    memory.claimants = open
         .into_iter()
-        .filter(|claimant| is_lost(app, claimant))
-    {
+        .map(|claimant| (claimant.clone(), since(&claimant)))
+        .collect();
+    let lost = memory.claimants.iter();
+    let lost = lost.filter(|(claimant, since)| is_lost(app, claimant, now - **since));
+    for (claimant, _) in lost {
+        let claimant = claimant.clone();
         info!(%claimant, "entry is lost; its open claims become unknown");
         if let Err(error) = app.replica.submit(Action::EntryLost { claimant }).await {
             warn!(%error, "couldn't declare the entry lost");
@@ -98,41 +108,47 @@
     }
 }
 
-fn is_lost(app: &App, claimant: &ClaimantId) -> bool {
+/// A claim is a sign of life too: an entry that thaws may claim before it is heard again.
+fn is_lost(app: &App, claimant: &ClaimantId, claims_for: Millis) -> bool {
     let now = app.clock.now();
     let view = app.view.lock();
     let nodes = view.nodes(now);
     let name = claimant.entry.as_str();
     match nodes.iter().find(|node| node.info.name.as_str() == name) {
         Some(node) => {
+            // An entry that was declared lost claims on under a higher number than it announces.
             node.info.incarnation > claimant.incarnation
-                || (node.info.incarnation == claimant.incarnation && node.age_ms > ENTRY_LOST_MS)
+                || node.age_ms.min(claims_for) > ENTRY_LOST_MS
         }
-        None => now - view.started_at() > ENTRY_LOST_MS,
+        None => (now - view.started_at()).min(claims_for) > ENTRY_LOST_MS,
     }
 }
 
 /// Gives learners a vote, one at a time, in place of an unreachable replica of the same name.
 async fn arrange_members(app: &App, report: &ReplicaReport) {
-    let Some(learner) = report.membership.learners.iter().next() else {
+    let Some(change) = plan_member_change(report) else {
         return;
     };
-    let former = report
-        .membership
-        .voters
-        .iter()
-        .find(|voter| voter.name == learner.name);
-    let change = match former {
-        Some(former) if report.reachable.contains(former) => return,
-        Some(former) => MemberChange::Remove(former.clone()),
-        None => MemberChange::Promote(learner.clone()),
-    };
     match app.replica.change(change).await {
         Ok(()) => {}
         Err(error) => debug!(%error, "the members can't be changed yet"),
     }
 }
 
+/// A learner that can't be reached holds up no other; one that lost its disk again is taken out.
+fn plan_member_change(report: &ReplicaReport) -> Option<MemberChange> {
+    let members = &report.membership;
+    let is_reachable = |id: &&ReplicaId| report.reachable.contains(id);
+    let learner = members.learners.iter().find(is_reachable)?;
+    let namesakes = members.voters.iter().chain(&members.learners);
+    let mut formers = namesakes.filter(|id| id.name == learner.name && *id != learner);
+    match formers.next() {
+        Some(former) if is_reachable(&former) => None,
+        Some(former) => Some(MemberChange::Remove(former.clone())),
+        None => Some(MemberChange::Promote(learner.clone())),
+    }
+}
+
 async fn ask_to_join(app: &App, report: &ReplicaReport, memory: &mut Memory) {
     let now = app.clock.now();
     if now - memory.joined_at < JOIN_LIMIT_MS {
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod members;
 mod metrics;
 mod operator;
+mod orders;
 mod peers;
 mod replica;
 mod run;
--- a/crates/mgw-control/src/operator/write.rs
+++ b/crates/mgw-control/src/operator/write.rs
@@ -41,6 +41,8 @@
         request.text,
         "configuration",
     );
+    // Operators are those of the newest accepted revision, not of what this control has applied.
+    app.replica.confirm_read().await?;
     let is_allowed = {
         let state = app.replica.state.read();
         match (&change.checked, state.revision() == Revision(0)) {
@@ -60,11 +62,8 @@
         )
         .await?;
     }
-    match app
-        .replica
-        .submit(Action::ApplyConfig(Box::new(change)))
-        .await?
-    {
+    let action = app.replica.state.read().plan_change(change);
+    match app.replica.submit(action).await? {
         Reply::Config(reply) => Ok(reply),
         other => Err(unexpected(&other)),
     }
@@ -122,6 +121,7 @@
     action: &str,
     subject: &str,
 ) -> Result<(), WriteError> {
+    app.replica.confirm_read().await?;
     let is_allowed = credentials.are_accepted_by(app.replica.state.read().inventory());
     if is_allowed {
         Ok(())
--- /dev/null
+++ b/crates/mgw-control/src/orders/duty.rs
@@ -0,0 +1,160 @@
+//! The leader's loop: reads engines, plans, and sends while the lease holds.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::join_all;
+use mgw_contract::engine::{EngineState, OrderReply};
+use mgw_serve::http::{HttpClient, unpooled_client};
+use mgw_state::orders::{OrderPlanner, OrderSettings, PlannedOrder};
+use mgw_world::{FenceNumber, Millis, TargetName};
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use super::engines::{read_state, send_order};
+use crate::app::App;
+
+/// Time between two rounds.
+const ROUND_MS: Millis = Millis(250);
+
+/// The planner of a term and the client that it works with.
+struct OrderDuty {
+    app: Arc<App>,
+    http: HttpClient,
+    planner: Option<(FenceNumber, OrderPlanner)>,
+}
+
+/// A lease as the replica reported it.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    fence: FenceNumber,
+    until: Millis,
+}
+
+/// Gives orders while this control leads, until it ends.
+pub async fn run_orders(app: Arc<App>) {
+    let graceful = app.shutdown.graceful.clone();
+    let mut duty = OrderDuty {
+        app,
+        // An order never waits in a connection that another term opened.
+        http: unpooled_client(),
+        planner: None,
+    };
+    while graceful
+        .run_until_cancelled(sleep(ROUND_MS.to_duration()))
+        .await
+        .is_some()
+    {
+        match duty.read_lease().await {
+            Some(lease) => duty.run_round(lease).await,
+            None => duty.planner = None,
+        }
+    }
+}
+
+impl OrderDuty {
+    /// The lease, once the fencing number of its term is committed.
+    async fn read_lease(&self) -> Option<Lease> {
+        let report = self.app.replica.describe().await?;
+        let until = report.lease_until?;
+        let fence = FenceNumber(report.term.0);
+        let state = self.app.replica.state.read();
+        let (newest, leader) = state.fence();
+        let is_own = newest == fence && leader == Some(&self.app.settings.name);
+        is_own.then_some(Lease { fence, until })
+    }
+
+    async fn run_round(&mut self, lease: Lease) {
+        let now = self.app.clock.now();
+        let planner = match self.planner.take() {
+            Some((fence, planner)) if fence == lease.fence => planner,
+            _ => OrderPlanner::new(lease.fence, now, OrderSettings::default()),
+        };
+        let (_, planner) = self.planner.insert((lease.fence, planner));
+        if planner.is_superseded() {
+            return;
+        }
+        let inventory = Arc::clone(self.app.replica.state.read().inventory());
+        let plan = planner.plan(&inventory, now, lease.until);
+        let addresses = self.list_addresses(now);
+        self.send_orders(plan.orders, &addresses).await;
+        self.read_engines(plan.reads, &addresses).await;
+    }
+
+    /// Where the targets that announced themselves take calls.
+    fn list_addresses(&self, now: Millis) -> BTreeMap<TargetName, SocketAddr> {
+        let view = self.app.view.lock();
+        let targets = view.targets(now);
+        let to_address = |status: &mgw_member::TargetStatus<'_>| {
+            (status.target.name.clone(), status.target.address)
+        };
+        targets.iter().map(to_address).collect()
+    }
+
+    async fn send_orders(
+        &mut self,
+        orders: Vec<PlannedOrder>,
+        addresses: &BTreeMap<TargetName, SocketAddr>,
+    ) {
+        let sending = orders.iter().filter_map(|planned| {
+            let address = *addresses.get(&planned.order.target)?;
+            Some(self.send_in_lease(planned, address))
+        });
+        let replies = join_all(sending).await;
+        let Some((_, planner)) = &mut self.planner else {
+            return;
+        };
+        for reply in replies.iter().flatten() {
+            planner.note_reply(reply);
+        }
+    }
+
+    /// Looks at the clock right before the order goes out.
+    async fn send_in_lease(
+        &self,
+        planned: &PlannedOrder,
+        address: SocketAddr,
+    ) -> Option<OrderReply> {
+        let order = &planned.order;
+        if self.app.clock.now() >= planned.send_before {
+            return None;
+        }
+        info!(target = %order.target, fence = %order.fence, layers = %order.layers, "ordering");
+        let reply = send_order(&self.http, address, order).await;
+        match &reply {
+            Some(OrderReply::Fenced { newest }) => {
+                warn!(target = %order.target, %newest, "the engine has seen a newer leader");
+            }
+            Some(_) => {}
+            None => warn!(target = %order.target, "no answer to an order; reading back"),
+        }
+        reply
+    }
+
+    async fn read_engines(
+        &mut self,
+        names: Vec<TargetName>,
+        addresses: &BTreeMap<TargetName, SocketAddr>,
+    ) {
+        let asked_at = self.app.clock.now();
+        let reading = names
+            .iter()
+            .map(|name| self.read_engine(addresses.get(name).copied()));
+        let states = join_all(reading).await;
+        let Some((_, planner)) = &mut self.planner else {
+            return;
+        };
+        for (name, state) in names.iter().zip(states) {
+            match state {
+                // An engine of another name at this address says nothing of the one asked for.
+                Some(state) if state.target == *name => planner.note_state(state, asked_at),
+                _ => planner.note_gone(name),
+            }
+        }
+    }
+
+    async fn read_engine(&self, address: Option<SocketAddr>) -> Option<EngineState> {
+        read_state(&self.http, address?).await
+    }
+}
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -140,19 +140,20 @@
         }
     }
 
-    /// Carries out the output once the messages that wait already are taken in, and never while a
-    /// write is out: all that gathers meanwhile shares the next sync.
+    /// Carries out the output once the messages that wait already are taken in.
     fn schedule_flush(&mut self, myself: &ActorRef<ReplicaMessage>) {
-        if !self.is_writing && !self.is_flush_due {
+        if !self.is_flush_due {
             self.is_flush_due = myself.cast(ReplicaMessage::Flush).is_ok();
         }
     }
 
+    /// While a write is out no other is made: all that gathers meanwhile shares the next sync.
     fn flush(&mut self) {
-        if self.is_writing {
-            return;
-        }
-        let output = self.replica.take_output();
+        let output = if self.is_writing {
+            self.replica.take_output_without_write()
+        } else {
+            self.replica.take_output()
+        };
         if is_empty(&output) {
             return;
         }
@@ -350,6 +351,7 @@
                 .leader()
                 .map(|id| NodeName::from(id.name.as_str())),
             holds_lease: self.replica.is_leader_at(self.start.clock.now()),
+            lease_until: self.replica.lease_until(),
             replicas: voters.chain(learners).collect(),
             membership,
             reachable,
--- a/crates/mgw-control/src/replica/message.rs
+++ b/crates/mgw-control/src/replica/message.rs
@@ -4,7 +4,7 @@
 use mgw_peer::PeerError;
 use mgw_quorum::{Envelope, Membership, ReplicaId, Role, Term, WriteId};
 use mgw_state::{Action, Reply};
-use mgw_world::NodeName;
+use mgw_world::{Millis, NodeName};
 use tokio::sync::oneshot;
 
 /// Where the answer to a call goes.
@@ -34,6 +34,8 @@
     pub leader: Option<NodeName>,
     /// Whether it holds the lease of a leader.
     pub holds_lease: bool,
+    /// End of that lease on the clock of this process; none when it holds none.
+    pub lease_until: Option<Millis>,
     /// Members of the group.
     pub membership: Membership,
     /// Members that answered this leader lately.
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -22,6 +22,7 @@
 use crate::members::start_view;
 use crate::metrics::Metrics;
 use crate::operator::handle_request;
+use crate::orders::run_orders;
 use crate::peers::PeerServer;
 use crate::replica::{ReplicaActor, ReplicaHandle, ReplicaMessage, ReplicaStart, SharedState};
 use crate::replica::{Senders, start_state};
@@ -77,9 +78,11 @@
         app: Arc::new(OnceCell::new()),
         founding: FoundingState {
             replica: storage.id().clone(),
-            is_empty: recovered == Recovered::default(),
+            // Of two controls that found at the same time, neither may count the other as empty.
+            is_empty: recovered == Recovered::default() && !found,
         },
     };
+    let is_empty = recovered == Recovered::default();
     info!(
         role = "control",
         name = %settings.name,
@@ -91,7 +94,6 @@
         replica = %storage.id(),
         "starting"
     );
-    let is_empty = server.founding.is_empty;
     let serving_peers = tokio::spawn(serve_peers(
         peers,
         identity,
@@ -196,6 +198,7 @@
     vec![
         tokio::spawn(serving),
         tokio::spawn(run_duties(Arc::clone(app))),
+        tokio::spawn(run_orders(Arc::clone(app))),
     ]
 }
 
--- /dev/null
+++ b/crates/mgw-control/tests/system/processes.rs
@@ -0,0 +1,214 @@
+//! The processes of one test.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, OnceLock};
+
+use mgw_serve::http::{HttpClient, unpooled_client};
+use tempfile::TempDir;
+
+use super::ports::take_block;
+
+const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+const PORT_MARK: &str = "127.0.0.1:17";
+const OPERATOR_KEY: &str = "example-key-anika-not-for-production";
+
+/// What is started.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Entries, from `entry-1` on.
+    pub entries: usize,
+    /// Stand-ins by name.
+    pub targets: &'static [&'static str],
+    /// Time that a call to a plain service takes.
+    pub call_ms: u64,
+}
+
+/// Three controls, entries and stand-ins; killed when dropped.
+pub struct System {
+    pub folder: TempDir,
+    pub http: HttpClient,
+    base: u16,
+    children: Mutex<BTreeMap<String, Child>>,
+}
+
+impl System {
+    /// Starts all processes and the first configuration.
+    pub async fn start(plan: Plan) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let base = take_block();
+        write_settings(folder.path(), base, plan.call_ms);
+        make_keys(folder.path());
+        let system = Self {
+            folder,
+            http: unpooled_client(),
+            base,
+            children: Mutex::default(),
+        };
+        system.spawn_with("control-1", &["--found"]);
+        system.spawn("control-2");
+        system.spawn("control-3");
+        (1..=plan.entries).for_each(|number| system.spawn(&format!("entry-{number}")));
+        plan.targets.iter().for_each(|name| system.spawn(name));
+        system.wait_for_voters(3).await;
+        system
+            .apply_until_known(0, "first", &system.inventory())
+            .await;
+        for number in 1..=plan.entries {
+            system
+                .wait_until_serving(&format!("entry-{number}"), plan.targets.len())
+                .await;
+        }
+        system
+    }
+
+    /// The first configuration.
+    pub fn inventory(&self) -> String {
+        std::fs::read_to_string(format!("{ROOT}/examples/inventory.toml")).unwrap()
+    }
+
+    /// Starts a process by the name of its settings file.
+    pub fn spawn(&self, name: &str) {
+        self.spawn_with(name, &[]);
+    }
+
+    fn spawn_with(&self, name: &str, arguments: &[&str]) {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("{name}.log")))
+            .unwrap();
+        let child = Command::new(binary_of(name))
+            .arg("--config")
+            .arg(format!("{name}.toml"))
+            .args(arguments)
+            .current_dir(self.folder.path())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.children.lock().unwrap().insert(name.to_owned(), child);
+    }
+
+    /// Ends a process without warning.
+    pub fn kill(&self, name: &str) {
+        let mut child = self.children.lock().unwrap().remove(name).unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Sends a signal to a process that was started here.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let pid = self.children.lock().unwrap()[name].id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// How a process ended, once it has.
+    pub fn ended(&self, name: &str) -> Option<ExitStatus> {
+        let mut children = self.children.lock().unwrap();
+        children.get_mut(name).unwrap().try_wait().unwrap()
+    }
+
+    /// Base URL of a control or an entry.
+    pub fn url(&self, name: &str) -> String {
+        let (role, number) = name.split_once('-').unwrap();
+        let first = if role == "control" { 100 } else { 200 };
+        let number: u16 = number.parse().unwrap();
+        format!("http://127.0.0.1:{}", self.base + first + number)
+    }
+
+    /// The operators' program, to be given its arguments.
+    pub fn mgw(&self, at: &[&str]) -> Command {
+        let urls: Vec<_> = at.iter().map(|name| self.url(name)).collect();
+        let key = self.folder.path().join("operator.key");
+        std::fs::write(&key, OPERATOR_KEY).unwrap();
+        let mut command = Command::new(binary_of("mgw"));
+        command
+            .args(["--at", &urls.join(","), "--operator", "anika", "--key-file"])
+            .arg(key);
+        command
+    }
+
+    /// What the processes logged, for a failing test.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        let children = self.children.get_mut().unwrap();
+        for child in children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if std::thread::panicking() {
+            // Logs of a failed test stay.
+            let kept = std::mem::replace(&mut self.folder, tempfile::tempdir().unwrap()).keep();
+            eprintln!("logs are in {}", kept.display());
+        }
+    }
+}
+
+/// Copies the settings of the local example with ports of this test.
+fn write_settings(folder: &Path, base: u16, call_ms: u64) {
+    for file in std::fs::read_dir(format!("{ROOT}/examples/local")).unwrap() {
+        let path = file.unwrap().path();
+        let name = path.file_name().unwrap().to_owned();
+        let mut text = std::fs::read_to_string(&path).unwrap();
+        text = move_ports(&text, base);
+        if text.contains("[plain]") {
+            text.push_str(&format!("call_ms = {call_ms}\n"));
+        }
+        std::fs::write(folder.join(name), text).unwrap();
+    }
+}
+
+/// Makes the files by which the processes prove that they belong together.
+fn make_keys(folder: &Path) {
+    let controls = (1..=3).map(|number| format!("control-{number}"));
+    let entries = (1..=6).map(|number| format!("entry-{number}"));
+    let mut command = Command::new(binary_of("mgw"));
+    command.arg("group-keys").arg(folder.join("keys"));
+    command.args(controls.chain(entries)).stdout(Stdio::null());
+    assert!(command.status().unwrap().success());
+}
+
+fn move_ports(text: &str, base: u16) -> String {
+    let mut parts = text.split(PORT_MARK);
+    let mut moved = parts.next().unwrap().to_owned();
+    for part in parts {
+        let (number, rest) = part.split_at(3);
+        let port = base + number.parse::<u16>().unwrap();
+        moved.push_str(&format!("127.0.0.1:{port}{rest}"));
+    }
+    moved
+}
+
+/// The program for a process, next to the control's; built first if need be.
+fn binary_of(name: &str) -> PathBuf {
+    static BUILT: OnceLock<()> = OnceLock::new();
+    let control = Path::new(env!("CARGO_BIN_EXE_mgw-control"));
+    BUILT.get_or_init(|| build_others(control));
+    let program = match name.split_once('-') {
+        None => "mgw",
+        Some(("control", _)) => "mgw-control",
+        Some(("entry", _)) => "mgw-entry",
+        Some(_) => "mgw-standin",
+    };
+    control.with_file_name(program)
+}
+
+fn build_others(control: &Path) {
+    let folder = control.parent().unwrap();
+    let mut cargo = Command::new(env!("CARGO"));
+    cargo.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
+    if folder.ends_with("release") {
+        cargo.arg("--release");
+    }
+    cargo.arg("--target-dir").arg(folder.parent().unwrap());
+    assert!(cargo.current_dir(ROOT).status().unwrap().success());
+}
--- a/crates/mgw-entry/src/config.rs
+++ b/crates/mgw-entry/src/config.rs
@@ -86,15 +86,15 @@
     /// # Errors
     /// When the update is older than what was seen or doesn't fit on what is held.
     pub fn take(&self, update: ConfigUpdate) -> Result<bool, StateError> {
-        let (changed, revision) = {
-            let mut view = self.view.lock();
-            (view.take(update)?, view.revision())
-        };
+        let mut newer = self.view.lock().clone();
+        let changed = newer.take(update)?;
+        // Written before it is in force: a restart then never serves less than was served.
         if let Some(data) = self.data.as_deref().filter(|_| changed)
-            && let Err(error) = write_revision(data, revision)
+            && let Err(error) = write_revision(data, newer.revision())
         {
             warn!(%error, "couldn't write the revision; a restart may have to ask for it again");
         }
+        *self.view.lock() = newer;
         Ok(changed)
     }
 }
--- a/crates/mgw-entry/src/controls.rs
+++ b/crates/mgw-entry/src/controls.rs
@@ -5,7 +5,7 @@
 
 use mgw_peer::{CallFailure, ConfigAnswer, ConfigQuestion, PeerError, PeerPool};
 use mgw_state::{Action, Command, Reply};
-use mgw_world::{Clock, Millis, NodeName};
+use mgw_world::{Clock, Incarnation, Millis, NodeName, UnixMillis};
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
@@ -31,6 +31,7 @@
     pool: Arc<PeerPool>,
     peers: Vec<Peer>,
     leader: Mutex<usize>,
+    claims_as: Mutex<Incarnation>,
 }
 
 impl Controls {
@@ -41,6 +42,7 @@
             pool,
             peers: peers.to_vec(),
             leader: Mutex::new(0),
+            claims_as: Mutex::default(),
         }
     }
 
@@ -50,6 +52,20 @@
         &self.pool
     }
 
+    /// Incarnation under which claims are made; that of the start until it was declared lost.
+    #[must_use]
+    pub fn claims_as(&self, started_as: Incarnation) -> Incarnation {
+        started_as.max(*self.claims_as.lock())
+    }
+
+    /// Takes a higher incarnation for claims after `lost` was declared lost.
+    pub fn renew_incarnation(&self, lost: Incarnation, wall: UnixMillis) {
+        let mut claims_as = self.claims_as.lock();
+        if *claims_as <= lost {
+            *claims_as = Incarnation(wall.0.max(lost.0 + 1));
+        }
+    }
+
     /// Commits a command; it is sent again until a reply comes, so it must be idempotent.
     ///
     /// # Errors
--- a/crates/mgw-entry/src/services/call.rs
+++ b/crates/mgw-entry/src/services/call.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, StatusCode};
 use mgw_contract::caller::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, WORKSPACE_HEADER};
 use mgw_serve::http::{HttpClient, full, read_body};
-use mgw_world::{RequestId, ServiceName, TargetName, WorkspaceName};
+use mgw_world::{Millis, RequestId, ServiceName, TargetName, WorkspaceName};
 use tokio::time::timeout;
 use tracing::warn;
 
@@ -53,16 +53,21 @@
     Unknown,
 }
 
-/// Tries targets until one was reached, or until one answered where a repeated call is harmless.
+/// Tries targets until one was reached, or until one answered where a repeated call is harmless;
+/// nothing is sent from `send_before` on.
 pub async fn call_service(
     app: &App,
     http: &HttpClient,
     call: &ServiceCall,
     is_harmless: bool,
+    send_before: Option<Millis>,
 ) -> Result<ServiceAnswer, ServiceFailure> {
     let mut failed: Vec<TargetName> = Vec::new();
     let mut may_have_run = false;
     loop {
+        if send_before.is_some_and(|end| app.clock.now() >= end) {
+            break;
+        }
         if !failed.is_empty() && !app.retries.lock().try_retry() {
             break;
         }
--- a/crates/mgw-entry/src/services/handle.rs
+++ b/crates/mgw-entry/src/services/handle.rs
@@ -62,7 +62,7 @@
     app.retries.lock().count_request();
     if !runs_once {
         let is_harmless = matches!(call.method, Method::GET | Method::HEAD);
-        let answer = call_service(app, &app.plain_client, &call, is_harmless).await;
+        let answer = call_service(app, &app.plain_client, &call, is_harmless, None).await;
         return answer.map_err(|failure| match failure {
             ServiceFailure::NotSent => fields(
                 id,
--- a/crates/mgw-entry/src/services/once.rs
+++ b/crates/mgw-entry/src/services/once.rs
@@ -10,7 +10,7 @@
     Action, ClaimKey, ClaimReply, ClaimRequest, ClaimantId, Digest, OutcomeReport, RecordReply,
     RecordedResponse, Reply,
 };
-use mgw_world::{EntryName, KeyName, Millis};
+use mgw_world::{Clock, EntryName, KeyName, Millis};
 use tracing::warn;
 
 use super::call::{ServiceAnswer, ServiceCall, ServiceFailure, call_service};
@@ -19,6 +19,9 @@
 
 /// Time within which a claim must be committed.
 const CLAIM_LIMIT_MS: Millis = Millis(4_000);
+/// Time from the start of a claim after which nothing is sent any more: less than the silence after
+/// which the controls declare an entry lost, so that a thawed entry sends nothing for a lost claim.
+const SEND_LIMIT_MS: Millis = Millis(8_000);
 /// Time within which an outcome must be committed for the caller to hear it.
 const RECORD_LIMIT_MS: Millis = Millis(4_000);
 /// Time for which an outcome or release is tried after the caller was answered.
@@ -58,21 +61,18 @@
         service: call.service.clone(),
         key,
     };
-    let claimant = ClaimantId {
-        entry: EntryName::clone(&app.settings.name),
-        incarnation: app.members.incarnation,
-    };
     let claim = ClaimRequest {
         key: key.clone(),
         digest: digest_call(&call),
         request: call.id,
-        claimant: claimant.clone(),
+        claimant: claimant_of(&app),
     };
-    match claim_call(&app, claim).await {
-        Ok(()) => {}
+    let send_before = app.clock.now() + SEND_LIMIT_MS;
+    let claimant = match claim_call(&app, claim).await {
+        Ok(claimant) => claimant,
         Err(refused) => return refused,
-    }
-    let answered = call_service(&app, &app.once_client, &call, false).await;
+    };
+    let answered = call_service(&app, &app.once_client, &call, false, Some(send_before)).await;
     let report = |outcome, response| OutcomeReport {
         key: key.clone(),
         request: call.id,
@@ -126,21 +126,41 @@
     Digest::of(&bytes)
 }
 
-async fn claim_call(app: &Arc<App>, claim: ClaimRequest) -> Result<(), OnceEnd> {
+fn claimant_of(app: &App) -> ClaimantId {
+    ClaimantId {
+        entry: EntryName::clone(&app.settings.name),
+        incarnation: app.controls.claims_as(app.members.incarnation),
+    }
+}
+
+/// Claims; an entry that was declared lost while it lives goes on under a new incarnation.
+async fn claim_call(app: &Arc<App>, mut claim: ClaimRequest) -> Result<ClaimantId, OnceEnd> {
+    let first = commit_claim(app, claim.clone()).await?;
+    let reply = if first == ClaimReply::EntryLost {
+        warn!(claimant = %claim.claimant, "declared lost; claiming under a new incarnation");
+        app.controls
+            .renew_incarnation(claim.claimant.incarnation, Clock::wall());
+        claim.claimant = claimant_of(app);
+        commit_claim(app, claim.clone()).await?
+    } else {
+        first
+    };
+    judge_claim(reply).map(|()| claim.claimant)
+}
+
+async fn commit_claim(app: &Arc<App>, claim: ClaimRequest) -> Result<ClaimReply, OnceEnd> {
     let (key, request, claimant) = (claim.key.clone(), claim.request, claim.claimant.clone());
     let reply = app
         .controls
         .submit(Action::Claim(claim), &app.clock, CLAIM_LIMIT_MS)
         .await;
-    let reply = match reply {
-        Ok(Reply::Claim(reply)) => reply,
-        Ok(_) | Err(ControlError::NoQuorum) => {
-            return Err(end(
-                Outcome::NotRun,
-                Reason::NoQuorum,
-                "the ledger can't be reached",
-            ));
-        }
+    match reply {
+        Ok(Reply::Claim(reply)) => Ok(reply),
+        Ok(_) | Err(ControlError::NoQuorum) => Err(end(
+            Outcome::NotRun,
+            Reason::NoQuorum,
+            "the ledger can't be reached",
+        )),
         Err(ControlError::Unknown) => {
             // Nothing was sent to the service; the claim may stand and is given back.
             submit_late(
@@ -151,17 +171,19 @@
                     claimant,
                 },
             );
-            return Err(end(
+            Err(end(
                 Outcome::NotRun,
                 Reason::NoQuorum,
                 "the ledger didn't answer in time",
-            ));
+            ))
         }
-    };
+    }
+}
+
+/// What the ledger's word on a claim means for the request that made it.
+fn judge_claim(reply: ClaimReply) -> Result<(), OnceEnd> {
     match reply {
         ClaimReply::Granted => Ok(()),
-        // The claim is this request's own: the answer to its first sending was lost.
-        ClaimReply::InProgress { request: holder } if holder == request => Ok(()),
         ClaimReply::InProgress { .. } => Err(end(
             Outcome::Unknown,
             Reason::InProgress,
@@ -244,9 +266,17 @@
         .submit(action.clone(), &app.clock, RECORD_LIMIT_MS)
         .await;
     match reply {
-        Ok(Reply::Record(RecordReply::Recorded | RecordReply::AlreadyEnded { .. })) => {
-            OnceEnd::Answered(answer)
-        }
+        Ok(Reply::Record(
+            RecordReply::Recorded
+            | RecordReply::AlreadyEnded {
+                outcome: Outcome::Done,
+            },
+        )) => OnceEnd::Answered(answer),
+        Ok(Reply::Record(RecordReply::AlreadyEnded { .. })) => end(
+            Outcome::Unknown,
+            Reason::TargetFailed,
+            "an operator ended this call otherwise before its answer came",
+        ),
         Ok(other) => {
             warn!(?other, "the outcome wasn't recorded");
             end(
--- a/crates/mgw-quorum/src/replica/output.rs
+++ b/crates/mgw-quorum/src/replica/output.rs
@@ -99,6 +99,18 @@
     pub fn take_output(&mut self) -> Output {
         self.replicate();
         let disk = self.take_write();
+        self.take_rest(disk)
+    }
+
+    /// Takes what there is to do beside a new write, for a shell whose disk is busy: what has to
+    /// be written gathers for the next [`Self::take_output`], while heartbeats and what was
+    /// committed meanwhile don't wait for the disk.
+    pub fn take_output_without_write(&mut self) -> Output {
+        self.replicate();
+        self.take_rest(None)
+    }
+
+    fn take_rest(&mut self, disk: Option<DiskWrite>) -> Output {
         self.release_held();
         let install = self.take_install();
         let committed = self.take_committed();
--- a/crates/mgw-quorum/tests/common/mod.rs
+++ b/crates/mgw-quorum/tests/common/mod.rs
@@ -210,9 +210,15 @@
             return Ok(None);
         }
         let now = self.clock(at);
+        // With an odd seed one write is out at a time and the rest gathers, as in a shell.
+        let gathers = self.seed % 2 == 1 && !self.nodes[at].writes.is_empty();
         let replica = self.nodes[at].replica.as_mut().expect("the replica runs");
         let result = input(replica, now);
-        let output = replica.take_output();
+        let output = if gathers {
+            replica.take_output_without_write()
+        } else {
+            replica.take_output()
+        };
         self.carry_out(at, output)?;
         Ok(Some(result))
     }
--- a/crates/mgw-state/src/ledger/claim.rs
+++ b/crates/mgw-state/src/ledger/claim.rs
@@ -23,7 +23,7 @@
 }
 
 /// One life of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, derive_more::Display)]
 #[display("{entry}#{incarnation}")]
 pub struct ClaimantId {
     /// The entry.
