--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use mgw_peer::GroupFiles;
-use mgw_pipe::{PipeSettings, TimeSettings};
+use mgw_pipe::{MoveSettings, PaceSettings, PipeSettings, TimeSettings};
 use mgw_settings::LogSettings;
 use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
 use serde::Deserialize;
@@ -69,7 +69,7 @@
 }
 
 /// Settings of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// Name of the entry.
@@ -108,6 +108,15 @@
     /// Pipelines.
     #[serde(default)]
     pub pipe: PipeSettings,
+    /// Most bytes of stage inputs held for all requests together.
+    #[serde(default = "default_activation_bytes")]
+    pub activation_bytes: u64,
+    /// Moves of running requests when targets fail.
+    #[serde(default)]
+    pub moves: MoveSettings,
+    /// Judgement of targets that became slower.
+    #[serde(default)]
+    pub paces: PaceSettings,
     /// Step deadlines.
     #[serde(default)]
     pub times: TimeSettings,
@@ -119,6 +128,11 @@
     pub leaving: LeavingSettings,
 }
 
+/// Bytes of stage inputs that a small machine holds.
+const fn default_activation_bytes() -> u64 {
+    256 * 1024 * 1024
+}
+
 const fn default_weight() -> u32 {
     1
 }
