--- a/crates/mgw-control/tests/process_state.rs
+++ b/crates/mgw-control/tests/process_state.rs
@@ -204,7 +204,7 @@
     system.kill("entry-1");
     system.spawn("entry-1");
     // Without a quorum the entry holds nothing, and so serves nothing.
-    let alone = wait_some("the entry without controls", || entry_revision()).await;
+    let alone = wait_some("the entry without controls", &entry_revision).await;
     assert_eq!(alone, 0);
     let refused = wait_some("a refusal", || system.claim("entry-1", "early")).await;
     assert_eq!(refused.outcome, "not_run", "{refused:?}");
