--- a/crates/mgw-entry/tests/support/mod.rs
+++ b/crates/mgw-entry/tests/support/mod.rs
@@ -32,8 +32,9 @@
 }
 
 pub fn program(name: &str) -> PathBuf {
-    let entry = Path::new(env!("CARGO_BIN_EXE_mgw-entry"));
-    let path = entry.with_file_name(name);
+    let beside = Path::new(env!("CARGO_BIN_EXE_mgw-entry")).with_file_name(name);
+    let named = std::env::var_os("MGW_BIN_DIR");
+    let path = named.map_or(beside, |folder| Path::new(&folder).join(name));
     assert!(
         path.exists(),
         "{path:?} is missing: cargo build --workspace --bins"
