--- a/crates/mgw-entry/src/run.rs
+++ b/crates/mgw-entry/src/run.rs
@@ -93,6 +93,17 @@
     Ok(())
 }
 
+fn load_identity(settings: &EntrySettings) -> Result<Option<GroupIdentity>, RunError> {
+    let Some(files) = &settings.group else {
+        warn!("no group in the settings: other processes aren't asked to prove who they are");
+        return Ok(None);
+    };
+    let loaded = GroupIdentity::load(files);
+    loaded.map(Some).map_err(|error| RunError::Start {
+        message: error.to_string(),
+    })
+}
+
 fn serve_callers(
     app: &Arc<App>,
     calls: &OpenCalls,
@@ -142,17 +153,6 @@
     }
 }
 
-fn load_identity(settings: &EntrySettings) -> Result<Option<GroupIdentity>, RunError> {
-    let Some(files) = &settings.group else {
-        warn!("no group in the settings: other processes aren't asked to prove who they are");
-        return Ok(None);
-    };
-    let loaded = GroupIdentity::load(files);
-    loaded.map(Some).map_err(|error| RunError::Start {
-        message: error.to_string(),
-    })
-}
-
 fn start_parts(
     app: &Arc<App>,
     peers: TcpListener,
