One confirmed read for each poll of the configuration, shared by all polls of 25 ms

Cause: each entry's poll took two confirmed reads and each read could start a round of heartbeats, and every committed command woke every waiting poll: at 323 entries 646 reads a second and, with claims, 323 wakes for each. Ruled out: answering polls from followers (their confirmation would have to go to the leader anyway); longer polls (an entry's knowledge of the quorum must stay younger than 4 s). Change: reads gather for 25 ms and share one round; a poll confirms once, before it answers; only a change of configuration or drains wakes polls. Conclusion: rounds are bounded at 40 a second whatever the number of entries.

--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -5,7 +5,7 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc};
-use mgw_quorum::{Envelope, ReplicaId};
+use mgw_quorum::{Envelope, ReplicaId, Role};
 use mgw_state::{Command, ConfigUpdate, Reply};
 use tarpc::context::Context;
 use tokio::time::timeout;
@@ -95,36 +95,30 @@
     Err(PeerError::Refused { message })
 }
 
-/// Answers at once when there is a newer revision, else when one comes or the time is over.
+/// Answers at once when there is a newer revision, else when one comes or the time is over. The
+/// answer is confirmed by a quorum.
 async fn answer_config(app: &App, question: ConfigQuestion) -> Result<ConfigAnswer, PeerError> {
-    let mut applied = app.replica.applied.clone();
-    let until = app.clock.now() + question.wait_ms;
-    loop {
-        app.replica.confirm_read().await?;
-        applied.mark_unchanged();
-        let (update, drains) = read_config(app, &question);
-        let wait = until - app.clock.now();
-        let is_news = update.is_some() || drains != question.drains;
-        if is_news || wait.0 == 0 {
-            return Ok(ConfigAnswer { update, drains });
-        }
-        let changed = timeout(
-            wait.to_duration(),
-            wait_for_config(app, &mut applied, &question),
-        );
-        let _ = changed.await;
+    let report = app.replica.describe().await.ok_or(PeerError::Ending)?;
+    if report.role != Role::Leader {
+        return Err(PeerError::NotLeader {
+            leader: report.leader,
+        });
     }
+    let waiting = wait_for_config(app, &question);
+    let _ = timeout(question.wait_ms.to_duration(), waiting).await;
+    app.replica.confirm_read().await?;
+    let (update, drains) = read_config(app, &question);
+    Ok(ConfigAnswer { update, drains })
 }
 
 /// Waits until the revision or the drains differ from what the asker has.
-async fn wait_for_config(
-    app: &App,
-    applied: &mut tokio::sync::watch::Receiver<u64>,
-    question: &ConfigQuestion,
-) {
-    while applied.changed().await.is_ok() {
+async fn wait_for_config(app: &App, question: &ConfigQuestion) {
+    let mut version = app.replica.config_version.clone();
+    loop {
+        version.mark_unchanged();
         let (update, drains) = read_config(app, question);
-        if update.is_some() || drains != question.drains {
+        let is_news = update.is_some() || drains != question.drains;
+        if is_news || version.changed().await.is_err() {
             return;
         }
     }
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -10,7 +10,7 @@
     Snapshot, Storage, Term,
 };
 use mgw_state::{Action, Command, Reply, State, decode, encode};
-use mgw_world::{Clock, NodeName};
+use mgw_world::{Clock, Millis, NodeName};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{oneshot, watch};
 use tracing::{error, info, warn};
@@ -20,6 +20,9 @@
 use super::senders::Senders;
 use super::{MemberChange, ReplicaMessage, ReplicaReport, SharedState};
 
+/// Shortest time between two reads; those asked for meanwhile share the next one.
+const READ_PAUSE_MS: Millis = Millis(25);
+
 /// What the actor starts from.
 pub struct ReplicaStart {
     /// The replica.
@@ -32,8 +35,8 @@
     pub senders: Senders,
     /// The state machine.
     pub state: SharedState,
-    /// Told of each applied index.
-    pub applied: watch::Sender<u64>,
+    /// Grows with each change of the configuration or of the drains.
+    pub config_version: watch::Sender<u64>,
     /// Entries after which the log is replaced by a snapshot.
     pub snapshot_entries: u64,
 }
@@ -52,7 +55,9 @@
     is_writing: bool,
     is_flush_due: bool,
     proposals: BTreeMap<Index, Proposal>,
-    reads: BTreeMap<ReadToken, Answer<()>>,
+    gathered_reads: Vec<Answer<()>>,
+    reads: BTreeMap<ReadToken, Vec<Answer<()>>>,
+    read_at: Millis,
     next_read: u64,
     syncs: u64,
 }
@@ -61,7 +66,7 @@
     clock: Clock,
     senders: Senders,
     state: SharedState,
-    applied: watch::Sender<u64>,
+    config_version: watch::Sender<u64>,
     snapshot_entries: u64,
 }
 
@@ -86,14 +91,16 @@
             is_writing: false,
             is_flush_due: false,
             proposals: BTreeMap::new(),
+            gathered_reads: Vec::new(),
             reads: BTreeMap::new(),
+            read_at: Millis::ZERO,
             next_read: 0,
             syncs: 0,
             start: ReplicaStartParts {
                 clock: start.clock,
                 senders: start.senders,
                 state: start.state,
-                applied: start.applied,
+                config_version: start.config_version,
                 snapshot_entries: start.snapshot_entries,
             },
         })
@@ -124,7 +131,7 @@
                 }
             }
             ReplicaMessage::Submit(action, answer) => self.propose(*action, answer),
-            ReplicaMessage::Read(answer) => self.start_read(answer),
+            ReplicaMessage::Read(answer) => self.gathered_reads.push(answer),
             ReplicaMessage::Change(change, answer) => {
                 let _ = answer.send(self.change_members(&change));
             }
@@ -135,7 +142,10 @@
                 self.syncs = syncs;
                 self.replica.synced(write, now);
             }
-            ReplicaMessage::Tick => self.replica.tick(now),
+            ReplicaMessage::Tick => {
+                self.replica.tick(now);
+                self.start_reads(now);
+            }
             ReplicaMessage::Flush => {
                 self.is_flush_due = false;
                 self.flush();
@@ -173,14 +183,10 @@
             self.apply(entry);
         }
         for ready in output.reads {
-            if let Some(answer) = self.reads.remove(&ready.token) {
-                let _ = answer.send(Ok(()));
-            }
+            self.end_reads(ready.token, true);
         }
         for token in output.reads_failed {
-            if let Some(answer) = self.reads.remove(&token) {
-                let _ = answer.send(Err(self.not_leader()));
-            }
+            self.end_reads(token, false);
         }
         if let Some(change) = output.role_change {
             info!(role = ?change.role, term = %change.term, leader = ?change.leader, "role changed");
@@ -209,19 +215,39 @@
         }
     }
 
-    fn start_read(&mut self, answer: Answer<()>) {
+    /// Starts one read for all that gathered, so that their number doesn't raise that of the
+    /// rounds of heartbeats.
+    fn start_reads(&mut self, now: Millis) {
+        if self.gathered_reads.is_empty() || now - self.read_at < READ_PAUSE_MS {
+            return;
+        }
+        self.read_at = now;
         self.next_read += 1;
         let token = ReadToken(self.next_read);
-        match self.replica.read(token, self.start.clock.now()) {
+        let answers = std::mem::take(&mut self.gathered_reads);
+        match self.replica.read(token, now) {
             Ok(()) => {
-                self.reads.insert(token, answer);
+                self.reads.insert(token, answers);
             }
             Err(refusal) => {
-                let _ = answer.send(Err(self.explain(&refusal)));
+                for answer in answers {
+                    let _ = answer.send(Err(self.explain(&refusal)));
+                }
             }
         }
     }
 
+    fn end_reads(&mut self, token: ReadToken, is_confirmed: bool) {
+        for answer in self.reads.remove(&token).unwrap_or_default() {
+            let result = if is_confirmed {
+                Ok(())
+            } else {
+                Err(self.not_leader())
+            };
+            let _ = answer.send(result);
+        }
+    }
+
     fn change_members(&mut self, change: &MemberChange) -> Result<(), PeerError> {
         let now = self.start.clock.now();
         let changed = match change {
@@ -257,7 +283,9 @@
         match State::restore(&snapshot.data) {
             Ok(state) => {
                 *self.start.state.write() = state;
-                self.start.applied.send_replace(snapshot.meta.index.0);
+                self.start
+                    .config_version
+                    .send_modify(|version| *version += 1);
             }
             Err(failure) => {
                 error!(%failure, "the snapshot can't be read; the process ends");
@@ -270,7 +298,7 @@
         let index = entry.index;
         let reply = match entry.payload {
             Payload::Command(bytes) => match decode::<Command>(&bytes) {
-                Ok(command) => Some(self.start.state.write().apply(index.0, command)),
+                Ok(command) => Some(self.apply_command(index, command)),
                 Err(failure) => {
                     error!(%failure, %index, "a committed command can't be read; the process ends");
                     std::process::exit(1);
@@ -278,7 +306,6 @@
             },
             Payload::Noop | Payload::Membership(_) => None,
         };
-        self.start.applied.send_replace(index.0);
         let Some(proposal) = self.proposals.remove(&index) else {
             return;
         };
@@ -289,6 +316,23 @@
         let _ = proposal.answer.send(answer);
     }
 
+    fn apply_command(&self, index: Index, command: Command) -> Reply {
+        let changes_config = matches!(
+            command.action,
+            Action::ApplyConfig(_)
+                | Action::PatchConfig(_)
+                | Action::Drain { .. }
+                | Action::Undrain { .. }
+        );
+        let reply = self.start.state.write().apply(index.0, command);
+        if changes_config {
+            self.start
+                .config_version
+                .send_modify(|version| *version += 1);
+        }
+        reply
+    }
+
     /// Proposals of a leader that lost its role may still be committed by another.
     fn drop_proposals(&mut self) {
         for proposal in std::mem::take(&mut self.proposals).into_values() {
--- a/crates/mgw-control/src/replica/handle.rs
+++ b/crates/mgw-control/src/replica/handle.rs
@@ -29,8 +29,8 @@
     pub actor: ActorRef<ReplicaMessage>,
     /// The state machine as far as it was applied here.
     pub state: SharedState,
-    /// Changes whenever something was applied.
-    pub applied: watch::Receiver<u64>,
+    /// Grows with each change of the configuration or of the drains.
+    pub config_version: watch::Receiver<u64>,
     /// Time within which a command must be committed.
     pub commit_limit_ms: Millis,
 }
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -146,7 +146,7 @@
         clock.now(),
         seed,
     );
-    let (applied_sender, applied) = watch::channel(0);
+    let (config_sender, config_version) = watch::channel(0);
     let state: SharedState = start_state();
     let start = ReplicaStart {
         replica,
@@ -154,7 +154,7 @@
         clock: clock.clone(),
         senders,
         state: Arc::clone(&state),
-        applied: applied_sender,
+        config_version: config_sender,
         snapshot_entries: settings.quorum.snapshot_entries,
     };
     let (actor, _running) = Actor::spawn(None, ReplicaActor, start)
@@ -166,7 +166,7 @@
         replica: ReplicaHandle {
             actor,
             state,
-            applied,
+            config_version,
             commit_limit_ms,
         },
         view: start_view(&settings, seed, clock.now()),
