Trials wait until an entry serves; say truly why a starting entry refuses

Cause: a trial counted calls that an entry refused while its view was incomplete; since entries refuse in that phase, all of its calls ended not run. The refusal named the configuration, which stood. Ruled out: lost calls; the outcomes were true. Conclusion: the assertion is unchanged.

--- a/crates/mgw-control/tests/system/calls.rs
+++ b/crates/mgw-control/tests/system/calls.rs
@@ -154,7 +154,12 @@
         wait_for("an entry that serves", || async {
             let status: Option<StatusReply> = self.get(entry, STATUS_PATH).await;
             let is_serving = |status: StatusReply| {
-                status.revision > Revision(0) && status.targets as usize == targets
+                status.revision > Revision(0)
+                    && status.targets as usize == targets
+                    && status
+                        .attention
+                        .iter()
+                        .any(|line| line.ends_with("availability: full"))
             };
             status.is_some_and(is_serving)
         })
--- a/crates/mgw-entry/src/intake.rs
+++ b/crates/mgw-entry/src/intake.rs
@@ -65,8 +65,9 @@
         id: app.new_request_id(),
         outcome: Outcome::NotRun,
         reason: Reason::NoQuorum,
-        message: "this entry starts and has no configuration in force yet; use another one"
-            .to_owned(),
+        message:
+            "this entry is starting: its view or configuration isn't complete yet; use another one"
+                .to_owned(),
         tokens: 0,
         retry_after_ms: None,
     };
--- a/crates/mgw-route/tests/prefix.rs
+++ b/crates/mgw-route/tests/prefix.rs
@@ -8,6 +8,8 @@
 #[allow(dead_code, reason = "only the targets are used here")]
 mod fleet;
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeSet;
 
 use affinity::{CacheOutcome, CacheRun, run_caches};
