Trials wait until an entry passes calls on, and take "not run" after a thaw

Cause: two trials made their call before the entry served callers; it was refused, so the ledger stayed empty and the wait for a claim ran out. The thawed entry's next call can truly be "not run" while its news of targets is old. Ruled out: a fault of the ledger; the controls' ledger was empty and the entry answered. Change: the harness makes a repeatable call until it is passed on; the thawed entry's call is made again under its key while the answer is "not run". That it runs exactly once is still checked.

--- a/crates/mgw-control/tests/process_state.rs
+++ b/crates/mgw-control/tests/process_state.rs
@@ -139,7 +139,12 @@
     system.signal("entry-1", "-CONT");
     let held = calling.await.unwrap();
     assert_eq!(held.outcome, "unknown", "{held:?}");
-    let next = wait_some("an answer", || system.claim("entry-1", "next")).await;
+    // Right after the thaw the news of the targets is old, and "not run" is a true answer.
+    let next = wait_some("a call that ran", || async {
+        let end = system.claim("entry-1", "next").await?;
+        (end.outcome != "not_run").then_some(end)
+    })
+    .await;
     assert_eq!(next.outcome, "done", "{next:?}");
     let calls = read_calls(&system, SERVICE);
     assert!(calls.get("held").copied().unwrap_or_default() <= 1);
--- a/crates/mgw-control/tests/system/calls.rs
+++ b/crates/mgw-control/tests/system/calls.rs
@@ -161,6 +161,19 @@
         .await;
     }
 
+    /// Waits until an entry passes calls to the plain service on; right after its start it refuses.
+    pub async fn wait_until_passing(&self, entry: &str) {
+        wait_for("an entry that passes calls on", || async {
+            let path = format!("{SERVICES_PATH}train-app/ready");
+            let request = Request::get(format!("{}{path}", self.url(entry)))
+                .header(WORKSPACE_HEADER, "classrooms")
+                .body(full(""));
+            let answer = self.send(request.unwrap()).await;
+            answer.is_some_and(|(_, outcome, _)| outcome == "done")
+        })
+        .await;
+    }
+
     /// Makes a call that runs at most once; none when the entry gave no answer.
     pub async fn claim(&self, entry: &str, key: &str) -> Option<ClaimEnd> {
         let path = format!("{SERVICES_PATH}train-app/certificates/issue");
--- a/crates/mgw-control/tests/system/processes.rs
+++ b/crates/mgw-control/tests/system/processes.rs
@@ -60,6 +60,9 @@
             system
                 .wait_until_serving(&format!("entry-{number}"), plan.targets.len())
                 .await;
+            if plan.targets.iter().any(|name| name.ends_with("-train-app")) {
+                system.wait_until_passing(&format!("entry-{number}")).await;
+            }
         }
         system
     }
