--- a/crates/mgw-route/tests/prefix.rs
+++ b/crates/mgw-route/tests/prefix.rs
@@ -1,5 +1,7 @@
 //! Prefix beliefs: events as tables, bounded memory, and the hit rate with and without affinity.
 
+#![allow(clippy::unwrap_used)]
+
 mod common;
 
 #[path = "../examples/support/affinity.rs"]
@@ -8,8 +10,6 @@
 #[allow(dead_code, reason = "only the targets are used here")]
 mod fleet;
 
-#![allow(clippy::unwrap_used)]
-
 use std::collections::BTreeSet;
 
 use affinity::{CacheOutcome, CacheRun, run_caches};
