Time of a step runs from its sending; drains can be taken back; request rules in force

Ruled out: an event for each sending (a second future a step); more time for steps that wait for a suspect target (they must move on with those that were sent there). Change: the run looks at a mark when a deadline comes; mgw entry|target undrain; entries take deadlines and the retry rate from the configuration.

--- a/crates/mgw-cli/src/args.rs
+++ b/crates/mgw-cli/src/args.rs
@@ -126,6 +126,11 @@
         /// Name of the entry
         name: EntryName,
     },
+    /// Take a drain back
+    Undrain {
+        /// Name of the entry
+        name: EntryName,
+    },
 }
 
 /// Commands on a target.
@@ -136,6 +141,11 @@
         /// Name of the target
         name: TargetName,
     },
+    /// Take a drain back
+    Undrain {
+        /// Name of the target
+        name: TargetName,
+    },
 }
 
 /// Commands on the ledger.
--- a/crates/mgw-cli/src/commands/drain.rs
+++ b/crates/mgw-cli/src/commands/drain.rs
@@ -1,28 +1,21 @@
-//! `mgw entry drain` and `mgw target drain`.
+//! `mgw entry drain`, `mgw target drain` and their `undrain`.
 
-use mgw_contract::operator::{DRAIN_PATH, DrainRequest};
-use mgw_world::{EntryName, TargetName};
+use mgw_contract::operator::{DRAIN_PATH, DrainRequest, UNDRAIN_PATH};
 
 use crate::client::Client;
 use crate::output::print_line;
 use crate::{CliError, ExitStatus};
 
-/// Lets an entry leave.
-pub async fn drain_entry(client: &Client, name: &EntryName) -> Result<ExitStatus, CliError> {
-    send_drain(client, &DrainRequest::Entry(name.clone()), name.as_str()).await
-}
-
-/// Lets a target leave.
-pub async fn drain_target(client: &Client, name: &TargetName) -> Result<ExitStatus, CliError> {
-    send_drain(client, &DrainRequest::Target(name.clone()), name.as_str()).await
+/// Lets an entry or a target leave.
+pub async fn drain(client: &Client, subject: &DrainRequest) -> Result<ExitStatus, CliError> {
+    let _: serde_json::Value = client.post(DRAIN_PATH, subject).await?;
+    print_line(&format!("{} is asked to leave", subject.name()));
+    Ok(ExitStatus::Success)
 }
 
-async fn send_drain(
-    client: &Client,
-    request: &DrainRequest,
-    name: &str,
-) -> Result<ExitStatus, CliError> {
-    let _: serde_json::Value = client.post(DRAIN_PATH, request).await?;
-    print_line(&format!("{name} is asked to leave"));
+/// Takes a drain back; what has left already has to be started again.
+pub async fn undrain(client: &Client, subject: &DrainRequest) -> Result<ExitStatus, CliError> {
+    let _: serde_json::Value = client.post(UNDRAIN_PATH, subject).await?;
+    print_line(&format!("{} may stay or come back", subject.name()));
     Ok(ExitStatus::Success)
 }
--- a/crates/mgw-cli/src/commands/run.rs
+++ b/crates/mgw-cli/src/commands/run.rs
@@ -1,5 +1,7 @@
 //! Dispatch of commands.
 
+use mgw_contract::operator::DrainRequest;
+
 use crate::args::{Args, Command, ConfigCommand, EntryCommand, LedgerCommand, TargetCommand};
 use crate::client::Client;
 use crate::{CliError, ExitStatus};
@@ -57,8 +59,18 @@
         }
         Command::Entries => entries::list_entries(&client, args.json).await,
         Command::Targets => targets::list_targets(&client, args.json).await,
-        Command::Entry(EntryCommand::Drain { name }) => drain::drain_entry(&client, name).await,
-        Command::Target(TargetCommand::Drain { name }) => drain::drain_target(&client, name).await,
+        Command::Entry(EntryCommand::Drain { name }) => {
+            drain::drain(&client, &DrainRequest::Entry(name.clone())).await
+        }
+        Command::Entry(EntryCommand::Undrain { name }) => {
+            drain::undrain(&client, &DrainRequest::Entry(name.clone())).await
+        }
+        Command::Target(TargetCommand::Drain { name }) => {
+            drain::drain(&client, &DrainRequest::Target(name.clone())).await
+        }
+        Command::Target(TargetCommand::Undrain { name }) => {
+            drain::undrain(&client, &DrainRequest::Target(name.clone())).await
+        }
         Command::Ledger(LedgerCommand::Show { unknown }) => {
             ledger::list_claims(&client, *unknown, args.json).await
         }
--- a/crates/mgw-cli/tests/pages.rs
+++ b/crates/mgw-cli/tests/pages.rs
@@ -201,6 +201,7 @@
         "Entry: `paces`": mgw_pipe::PaceSettings;
         "Entry: `callers`": mgw_entry::CallerLimits;
         "Entry: `leaving`": mgw_entry::LeavingSettings;
+        "Entry: `engines`": mgw_entry::engines::EngineSettings;
         "Control": mgw_control::ControlSettings;
         "Control: `quorum`": mgw_control::QuorumSettings;
         "Inventory": mgw_state::Inventory;
@@ -265,6 +266,7 @@
         "Entry: `paces`": mgw_pipe::PaceSettings;
         "Entry: `callers`": mgw_entry::CallerLimits;
         "Entry: `leaving`": mgw_entry::LeavingSettings;
+        "Entry: `engines`": mgw_entry::engines::EngineSettings;
         "Control: `quorum`": mgw_control::QuorumSettings;
         "Inventory": mgw_state::Inventory;
         "Inventory: `rules`": mgw_state::Rules;
--- a/crates/mgw-contract/src/operator.rs
+++ b/crates/mgw-contract/src/operator.rs
@@ -21,8 +21,10 @@
 pub const ENTRIES_PATH: &str = "/operator/v1/entries";
 /// `GET` a list of [`TargetStatus`].
 pub const TARGETS_PATH: &str = "/operator/v1/targets";
-/// `POST` [`DrainRequest`].
+/// `POST` [`DrainRequest`]: asks it to leave.
 pub const DRAIN_PATH: &str = "/operator/v1/drain";
+/// `POST` [`DrainRequest`]: takes a drain back.
+pub const UNDRAIN_PATH: &str = "/operator/v1/undrain";
 /// `GET` a list of [`LedgerRecord`]; `POST` [`ResolveRequest`].
 pub const LEDGER_PATH: &str = "/operator/v1/ledger";
 /// Header with the operator's name.
@@ -207,6 +209,17 @@
     Target(TargetName),
 }
 
+impl DrainRequest {
+    /// Name of the entry or target.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Entry(name) => name.as_str(),
+            Self::Target(name) => name.as_str(),
+        }
+    }
+}
+
 /// State of a ledger claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/mgw-control/src/operator/web.rs
+++ b/crates/mgw-control/src/operator/web.rs
@@ -6,7 +6,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use mgw_contract::operator::{
     AUDIT_PATH, CONFIG_PATH, DRAIN_PATH, ENTRIES_PATH, LEDGER_PATH, OperatorError, STATUS_PATH,
-    TARGETS_PATH,
+    TARGETS_PATH, UNDRAIN_PATH,
 };
 use mgw_peer::PeerError;
 use mgw_serve::http::{Body, json_response, read_json};
@@ -47,6 +47,13 @@
                 Err(response) => *response,
             }
         }
+        (&Method::POST, UNDRAIN_PATH) => {
+            let credentials = Credentials::of(&request);
+            match take_body(request).await {
+                Ok(subject) => answer_write(write::undrain(&app, &credentials, subject).await),
+                Err(response) => *response,
+            }
+        }
         (&Method::POST, LEDGER_PATH) => {
             let credentials = Credentials::of(&request);
             match take_body(request).await {
--- a/crates/mgw-control/src/operator/write.rs
+++ b/crates/mgw-control/src/operator/write.rs
@@ -75,14 +75,24 @@
     credentials: &Credentials,
     subject: DrainRequest,
 ) -> Result<(), WriteError> {
-    let name = format!("{subject:?}");
-    check_operator(app, credentials, "drain", &name).await?;
+    check_operator(app, credentials, "drain", subject.name()).await?;
     let operator = credentials.operator.clone();
-    match app
-        .replica
-        .submit(Action::Drain { operator, subject })
-        .await?
-    {
+    submit_drain(app, Action::Drain { operator, subject }).await
+}
+
+/// Commits that a drain is taken back.
+pub async fn undrain(
+    app: &App,
+    credentials: &Credentials,
+    subject: DrainRequest,
+) -> Result<(), WriteError> {
+    check_operator(app, credentials, "undrain", subject.name()).await?;
+    let operator = credentials.operator.clone();
+    submit_drain(app, Action::Undrain { operator, subject }).await
+}
+
+async fn submit_drain(app: &App, action: Action) -> Result<(), WriteError> {
+    match app.replica.submit(action).await? {
         Reply::Drain { .. } => Ok(()),
         other => Err(unexpected(&other)),
     }
--- a/crates/mgw-entry/examples/hop.rs
+++ b/crates/mgw-entry/examples/hop.rs
@@ -42,7 +42,7 @@
             shared_steps,
             ..EngineSettings::default()
         };
-        let client = EngineClient::new(settings, counts.clone());
+        let client = EngineClient::new(settings, counts.clone(), mgw_world::Clock::monotonic());
         Ok(Self::Engines(client, counts))
     }
 
--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -124,7 +124,7 @@
         };
         let metrics = Metrics::new()?;
         Ok(Arc::new(Self {
-            engines: EngineClient::new(settings.engines, metrics.engines.clone()),
+            engines: EngineClient::new(settings.engines, metrics.engines.clone(), clock.clone()),
             metrics,
             config: ConfigHolder::new(settings.data.clone()),
             members: Members::new(&settings, seed, clock.now()),
@@ -217,6 +217,16 @@
         }
     }
 
+    /// Whether a target is out of this entry's choice after a failure.
+    #[must_use]
+    pub fn is_suspect(&self, target: &TargetName) -> bool {
+        let now = self.clock.now();
+        let views = self.router.lock().targets();
+        let view = views.into_iter().find(|view| view.name == *target);
+        view.and_then(|view| view.suspect_until)
+            .is_some_and(|until| until > now)
+    }
+
     /// Counts a request as in flight.
     #[must_use]
     pub fn count_in_flight(self: &Arc<Self>, id: RequestId) -> InFlight {
--- a/crates/mgw-entry/src/completions/handle.rs
+++ b/crates/mgw-entry/src/completions/handle.rs
@@ -148,7 +148,14 @@
             limits.max_prompt_tokens
         )));
     }
-    let span = call.deadline_ms.unwrap_or(limits.default_deadline_ms);
+    let rules = &config.inventory.rules.requests;
+    let span = call.deadline_ms.unwrap_or(rules.default_deadline_ms);
+    if span > rules.max_deadline_ms {
+        return Err(bad(format!(
+            "deadline_ms: may be {} at the most",
+            rules.max_deadline_ms.0
+        )));
+    }
     let deadline_ms = app.clock.now() + span;
     Ok(Checked {
         id,
--- a/crates/mgw-entry/src/completions/run.rs
+++ b/crates/mgw-entry/src/completions/run.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, warn};
 
 use crate::app::App;
-use crate::engines::StepError;
+use crate::engines::{SentMark, StepError};
 use crate::paths::PathLease;
 
 /// How long a target may take to free a session; afterwards it frees the idle session by itself.
@@ -72,6 +72,14 @@
     items: mpsc::Sender<RunItem>,
     calls: FuturesUnordered<BoxFuture<'static, Answer>>,
     outcome: Option<Outcome>,
+    holds: Vec<Hold>,
+}
+
+/// A step that was handed over and may wait to be sent.
+struct Hold {
+    call: CallId,
+    target: TargetName,
+    sent: SentMark,
 }
 
 /// Runs a request until its final answer was handed over or the caller went away; returns what
@@ -93,6 +101,7 @@
         items,
         calls: FuturesUnordered::new(),
         outcome: None,
+        holds: Vec::new(),
     };
     let patience = run.patience();
     let now = run.app.clock.now();
@@ -127,6 +136,7 @@
                 Event::Cancelled { reason: Reason::Leaving }.into()
             }
             () = sleep(pause.to_duration()), if has_wakeup => {
+                self.extend_held_steps();
                 return self.pipeline.tick(self.app.clock.now(), &patience);
             }
         };
@@ -141,6 +151,24 @@
         actions
     }
 
+    /// Lets the time of steps run from their sending on. A step that waits for a suspect target
+    /// gets no more time, so that it moves on with those that were sent there.
+    fn extend_held_steps(&mut self) {
+        let patience = self.patience();
+        let now = self.app.clock.now();
+        self.holds.retain(|hold| self.pipeline.awaits(hold.call));
+        for hold in &self.holds {
+            let sent_at = hold.sent.sent_at();
+            if sent_at.is_some() || !self.app.is_suspect(&hold.target) {
+                let call = hold.call;
+                let actions =
+                    self.pipeline
+                        .handle(Event::StepHeld { call, sent_at }, now, &patience);
+                debug_assert!(actions.is_empty());
+            }
+        }
+    }
+
     async fn perform(&mut self, actions: Vec<Action>) {
         let patience = self.patience();
         let mut pending = std::collections::VecDeque::from(actions);
@@ -159,7 +187,15 @@
         match action {
             Action::Step { call, stage, step } => {
                 let app = Arc::clone(&self.app);
-                self.calls.push(Box::pin(send_step(app, call, stage, step)));
+                let sent = SentMark::default();
+                self.holds.retain(|hold| self.pipeline.awaits(hold.call));
+                self.holds.push(Hold {
+                    call,
+                    target: stage.target.clone(),
+                    sent: sent.clone(),
+                });
+                self.calls
+                    .push(Box::pin(send_step(app, call, stage, step, sent)));
             }
             Action::Ask {
                 call,
@@ -277,10 +313,11 @@
     call: CallId,
     stage: Stage,
     step: mgw_contract::engine::StageStep,
+    sent: SentMark,
 ) -> Answer {
     let count = step.count;
     let started = app.clock.now_us();
-    let result = app.engines.step(stage.address, step).await;
+    let result = app.engines.step_marked(stage.address, step, &sent).await;
     match result {
         Ok(output) => {
             let took_us = app.clock.now_us() - started;
--- a/crates/mgw-entry/src/engines/client.rs
+++ b/crates/mgw-entry/src/engines/client.rs
@@ -11,13 +11,14 @@
     StageStep, StepBatch, StepBatchReply,
 };
 use mgw_serve::http::{Body, HttpClient, full, read_body, shared_client};
+use mgw_world::Clock;
 use prometheus::IntCounter;
 use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::gather::{Gatherer, Job, may_share};
-use super::{CallError, EngineSettings, StepError};
+use super::{CallError, EngineSettings, SentMark, StepError};
 
 /// What went to engines and came from them.
 #[derive(Debug, Clone)]
@@ -35,17 +36,19 @@
     settings: EngineSettings,
     counts: EngineCounts,
     gatherer: Arc<Gatherer>,
+    clock: Clock,
 }
 
 impl EngineClient {
-    /// A client that counts what it sends.
+    /// A client that counts what it sends and notes by the clock when.
     #[must_use]
-    pub fn new(settings: EngineSettings, counts: EngineCounts) -> Self {
+    pub fn new(settings: EngineSettings, counts: EngineCounts, clock: Clock) -> Self {
         Self {
             http: shared_client(),
             settings,
             counts,
             gatherer: Arc::new(Gatherer::new(settings)),
+            clock,
         }
     }
 
@@ -60,13 +63,28 @@
         &self,
         address: SocketAddr,
         step: StageStep,
+    ) -> Result<StageOutput, StepError> {
+        self.step_marked(address, step, &SentMark::default()).await
+    }
+
+    /// Sends a step as [`Self::step`] does, and notes when it was sent.
+    ///
+    /// # Errors
+    /// When the engine refuses the step or gives no usable answer.
+    pub async fn step_marked(
+        &self,
+        address: SocketAddr,
+        step: StageStep,
+        sent: &SentMark,
     ) -> Result<StageOutput, StepError> {
         if self.settings.shared_steps <= 1 || !may_share(&step) {
+            sent.set(self.clock.now());
             let mut results = self.send_steps(address, vec![step]).await?;
             return results.pop().unwrap_or_else(|| Err(missing()));
         }
         let (reply, result) = oneshot::channel();
-        if self.gatherer.push(address, Job { step, reply }) {
+        let sent = sent.clone();
+        if self.gatherer.push(address, Job { step, sent, reply }) {
             tokio::spawn(self.clone().send_gathered(address));
         }
         result.await.unwrap_or_else(|_| Err(missing()))
@@ -98,6 +116,8 @@
     /// Sends steps in one message and hands their results out; the message is dropped once nobody
     /// wants any of them. Returns the time until the answer.
     async fn send_jobs(&self, address: SocketAddr, jobs: Vec<Job>) -> Option<f64> {
+        let now = self.clock.now();
+        jobs.iter().for_each(|job| job.sent.set(now));
         let (steps, mut replies): (Vec<_>, Vec<_>) =
             jobs.into_iter().map(|job| (job.step, job.reply)).unzip();
         let started = Instant::now();
--- a/crates/mgw-entry/src/engines/gather.rs
+++ b/crates/mgw-entry/src/engines/gather.rs
@@ -8,13 +8,15 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use super::{EngineSettings, StepError};
+use super::{EngineSettings, SentMark, StepError};
 
 /// A step that waits to be sent.
 #[derive(Debug)]
 pub(super) struct Job {
     /// The step.
     pub step: StageStep,
+    /// Set when the step is sent.
+    pub sent: SentMark,
     /// Where its result goes; closed once nobody wants it any more.
     pub reply: oneshot::Sender<Result<StageOutput, StepError>>,
 }
--- a/crates/mgw-entry/src/follow.rs
+++ b/crates/mgw-entry/src/follow.rs
@@ -71,6 +71,8 @@
         router.update_models(config.inventory.models.iter().cloned());
         router.update_links(config.inventory.links.iter().cloned());
     }
+    let retry_rate = config.inventory.rules.requests.retry_budget_percent;
+    app.retries.lock().set_rate(retry_rate);
     app.members.view.lock().set_revision(config.revision);
     app.metrics
         .revision
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -28,8 +28,6 @@
     pub stream_tokens: usize,
     /// How long a caller may leave its stream unread.
     pub slow_reader_ms: Millis,
-    /// Deadline of a request that names none.
-    pub default_deadline_ms: Millis,
     /// Time that a call to a plain service may take.
     pub service_limit_ms: Millis,
     /// Most tokens of one answer.
@@ -43,7 +41,6 @@
         Self {
             stream_tokens: 64,
             slow_reader_ms: Millis(5_000),
-            default_deadline_ms: Millis(60_000),
             service_limit_ms: Millis(30_000),
             max_tokens: 4096,
             max_prompt_tokens: 32_768,
--- a/crates/mgw-entry/tests/engines.rs
+++ b/crates/mgw-entry/tests/engines.rs
@@ -25,7 +25,10 @@
         shared_steps,
         least_steps_out: 1024,
     };
-    (EngineClient::new(settings, counts.clone()), counts)
+    (
+        EngineClient::new(settings, counts.clone(), mgw_world::Clock::monotonic()),
+        counts,
+    )
 }
 
 async fn start_engine() -> Running {
--- a/crates/mgw-pipe/src/event.rs
+++ b/crates/mgw-pipe/src/event.rs
@@ -18,6 +18,13 @@
 /// What a pipeline hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
+    /// A step waits in this process, or waited until it was sent; its time runs from the sending on.
+    StepHeld {
+        /// The call.
+        call: CallId,
+        /// When it was sent; none while it still waits.
+        sent_at: Option<Millis>,
+    },
     /// A step ran.
     StepDone {
         /// The call.
--- a/crates/mgw-pipe/src/pipeline.rs
+++ b/crates/mgw-pipe/src/pipeline.rs
@@ -97,7 +97,7 @@
         if self.finished {
             return actions;
         }
-        self.take_event(event, now, &mut actions);
+        self.take_event(event, now, patience, &mut actions);
         self.advance(now, patience, &mut actions);
         actions
     }
@@ -201,9 +201,18 @@
         u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
     }
 
-    fn take_event(&mut self, event: Event, now: Millis, actions: &mut Vec<Action>) {
+    fn take_event(
+        &mut self,
+        event: Event,
+        now: Millis,
+        patience: Patience<'_>,
+        actions: &mut Vec<Action>,
+    ) {
         match event {
             Event::StepDone { call, output } => self.finish_step(call, output, now, actions),
+            Event::StepHeld { call, sent_at } => {
+                self.extend_step(call, sent_at.unwrap_or(now), patience);
+            }
             Event::Cancelled { reason } => self.finish_early(reason, actions),
             other => self.take_fault(other, now, actions),
         }
@@ -386,6 +395,21 @@
         });
     }
 
+    /// Lets the time of a step run from a later point on.
+    fn extend_step(&mut self, call: CallId, from: Millis, patience: Patience<'_>) {
+        let Some(index) = self.find_stage(call) else {
+            return;
+        };
+        let run = &mut self.stages[index];
+        if let Phase::Stepping {
+            step, deadline_ms, ..
+        } = &mut run.phase
+        {
+            let later = from + patience(&run.stage.target, step.count);
+            *deadline_ms = later.max(*deadline_ms);
+        }
+    }
+
     fn read_inputs(&self, index: usize, first: u32, count: u32) -> Option<StageInput> {
         if index == 0 {
             let range = first as usize..(first + count) as usize;
--- a/crates/mgw-pipe/src/recover.rs
+++ b/crates/mgw-pipe/src/recover.rs
@@ -25,7 +25,7 @@
                 self.take_replacement(call, stages, now, actions);
             }
             Event::Degraded { target } => self.leave_target(&target, now, actions),
-            Event::StepDone { .. } | Event::Cancelled { .. } => {}
+            Event::StepDone { .. } | Event::StepHeld { .. } | Event::Cancelled { .. } => {}
         }
     }
 
--- a/crates/mgw-route/src/limit/budget.rs
+++ b/crates/mgw-route/src/limit/budget.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Sets how many retries a hundred requests earn from now on.
+    pub const fn set_rate(&mut self, retries_per_hundred: u32) {
+        self.settings.retries_per_hundred = retries_per_hundred;
+    }
+
     /// Counts a first try and earns its part of a retry.
     pub fn count_request(&mut self) {
         self.requests += 1;
