--- a/crates/mgw-entry/src/engines/client.rs
+++ b/crates/mgw-entry/src/engines/client.rs
@@ -15,7 +15,6 @@
 use prometheus::IntCounter;
 use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
 use super::gather::{Gatherer, Job, may_share};
 use super::{CallError, EngineSettings, SentMark, StepError};
@@ -120,12 +119,13 @@
         jobs.iter().for_each(|job| job.sent.set(now));
         let (steps, mut replies): (Vec<_>, Vec<_>) =
             jobs.into_iter().map(|job| (job.step, job.reply)).unzip();
-        let started = Instant::now();
+        let started_us = self.clock.now_us();
         let sent = tokio::select! {
             sent = self.send_steps(address, steps) => sent,
             _ = join_all(replies.iter_mut().map(oneshot::Sender::closed)) => return None,
         };
-        let took_ms = started.elapsed().as_secs_f64() * 1000.0;
+        #[expect(clippy::cast_precision_loss)]
+        let took_ms = (self.clock.now_us() - started_us) as f64 / 1000.0;
         let is_answered = sent.is_ok();
         let results = match sent {
             Ok(results) => results,
