Trials of silence rest on what was heard before; spans of actors out of the log

(1) A restarted entry may be named until the others hear of its new start; the trial looked at once. It refuses meanwhile, which the trial now checks as well. (2) Entries were frozen before the asked one had heard that they serve, so it knew nobody to name. Change: a trial's system waits until each entry names all; the restart is waited for, then checked six times as before. ractor's spans are off by default. Conclusion: the assertions stand; the waits are for states, not for times.

--- a/crates/mgw-entry/tests/silence.rs
+++ b/crates/mgw-entry/tests/silence.rs
@@ -122,6 +122,12 @@
     std::fs::write(system.path("entry-1.data").join("revision"), "99\n").expect("revision");
     system.start_entry("entry-1");
     system.until("it answers", |system| system.addresses("entry-1").is_some());
+    // The others may name it until they have heard of its new start; it refuses meanwhile.
+    system.until("the new start is heard", |system| {
+        let answer = system.complete("entry-1").expect("answer");
+        assert_eq!(answer.outcome, Outcome::NotRun);
+        !system.names("entry-0", "entry-1")
+    });
     for _ in 0..6 {
         let answer = system.complete("entry-1").expect("answer");
         assert_eq!(answer.outcome, Outcome::NotRun);
--- a/crates/mgw-entry/tests/support/mod.rs
+++ b/crates/mgw-entry/tests/support/mod.rs
@@ -80,6 +80,12 @@
         for name in &names {
             system.until(&format!("{name} serves"), |system| system.is_serving(name));
         }
+        // What one entry does without the others rests on what it had heard of them.
+        for asked in &names {
+            system.until(&format!("{asked} knows the others"), |system| {
+                names.iter().all(|named| system.names(asked, named))
+            });
+        }
         system
     }
 
--- a/crates/mgw-settings/src/process.rs
+++ b/crates/mgw-settings/src/process.rs
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             format: LogFormat::default(),
-            filter: "info,tarpc=warn".to_owned(),
+            filter: "info,tarpc=warn,ractor=warn".to_owned(),
         }
     }
 }
