--- a/crates/mgw-contract/src/target.rs
+++ b/crates/mgw-contract/src/target.rs
@@ -1,6 +1,6 @@
 //! Calls of targets: announcements with their lease, load reports and cache events.
 
-use mgw_world::{Incarnation, Millis, Target, TargetName};
+use mgw_world::{Incarnation, LayerRange, Millis, Target, TargetName};
 use serde::{Deserialize, Serialize};
 
 /// Path of announcements: `POST` [`Announcement`], answered by [`AnnounceReply`].
@@ -79,3 +79,25 @@
     /// Whether the whole list of cached prefixes shall be sent anew.
     pub resend_cache: bool,
 }
+
+/// State of a forwarding engine, as it answers when asked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineReport {
+    /// Orders accepted since its start.
+    pub accepted_orders: u64,
+    /// Whether an order is being carried out.
+    pub is_busy: bool,
+    /// Layers held.
+    pub layers: Option<LayerRange>,
+    /// Factor on its usual time; 1 is usual.
+    pub slowness: f64,
+}
+
+/// How forwarding engines are asked for their state: `GET` a path.
+#[derive(Debug, Clone, Copy)]
+pub struct ReportCall {
+    /// The path.
+    pub path: &'static str,
+    /// Reads the body of a good answer; the error says what is wrong with it.
+    pub read: fn(&[u8]) -> Result<EngineReport, String>,
+}
--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -7,6 +7,7 @@
 use mgw_serve::Shutdown;
 use mgw_world::Clock;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
 use crate::replica::ReplicaHandle;
@@ -26,6 +27,8 @@
     pub view: Arc<Mutex<View>>,
     /// Connections to the other processes.
     pub pool: Arc<PeerPool>,
+    /// Notified when a target's state changes here.
+    pub news: Notify,
     /// Metrics.
     pub metrics: Metrics,
 }
--- a/crates/mgw-control/src/duties.rs
+++ b/crates/mgw-control/src/duties.rs
@@ -1,8 +1,10 @@
 //! What a control does by itself: a leader follows entries and members, others ask to be members.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use mgw_member::NodeRole;
 use mgw_peer::{JoinRequest, PeerError};
 use mgw_quorum::{ReplicaId, Role};
 use mgw_state::{Action, ClaimantId, Reply};
@@ -20,7 +22,12 @@
 /// Time between two commands that only move the time.
 const ADVANCE_MS: Millis = Millis(60_000);
 /// Time that a control gets to answer a request to join.
-const JOIN_LIMIT_MS: Millis = Millis(2_000);
+const JOIN_LIMIT_MS: Millis = Millis(600);
+/// Silence after which a voter is taken out of a group that others may join; well beyond the
+/// restart of a machine, so that the group doesn't shrink while machines come and go.
+const VOTER_LOST_MS: Millis = Millis(12_000);
+/// Fewest voters that are left when a lost one is taken out.
+const VOTERS_KEPT: usize = 3;
 
 /// What is remembered from round to round.
 #[derive(Debug, Default)]
@@ -28,6 +35,8 @@
     fenced_term: u64,
     advanced_at: Millis,
     joined_at: Millis,
+    /// Voters that don't answer, by the time from which this leader misses them.
+    missed: BTreeMap<ReplicaId, Millis>,
     /// Entries with open claims, by the time from which this leader saw them.
     claimants: BTreeMap<ClaimantId, Millis>,
 }
@@ -79,7 +88,7 @@
         }
     }
     declare_lost_entries(app, memory).await;
-    arrange_members(app, report).await;
+    arrange_members(app, report, memory).await;
     let now = app.clock.now();
     if now - memory.advanced_at >= ADVANCE_MS {
         memory.advanced_at = now;
@@ -125,8 +134,14 @@
 }
 
 /// Gives learners a vote, one at a time, in place of an unreachable replica of the same name.
-async fn arrange_members(app: &App, report: &ReplicaReport) {
-    let Some(change) = plan_member_change(report) else {
+async fn arrange_members(app: &App, report: &ReplicaReport, memory: &mut Memory) {
+    let now = app.clock.now();
+    note_missed(report, memory, now);
+    let lost = app
+        .settings
+        .open_group
+        .then(|| plan_removal(report, memory, now));
+    let Some(change) = plan_member_change(report).or(lost.flatten()) else {
         return;
     };
     match app.replica.change(change).await {
@@ -135,6 +150,26 @@
     }
 }
 
+fn note_missed(report: &ReplicaReport, memory: &mut Memory, now: Millis) {
+    let before = std::mem::take(&mut memory.missed);
+    let voters = report.membership.voters.iter();
+    let missed = voters.filter(|id| !report.reachable.contains(id));
+    memory.missed = missed
+        .map(|id| (id.clone(), before.get(id).copied().unwrap_or(now)))
+        .collect();
+}
+
+/// Takes out a voter that was lost for good, in a group whose machines are replaced under other
+/// names; one that comes back asks to join again.
+fn plan_removal(report: &ReplicaReport, memory: &Memory, now: Millis) -> Option<MemberChange> {
+    if report.membership.voters.len() <= VOTERS_KEPT {
+        return None;
+    }
+    let mut lost = memory.missed.iter();
+    let lost = lost.find(|(_, since)| now - **since >= VOTER_LOST_MS);
+    lost.map(|(id, _)| MemberChange::Remove(id.clone()))
+}
+
 /// A learner that can't be reached holds up no other; one that lost its disk again is taken out.
 fn plan_member_change(report: &ReplicaReport) -> Option<MemberChange> {
     let members = &report.membership;
@@ -155,25 +190,20 @@
         return;
     }
     memory.joined_at = now;
-    for peer in app
-        .settings
-        .controls
-        .iter()
-        .filter(|peer| peer.name != app.settings.name)
-    {
+    for address in list_controls(app) {
         let request = JoinRequest {
             replica: ReplicaId::clone(&report.id),
             address: app.settings.peer_listen,
         };
         let answer = app
             .pool
-            .call(peer.address, JOIN_LIMIT_MS, |client, context| async move {
+            .call(address, JOIN_LIMIT_MS, |client, context| async move {
                 client.join(context, request).await
             })
             .await;
         match answer {
             Ok(Ok(())) => {
-                info!(leader = %peer.name, "taken in as a learner");
+                info!(leader = %address, "taken in as a learner");
                 return;
             }
             Ok(Err(PeerError::Refused { message })) => warn!(%message, "not taken in"),
@@ -181,3 +211,24 @@
         }
     }
 }
+
+/// Addresses of the other controls: those of the settings, then those that were heard of since.
+pub fn list_controls(app: &App) -> Vec<SocketAddr> {
+    let own = app.settings.peer_listen;
+    let mut addresses: Vec<SocketAddr> = app
+        .settings
+        .controls
+        .iter()
+        .map(|peer| peer.address)
+        .collect();
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let heard = view.nodes(now);
+    let controls = heard.iter();
+    let controls = controls.filter(|node| node.info.role == NodeRole::Control);
+    addresses.extend(controls.map(|node| node.info.peer_address));
+    addresses.retain(|address| *address != own);
+    let mut known = BTreeSet::new();
+    addresses.retain(|address| known.insert(*address));
+    addresses
+}
--- /dev/null
+++ b/crates/mgw-control/src/gateway/addresses.rs
@@ -0,0 +1,29 @@
+//! Entries given to callers that ask where to connect.
+
+use mgw_contract::caller::AddressesReply;
+use mgw_member::{
+    AddressSettings, Availability, choose_addresses, hash_caller, judge_availability,
+};
+use mgw_world::PlaceName;
+
+use super::Gateway;
+
+impl Gateway {
+    /// The entries that a caller may use; none while this control has just started and may know
+    /// only some of them.
+    #[must_use]
+    pub fn list_entries(
+        &self,
+        settings: &AddressSettings,
+        place: Option<&PlaceName>,
+    ) -> Option<AddressesReply> {
+        let now = self.app.clock.now();
+        let view = self.app.view.lock();
+        if judge_availability(&view, now) == Availability::Starting {
+            return None;
+        }
+        let hash = hash_caller(None, None, rand::random());
+        let reply = choose_addresses(&view, settings, place, hash, now);
+        (!reply.entries.is_empty()).then_some(reply)
+    }
+}
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -3,14 +3,18 @@
 mod app;
 mod duties;
 mod founding;
+mod gateway;
 mod members;
 mod metrics;
 mod operator;
 mod orders;
 mod peers;
+mod placement;
 mod replica;
 mod run;
 mod settings;
 
-pub use run::{RunError, run_control};
+pub use gateway::{Gateway, RoutingCalls};
+pub use placement::{OrderCall, PlacementCalls};
+pub use run::{Control, Founding, RunError, run_control, start_control};
 pub use settings::{ControlSettings, Peer, QuorumSettings};
--- a/crates/mgw-control/src/members.rs
+++ b/crates/mgw-control/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
+use mgw_member::{NodeInfo, NodePhase, NodeRole, View};
 use mgw_world::{Clock, Incarnation, Millis, Revision};
 use parking_lot::Mutex;
 
@@ -16,14 +16,14 @@
         place: settings.place.clone(),
         incarnation: Incarnation(Clock::wall().0),
         peer_address: settings.peer_listen,
-        url: String::new(),
+        url: settings.url.clone(),
         weight: 0,
         phase: NodePhase::Serving,
         revision: Revision(0),
     };
     let seeds: Vec<_> = settings.controls.iter().map(|peer| peer.address).collect();
     Arc::new(Mutex::new(View::new(
-        MemberSettings::default(),
+        settings.members.clone(),
         me,
         &seeds,
         seed,
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -4,15 +4,23 @@
 
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
-use mgw_peer::{ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc};
+use mgw_peer::{
+    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, RoutingQuestion,
+    WatchAnswer, WatchQuestion,
+};
 use mgw_quorum::{Envelope, ReplicaId, Role};
+use mgw_routing::RoutingDocument;
 use mgw_state::{Command, ConfigUpdate, Reply};
+use mgw_world::Millis;
 use tarpc::context::Context;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::app::App;
 use crate::replica::MemberChange;
 
+/// Longest time between two looks for leases that ran out.
+const LAPSE_LOOK_MS: Millis = Millis(250);
+
 /// Serves the calls of other processes; until the control has started, only founding is answered.
 #[derive(Clone)]
 pub struct PeerServer {
@@ -80,12 +88,57 @@
             .change(MemberChange::AddLearner(request.replica))
             .await
     }
+
+    async fn watch(self, _: Context, question: WatchQuestion) -> Result<WatchAnswer, PeerError> {
+        Ok(answer_watch(self.app()?, &question).await)
+    }
+
+    async fn routing(
+        self,
+        _: Context,
+        question: RoutingQuestion,
+    ) -> Result<Option<RoutingDocument>, PeerError> {
+        let app = self.app()?;
+        if question.confirmed {
+            app.replica.confirm_read().await?;
+        }
+        let state = app.replica.state.read();
+        let held = state.routing();
+        Ok((held.version != question.have).then(|| held.clone()))
+    }
+}
+
+/// Answers as soon as there are news for the asker, or when it has waited long enough.
+async fn answer_watch(app: &App, question: &WatchQuestion) -> WatchAnswer {
+    let ends_at = app.clock.now() + question.wait_ms;
+    let mut routing = app.replica.config_version.clone();
+    loop {
+        let told = app.news.notified();
+        routing.mark_unchanged();
+        let now = app.clock.now();
+        let version = app.replica.state.read().routing().version;
+        let has_news = app.view.lock().has_news(&question.exchange);
+        if has_news || version > question.routing || now >= ends_at {
+            return WatchAnswer {
+                reply: app.view.lock().answer_watch(&question.exchange, now),
+                routing: version,
+            };
+        }
+        // Leases that run out are news that nobody is notified of.
+        let pause = (ends_at - now).min(LAPSE_LOOK_MS);
+        tokio::select! {
+            () = told => {}
+            _ = routing.changed() => {}
+            () = sleep(pause.to_duration()) => {}
+        }
+    }
 }
 
 /// Only controls that the settings name are taken in, at the address named there.
 fn check_known(app: &App, request: &JoinRequest) -> Result<(), PeerError> {
     let ReplicaId { name, .. } = &request.replica;
-    if app.settings.address_of(name) == Some(request.address) {
+    let is_open = app.settings.open_group && *name == request.address.to_string();
+    if is_open || app.settings.address_of(name) == Some(request.address) {
         return Ok(());
     }
     let message = format!(
--- /dev/null
+++ b/crates/mgw-control/src/placement/mod.rs
@@ -0,0 +1,6 @@
+//! The leader places layers on forwarding engines.
+
+mod calls;
+mod duty;
+
+pub use calls::{OrderCall, PlacementCalls};
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -323,6 +323,7 @@
                 | Action::PatchConfig(_)
                 | Action::Drain { .. }
                 | Action::Undrain { .. }
+                | Action::ReplaceRouting(_)
         );
         let reply = self.start.state.write().apply(index.0, command);
         if changes_config {
--- a/crates/mgw-control/src/replica/senders.rs
+++ b/crates/mgw-control/src/replica/senders.rs
@@ -17,8 +17,9 @@
 const DELIVERY_LIMIT_MS: Millis = Millis(500);
 
 /// One sender for each other replica.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Senders {
+    pool: Arc<PeerPool>,
     queues: BTreeMap<String, mpsc::Sender<Envelope>>,
 }
 
@@ -28,21 +29,37 @@
         pool: &Arc<PeerPool>,
         peers: impl IntoIterator<Item = (String, SocketAddr)>,
     ) -> Self {
-        let mut queues = BTreeMap::new();
+        let mut senders = Self {
+            pool: Arc::clone(pool),
+            queues: BTreeMap::new(),
+        };
         for (name, address) in peers {
-            let (queue, waiting) = mpsc::channel(QUEUE_MESSAGES);
-            tokio::spawn(send_batches(Arc::clone(pool), address, waiting));
-            queues.insert(name, queue);
+            senders.open(name, address);
         }
-        Self { queues }
+        senders
     }
 
-    /// Queues a message for its receiver.
-    pub fn send(&self, envelope: Envelope) {
+    /// Queues a message for its receiver. A member that the settings don't name is reached at the
+    /// address that is its name.
+    pub fn send(&mut self, envelope: Envelope) {
+        let name = &envelope.to.name;
+        if !self.queues.contains_key(name) {
+            let Ok(address) = name.parse() else {
+                return;
+            };
+            self.open(name.clone(), address);
+        }
         if let Some(queue) = self.queues.get(&envelope.to.name) {
+            // The protocol repeats what gets lost.
             let _ = queue.try_send(envelope);
         }
     }
+
+    fn open(&mut self, name: String, address: SocketAddr) {
+        let (queue, waiting) = mpsc::channel(QUEUE_MESSAGES);
+        tokio::spawn(send_batches(Arc::clone(&self.pool), address, waiting));
+        self.queues.insert(name, queue);
+    }
 }
 
 async fn send_batches(
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -11,7 +11,8 @@
 use mgw_world::{Clock, Millis};
 use ractor::{Actor, ActorRef};
 use tokio::net::TcpListener;
-use tokio::sync::{OnceCell, watch};
+use tokio::sync::{Notify, OnceCell, watch};
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -19,6 +20,7 @@
 use crate::app::App;
 use crate::duties::run_duties;
 use crate::founding::check_others_empty;
+use crate::gateway::Gateway;
 use crate::members::start_view;
 use crate::metrics::Metrics;
 use crate::operator::handle_request;
@@ -28,6 +30,9 @@
 use crate::replica::{Senders, start_state};
 use crate::settings::ControlSettings;
 
+/// Number of the disks of controls that found a group together, so that each of them knows the
+/// identity of the others; all other disks draw theirs at random.
+const FOUNDING_DISK: u64 = 0;
 /// Time between two ticks of the replica.
 const TICK_MS: Millis = Millis(25);
 /// Longest time that the hand-over of leadership may take.
@@ -62,15 +67,83 @@
     },
 }
 
+/// What a control does when its data folder is empty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Founding {
+    /// It asks the others to join.
+    Join,
+    /// It founds a group of which it is the only voter, unless another control holds a log.
+    Alone,
+    /// It founds a group together with the controls of these names, each of which is told the same
+    /// list at its first start, and only then.
+    With(Vec<String>),
+}
+
+/// A control that runs.
+pub struct Control {
+    app: Arc<App>,
+    parts: Vec<JoinHandle<()>>,
+    serving_peers: JoinHandle<()>,
+    ended: CancellationToken,
+}
+
+impl Control {
+    /// What adapters call.
+    #[must_use]
+    pub fn gateway(&self) -> Gateway {
+        Gateway::new(Arc::clone(&self.app))
+    }
+
+    /// Tokens that end the process.
+    #[must_use]
+    pub fn shutdown(&self) -> Shutdown {
+        self.app.shutdown.clone()
+    }
+
+    /// Waits until the control is asked to end, hands leadership over and ends.
+    pub async fn run_until_ended(self) {
+        let app = self.app;
+        app.shutdown.graceful.cancelled().await;
+        info!("ending; handing leadership over first");
+        app.shutdown.unless_forced(hand_over(&app.replica)).await;
+        for part in self.parts {
+            app.shutdown.unless_forced(part).await;
+        }
+        self.ended.cancel();
+        let _ = self.serving_peers.await;
+        info!("ended");
+    }
+}
+
 /// Runs a control until it is asked to end.
 ///
 /// # Errors
 /// When an address, the data folder or the group can't be used.
 pub async fn run_control(settings: ControlSettings, found: bool) -> Result<(), RunError> {
     let shutdown = Shutdown::listen().map_err(|error| start_error(&error))?;
+    let founding = if found {
+        Founding::Alone
+    } else {
+        Founding::Join
+    };
+    if let Some(control) = start_control(settings, founding, shutdown).await? {
+        control.run_until_ended().await;
+    }
+    Ok(())
+}
+
+/// Starts a control; none when it was asked to end before.
+///
+/// # Errors
+/// When an address, the data folder or the group can't be used.
+pub async fn start_control(
+    settings: ControlSettings,
+    founding: Founding,
+    shutdown: Shutdown,
+) -> Result<Option<Control>, RunError> {
     let http = listen(settings.listen).await?;
     let peers = listen_peers(settings.peer_listen).await?;
-    let (mut storage, mut recovered) = open_storage(&settings)?;
+    let (mut storage, mut recovered) = open_storage(&settings, &founding)?;
     let identity = load_identity(&settings)?;
     let pool = Arc::new(PeerPool::new(identity.clone()));
     let ended = CancellationToken::new();
@@ -79,7 +152,7 @@
         founding: FoundingState {
             replica: storage.id().clone(),
             // Of two controls that found at the same time, neither may count the other as empty.
-            is_empty: recovered == Recovered::default() && !found,
+            is_empty: recovered == Recovered::default() && founding == Founding::Join,
         },
     };
     let is_empty = recovered == Recovered::default();
@@ -100,27 +173,41 @@
         answer_peers!(server.clone()),
         ended.clone(),
     ));
-    if found && is_empty {
+    if is_empty && founding == Founding::Alone {
         let checking = check_others_empty(&settings, &pool);
         match shutdown.graceful.run_until_cancelled(checking).await {
-            None => return Ok(()),
+            None => return Ok(None),
             Some(Err(replica)) => return Err(RunError::Founded { replica }),
-            Some(Ok(())) => recovered = storage.found().map_err(|error| data_error(&error))?,
+            Some(Ok(())) => {}
         }
     }
+    if let Some(voters) = list_founders(&founding, storage.id()).filter(|_| is_empty) {
+        recovered = storage
+            .found_with(voters)
+            .map_err(|error| data_error(&error))?;
+    }
     let app = start_app(settings, shutdown, pool, storage, recovered).await?;
     let _ = server.app.set(Arc::clone(&app));
     let parts = start_parts(&app, http, &ended);
-    app.shutdown.graceful.cancelled().await;
-    info!("ending; handing leadership over first");
-    app.shutdown.unless_forced(hand_over(&app.replica)).await;
-    for part in parts {
-        app.shutdown.unless_forced(part).await;
+    Ok(Some(Control {
+        app,
+        parts,
+        serving_peers,
+        ended,
+    }))
+}
+
+/// The voters that an empty data folder founds a group with, if it founds one.
+fn list_founders(founding: &Founding, own: &ReplicaId) -> Option<Vec<ReplicaId>> {
+    match founding {
+        Founding::Join => None,
+        Founding::Alone => Some(vec![own.clone()]),
+        Founding::With(names) => {
+            let is_founder = names.contains(&own.name) && own.disk == FOUNDING_DISK;
+            let voters = names.iter().map(|name| ReplicaId::new(name, FOUNDING_DISK));
+            is_founder.then(|| voters.collect())
+        }
     }
-    ended.cancel();
-    let _ = serving_peers.await;
-    info!("ended");
-    Ok(())
 }
 
 async fn start_app(
@@ -170,6 +257,7 @@
             commit_limit_ms,
         },
         view: start_view(&settings, seed, clock.now()),
+        news: Notify::new(),
         metrics: Metrics::new().map_err(|error| start_error(&error))?,
         settings,
         clock,
@@ -182,7 +270,7 @@
     app: &Arc<App>,
     http: TcpListener,
     ended: &CancellationToken,
-) -> Vec<tokio::task::JoinHandle<()>> {
+) -> Vec<JoinHandle<()>> {
     let for_requests = Arc::clone(app);
     let handler = move |request| handle_request(Arc::clone(&for_requests), request);
     let shutdown = app.shutdown.clone();
@@ -236,9 +324,17 @@
         .map_err(|error| start_error(&error))
 }
 
-fn open_storage(settings: &ControlSettings) -> Result<(Storage, Recovered), RunError> {
+fn open_storage(
+    settings: &ControlSettings,
+    founding: &Founding,
+) -> Result<(Storage, Recovered), RunError> {
     let hook = Box::new(|_| Ok(()));
-    let disk = rand::random();
+    let disk = match founding {
+        Founding::With(names) if names.iter().any(|name| name == settings.name.as_str()) => {
+            FOUNDING_DISK
+        }
+        _ => rand::random::<u64>().max(FOUNDING_DISK + 1),
+    };
     let opened = Storage::open(&settings.data, settings.name.as_str(), disk, hook);
     let (storage, recovered) = opened.map_err(|error| data_error(&error))?;
     if let Some(damage) = &recovered.damage {
--- a/crates/mgw-control/src/settings.rs
+++ b/crates/mgw-control/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use mgw_member::MemberSettings;
 use mgw_peer::GroupFiles;
 use mgw_quorum::Settings;
 use mgw_settings::LogSettings;
@@ -62,7 +63,7 @@
 }
 
 /// Settings of a control.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// Name of the control.
@@ -87,6 +88,15 @@
     /// Replicated log.
     #[serde(default)]
     pub quorum: QuorumSettings,
+    /// How others name this control's address for operators; empty for none.
+    #[serde(default)]
+    pub url: String,
+    /// Whether a control that these settings don't name may join, under its address as name.
+    #[serde(default)]
+    pub open_group: bool,
+    /// View of nodes and targets.
+    #[serde(default)]
+    pub members: MemberSettings,
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/mgw-entry/src/lib.rs
+++ b/crates/mgw-entry/src/lib.rs
@@ -15,7 +15,6 @@
 mod metrics;
 mod operator;
 mod paths;
-mod peers;
 mod refresh;
 mod run;
 mod services;
--- a/crates/mgw-entry/src/run.rs
+++ b/crates/mgw-entry/src/run.rs
@@ -4,7 +4,8 @@
 
 use mgw_member::CutOff;
 use mgw_peer::{
-    GroupIdentity, PeerPool, Spread, answer_peers, bind_peer_listener, run_spread, serve_peers,
+    GroupIdentity, PeerPool, Spread, ViewServer, answer_peers, bind_peer_listener, run_spread,
+    serve_peers,
 };
 use mgw_serve::Shutdown;
 use mgw_world::Millis;
@@ -18,7 +19,6 @@
 use crate::follow::follow_config;
 use crate::intake::{OpenCalls, take_request};
 use crate::leave::{Left, leave, list_in_flight, report_cut};
-use crate::peers::PeerServer;
 use crate::refresh::run_refresh;
 use crate::settings::EntrySettings;
 
@@ -166,8 +166,9 @@
         clock: app.clock.clone(),
         count_bytes: Arc::new(move |bytes| view_bytes.inc_by(bytes)),
     };
-    let server = PeerServer {
-        app: Arc::clone(app),
+    let server = ViewServer {
+        view: Arc::clone(&app.members.view),
+        clock: app.clock.clone(),
     };
     tokio::spawn(serve_peers(
         peers,
--- a/crates/mgw-member/src/describe.rs
+++ b/crates/mgw-member/src/describe.rs
@@ -44,6 +44,10 @@
             )
         }
         TargetDuty::Plain { service } => service.to_string(),
+        TargetDuty::Forwarding(engine) => match engine.layers {
+            Some(layers) => format!("{} layers {layers}", engine.service),
+            None => format!("{} without layers", engine.service),
+        },
     };
     let readiness = match status.state {
         VouchState::Announced(readiness) => readiness,
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -330,7 +330,7 @@
         Some(pool[self.rng.random_range(0..pool.len())])
     }
 
-    fn notice_sender(&mut self, exchange: &Exchange, now: Millis) {
+    pub(crate) fn notice_sender(&mut self, exchange: &Exchange, now: Millis) {
         self.exchanges.refused.remove(&exchange.peer_address);
         if exchange.from == self.me {
             return;
--- a/crates/mgw-member/src/view/mod.rs
+++ b/crates/mgw-member/src/view/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod places;
 mod reply;
+mod watch;
 
 pub use announce::AnnounceOutcome;
 pub use choice::{TargetInChoice, TargetStatus, Unchoosable};
--- a/crates/mgw-member/src/view/reply.rs
+++ b/crates/mgw-member/src/view/reply.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    fn take_deltas(&mut self, deltas: &[NodeDelta], sent: &InFlight, now: Millis) {
+    pub(crate) fn take_deltas(&mut self, deltas: &[NodeDelta], sent: &InFlight, now: Millis) {
         let mut bytes = 0;
         for delta in deltas {
             bytes += encoded_bytes(delta);
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -6,16 +6,20 @@
 mod serve;
 mod spread;
 mod tls;
+mod view_server;
+mod watch;
 
 pub use codec::Postcard;
 pub use pool::{CallFailure, PeerPool};
 pub use rpc::{
     ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, PeerRpcClient,
-    PeerRpcRequest, PeerRpcResponse,
+    PeerRpcRequest, PeerRpcResponse, RoutingQuestion, WatchAnswer, WatchQuestion,
 };
 pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
 pub use spread::{Spread, run_spread};
 pub use tls::{GROUP_NAME, GroupError, GroupFiles, GroupIdentity, PeerStream};
+pub use view_server::ViewServer;
+pub use watch::{Watch, watch_control};
 
 /// Used by [`answer_peers`].
 #[doc(hidden)]
--- a/crates/mgw-peer/src/pool.rs
+++ b/crates/mgw-peer/src/pool.rs
@@ -87,7 +87,11 @@
                 self.clients.lock().remove(&address);
                 Err(CallFailure::NoAnswer)
             }
-            Err(_) => Err(CallFailure::NoAnswer),
+            Err(_) => {
+                // A connection may have gone silent for good; the next call opens another one.
+                self.clients.lock().remove(&address);
+                Err(CallFailure::NoAnswer)
+            }
         }
     }
 
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -5,8 +5,9 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
+use mgw_routing::RoutingDocument;
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
-use mgw_world::{Millis, NodeName, Revision};
+use mgw_world::{Millis, NodeName, Revision, RoutingVersion};
 use serde::{Deserialize, Serialize};
 
 /// Why a process didn't do what another asked for.
@@ -72,6 +73,35 @@
     pub address: SocketAddr,
 }
 
+/// Asks a control to answer as soon as it has news.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchQuestion {
+    /// What the asker holds of the control's own record.
+    pub exchange: Exchange,
+    /// Version of the routing document that the asker knows to be held there.
+    pub routing: RoutingVersion,
+    /// How long the answer may wait for news.
+    pub wait_ms: Millis,
+}
+
+/// News of a control, or the confirmation that there are none.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchAnswer {
+    /// Differences of the control's own record.
+    pub reply: ExchangeReply,
+    /// Version of the routing document held there.
+    pub routing: RoutingVersion,
+}
+
+/// Asks for the routing document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingQuestion {
+    /// Version that the asker has.
+    pub have: RoutingVersion,
+    /// Whether a quorum must confirm that the answer is the newest; only the leader answers then.
+    pub confirmed: bool,
+}
+
 /// Calls between processes. An entry answers the calls meant for controls with
 /// [`PeerError::NotAControl`].
 #[tarpc::service]
@@ -88,4 +118,8 @@
     async fn founding() -> Result<FoundingState, PeerError>;
     /// Asks to be taken in as a learner.
     async fn join(request: JoinRequest) -> Result<(), PeerError>;
+    /// Answers with news of this control, at once or when there are any.
+    async fn watch(question: WatchQuestion) -> Result<WatchAnswer, PeerError>;
+    /// Answers with the routing document held; none when the asker has that version.
+    async fn routing(question: RoutingQuestion) -> Result<Option<RoutingDocument>, PeerError>;
 }
--- /dev/null
+++ b/crates/mgw-peer/src/view_server.rs
@@ -0,0 +1,64 @@
+//! Answers of a process that holds no durable state.
+
+use std::sync::Arc;
+
+use mgw_member::{Exchange, ExchangeReply, View};
+use mgw_quorum::Envelope;
+use mgw_routing::RoutingDocument;
+use mgw_state::{Command, Reply};
+use mgw_world::Clock;
+use parking_lot::Mutex;
+use tarpc::context::Context;
+
+use crate::{
+    ConfigAnswer, ConfigQuestion, FoundingState, JoinRequest, PeerError, PeerRpc, RoutingQuestion,
+    WatchAnswer, WatchQuestion,
+};
+
+/// Exchanges views, and refuses the calls that are meant for controls.
+#[derive(Debug, Clone)]
+pub struct ViewServer {
+    /// The view of this process.
+    pub view: Arc<Mutex<View>>,
+    /// The clock that the view was started with.
+    pub clock: Clock,
+}
+
+impl PeerRpc for ViewServer {
+    async fn exchange(self, _: Context, exchange: Exchange) -> ExchangeReply {
+        let now = self.clock.now();
+        self.view.lock().take_exchange(&exchange, now)
+    }
+
+    async fn deliver(self, _: Context, _: Vec<Envelope>) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn submit(self, _: Context, _: Command) -> Result<Reply, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn config(self, _: Context, _: ConfigQuestion) -> Result<ConfigAnswer, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn founding(self, _: Context) -> Result<FoundingState, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn join(self, _: Context, _: JoinRequest) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn watch(self, _: Context, _: WatchQuestion) -> Result<WatchAnswer, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn routing(
+        self,
+        _: Context,
+        _: RoutingQuestion,
+    ) -> Result<Option<RoutingDocument>, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+}
--- a/crates/mgw-quorum/src/storage/folder.rs
+++ b/crates/mgw-quorum/src/storage/folder.rs
@@ -84,10 +84,23 @@
     ///
     /// Refuses a folder that holds a log, and fails when it can't be synced.
     pub fn found(&mut self) -> Result<Recovered, StorageError> {
+        self.found_with([self.id.clone()])
+    }
+
+    /// Founds a cluster of several voters, each of which is given the same list. The caller makes
+    /// sure that each of them founds once in its life: an identity whose disk was lost must not.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a folder that holds a log, and fails when it can't be synced.
+    pub fn found_with(
+        &mut self,
+        voters: impl IntoIterator<Item = ReplicaId>,
+    ) -> Result<Recovered, StorageError> {
         if !self.is_empty {
             return Err(StorageError::NotEmpty);
         }
-        let snapshot = Snapshot::founding(Membership::of_voters([self.id.clone()]));
+        let snapshot = Snapshot::founding(Membership::of_voters(voters));
         let hard_state = HardState {
             term: snapshot.meta.term,
             voted_for: None,
--- /dev/null
+++ b/crates/mgw-relay/src/app.rs
@@ -0,0 +1,237 @@
+//! What the parts of a relay share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use mgw_member::{NodePhase, NodeRole, View};
+use mgw_peer::PeerPool;
+use mgw_route::{ChainRouter, ChainTarget, RetryBudget, RetryBudgetSettings};
+use mgw_routing::RouteTable;
+use mgw_serve::Shutdown;
+use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::Notify;
+use tracing::info;
+
+use crate::dialect::RelayCalls;
+use crate::metrics::Metrics;
+use crate::settings::RelaySettings;
+use crate::stream::Patience;
+use crate::targets::{Connections, PlainChoice, Roster};
+
+/// What the parts of a relay share.
+pub struct App {
+    /// Settings of the process.
+    pub settings: RelaySettings,
+    /// The adapter's functions.
+    pub calls: RelayCalls,
+    /// The clock.
+    pub clock: Clock,
+    /// Tokens that end the process.
+    pub shutdown: Shutdown,
+    /// What is believed of nodes and targets.
+    pub view: Arc<Mutex<View>>,
+    /// Connections to the other processes.
+    pub peers: Arc<PeerPool>,
+    /// Connections to targets.
+    pub connections: Connections,
+    /// What pauses of streams mean.
+    pub patience: Patience,
+    /// Notified with news of targets.
+    pub targets_changed: Arc<Notify>,
+    /// Metrics.
+    pub metrics: Metrics,
+    routing: RwLock<Arc<RouteTable>>,
+    roster: Mutex<Roster>,
+    chains: Mutex<HashMap<ServiceName, ChainRouter>>,
+    plain: Mutex<PlainChoice>,
+    retries: Mutex<HashMap<ServiceName, RetryBudget>>,
+    entries: Mutex<u32>,
+}
+
+impl App {
+    /// A relay that knows nothing yet.
+    pub fn new(
+        settings: RelaySettings,
+        calls: RelayCalls,
+        shutdown: Shutdown,
+        view: Arc<Mutex<View>>,
+        clock: Clock,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            connections: Connections::new(clock.clone()),
+            peers: Arc::new(PeerPool::new(None)),
+            patience: Patience::default(),
+            targets_changed: Arc::new(Notify::new()),
+            metrics: Metrics::new()?,
+            routing: RwLock::default(),
+            roster: Mutex::default(),
+            chains: Mutex::default(),
+            plain: Mutex::default(),
+            retries: Mutex::default(),
+            entries: Mutex::new(1),
+            settings,
+            calls,
+            clock,
+            shutdown,
+            view,
+        })
+    }
+
+    /// The routing document in force; of version zero before the first one.
+    #[must_use]
+    pub fn routing(&self) -> Arc<RouteTable> {
+        Arc::clone(&self.routing.read())
+    }
+
+    /// Puts a document in force unless a newer one is.
+    pub fn set_routing(&self, table: RouteTable) {
+        let version = table.version();
+        {
+            let mut held = self.routing.write();
+            if held.version() >= version {
+                return;
+            }
+            info!(from = %held.version(), to = %version, "routing document in force");
+            *held = Arc::new(table);
+        }
+        self.metrics.routing_version.set(to_gauge(version.0));
+        self.follow_models();
+        self.follow_targets();
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let knows_routing = self.routing.read().version() > RoutingVersion(0);
+        let knows_targets = self.roster.lock().iter().next().is_some();
+        knows_routing && knows_targets && !self.is_leaving()
+    }
+
+    /// Whether the process was asked to end.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.shutdown.graceful.is_cancelled()
+    }
+
+    /// Works with the chains of a service; none when it has no model.
+    pub fn with_chains<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut ChainRouter) -> T,
+    ) -> Option<T> {
+        self.chains.lock().get_mut(service).map(work)
+    }
+
+    /// Works with the choice among targets of plain services.
+    pub fn with_plain<T>(&self, work: impl FnOnce(&mut PlainChoice) -> T) -> T {
+        work(&mut self.plain.lock())
+    }
+
+    /// Counts the first send of a request.
+    pub fn count_first_send(&self, service: &ServiceName) {
+        self.with_retries(service, RetryBudget::count_request);
+    }
+
+    /// Takes a further send from the budget of the service.
+    pub fn try_retry(&self, service: &ServiceName) -> bool {
+        self.with_retries(service, RetryBudget::try_retry)
+    }
+
+    fn with_retries<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.retries.lock();
+        if let Some(budget) = budgets.get_mut(service) {
+            return work(budget);
+        }
+        let shared = self.settings.retries;
+        let settings = RetryBudgetSettings {
+            max_saved: shared.max_saved / (*self.entries.lock()).max(1),
+            ..shared
+        };
+        work(
+            budgets
+                .entry(service.clone())
+                .or_insert_with(|| RetryBudget::new(settings)),
+        )
+    }
+
+    /// Brings chains and plain choices in line with the view.
+    pub fn follow_targets(&self) {
+        let now = self.clock.now();
+        let entries = {
+            let view = self.view.lock();
+            self.roster.lock().follow(&view.targets(now), now);
+            count_entries(&view, now)
+        };
+        self.set_entries(entries);
+        let roster = self.roster.lock();
+        let mut chains = self.chains.lock();
+        for (service, router) in chains.iter_mut() {
+            let targets = roster.iter().filter_map(|target| {
+                let engine = target.forwarding()?;
+                let layers = engine.layers.filter(|_| engine.service == *service)?;
+                Some(ChainTarget {
+                    name: target.name.clone(),
+                    incarnation: target.incarnation,
+                    address: target.address,
+                    place: target.place.clone(),
+                    accelerator: engine.accelerator.clone(),
+                    layers,
+                })
+            });
+            router.set_entries(entries);
+            router.set_targets(targets.collect(), now);
+        }
+        let plain = roster.iter().filter(|target| target.forwarding().is_none());
+        self.plain.lock().set_targets(plain, &self.settings.place);
+        self.metrics
+            .targets
+            .set(to_gauge(roster.iter().count() as u64));
+    }
+
+    fn set_entries(&self, entries: u32) {
+        let mut held = self.entries.lock();
+        if *held != entries {
+            info!(from = *held, to = entries, "entries that share the targets");
+            *held = entries;
+            // The shares of the retry budgets change with the number of entries.
+            self.retries.lock().clear();
+        }
+    }
+
+    fn follow_models(&self) {
+        let routing = self.routing();
+        let mut chains = self.chains.lock();
+        for service in routing.services() {
+            let Some(model) = &service.model else {
+                continue;
+            };
+            match chains.get_mut(&service.name) {
+                Some(router) => router.set_model(model.clone()),
+                None => {
+                    let place = self.settings.place.clone();
+                    let router = ChainRouter::new(self.settings.chains, model.clone(), place);
+                    chains.insert(service.name.clone(), router);
+                }
+            }
+        }
+    }
+}
+
+/// Entries that take callers as far as this process hears, itself included.
+fn count_entries(view: &View, now: Millis) -> u32 {
+    let nodes = view.nodes(now);
+    let serving = nodes.iter().filter(|node| {
+        let is_entry = node.info.role == NodeRole::Entry;
+        is_entry && node.is_alive && node.info.phase != NodePhase::Leaving
+    });
+    u32::try_from(serving.count()).unwrap_or(u32::MAX).max(1)
+}
+
+fn to_gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -0,0 +1,115 @@
+//! A request as the relay sees it.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Method, Request};
+use mgw_routing::{NoRoute, Route, Split};
+use mgw_world::{Millis, RoutingVersion, ServiceName, WorkspaceName};
+use rand::Rng;
+
+use super::Refusal;
+use crate::app::App;
+use crate::dialect::CallerHead;
+
+/// Rank of a request whose workspace and route name none that targets know.
+const MAX_URGENCY: u8 = 9;
+
+/// A request that takes a route.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallerHead,
+    /// Its route.
+    pub route: Route,
+    /// Version of the routing document that the route stands in.
+    pub routing: RoutingVersion,
+    /// Service that answers.
+    pub service: ServiceName,
+    /// Workspace of the caller.
+    pub workspace: Option<WorkspaceName>,
+    /// Rank, where 0 is the most urgent.
+    pub urgency: u8,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The caller's head.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived_at: Millis,
+    /// When the caller's deadline or the route's timeout ends it, whichever is first.
+    pub ends_at: Millis,
+}
+
+impl Call {
+    /// Reads a request with its body and finds its route.
+    ///
+    /// # Errors
+    /// When the request takes no route or breaks a limit.
+    pub async fn read(app: &App, request: Request<Incoming>) -> Result<Self, Refusal> {
+        let arrived_at = app.clock.now();
+        let routing = app.routing();
+        if routing.version() == RoutingVersion(0) {
+            return Err(Refusal::no_routing());
+        }
+        let (parts, body) = request.into_parts();
+        let head = (app.calls.dialect.read_request)(&parts.headers);
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+        let not_found = |error: NoRoute| match error {
+            NoRoute::NotFound => Refusal::not_found(),
+            NoRoute::UnknownKey => Refusal::unknown_key(),
+        };
+        let route = routing.find(host, parts.uri.path()).map_err(not_found)?;
+        let workspace = routing.find_workspace(route, head.key.as_deref());
+        let workspace = workspace.map_err(not_found)?;
+        let body = read_body(body, routing.limits().max_body_bytes).await?;
+        let timeout_ms = route.timeout_ms;
+        let time_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
+        let path = parts.uri.path_and_query();
+        let rank = workspace.and_then(|it| it.priority);
+        Ok(Self {
+            service: pick_service(&route.splits),
+            urgency: rank.unwrap_or(route.priority).min(MAX_URGENCY),
+            workspace: workspace.map(|it| it.name.clone()),
+            routing: routing.version(),
+            route: route.clone(),
+            method: parts.method,
+            path: path.map_or("/", |path| path.as_str()).to_owned(),
+            headers: parts.headers,
+            body,
+            arrived_at,
+            ends_at: arrived_at + time_ms,
+            head,
+        })
+    }
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
+    let collected = Limited::new(body, max_bytes).collect().await;
+    collected
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|error| Refusal::bad_body(error.as_ref()))
+}
+
+/// Picks a service at random by weight.
+fn pick_service(splits: &[Split]) -> ServiceName {
+    let total: u64 = splits.iter().map(|split| u64::from(split.weight)).sum();
+    let mut drawn = if total > 0 {
+        rand::rng().random_range(0..total)
+    } else {
+        0
+    };
+    for split in splits {
+        let weight = u64::from(split.weight);
+        if drawn < weight {
+            return split.service.clone();
+        }
+        drawn -= weight;
+    }
+    ServiceName::default()
+}
--- /dev/null
+++ b/crates/mgw-relay/src/callers/handle.rs
@@ -0,0 +1,52 @@
+//! From a caller's request to its answer.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+use mgw_routing::CallKind;
+use tracing::info;
+
+use super::{Call, Refusal, RelayBody};
+use crate::app::App;
+use crate::plain::answer_plain;
+use crate::stream::{StreamRun, StreamStart, stream_body};
+
+/// Answers one request.
+pub async fn take_request(app: Arc<App>, request: Request<Incoming>) -> Response<RelayBody> {
+    let mut response = match Call::read(&app, request).await {
+        Ok(call) => answer_call(&app, call).await,
+        Err(refusal) => {
+            app.metrics
+                .requests
+                .with_label_values(&["none", refusal.status.as_str()])
+                .inc();
+            info!(
+                status = refusal.status.as_u16(),
+                reason = refusal.reason,
+                "request refused"
+            );
+            refusal.to_response()
+        }
+    };
+    if app.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn answer_call(app: &Arc<App>, call: Call) -> Response<RelayBody> {
+    let has_model = app.with_chains(&call.service, |_| ()).is_some();
+    if call.route.kind != CallKind::Stream || !has_model {
+        return answer_plain(app, &call).await;
+    }
+    match StreamRun::start(Arc::clone(app), call).await {
+        StreamStart::Begun { parts, first, run } => {
+            Response::from_parts(*parts, stream_body(first, *run))
+        }
+        StreamStart::Answered(response) => *response,
+        StreamStart::Refused(refusal) => Refusal::to_response(refusal),
+    }
+}
--- /dev/null
+++ b/crates/mgw-relay/src/follow/controls.rs
@@ -0,0 +1,75 @@
+//! Watches each control that is known.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mgw_member::NodeRole;
+use mgw_peer::{Watch, watch_control};
+use mgw_world::Millis;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::RoutingNews;
+use crate::app::App;
+
+/// Time between two looks for controls that aren't watched yet.
+const LOOK_MS: Millis = Millis(500);
+
+/// Reads the addresses of controls from the settings anew; none when they can't be read.
+pub type FindControls = Box<dyn Fn() -> Vec<SocketAddr> + Send + Sync>;
+
+/// Starts a watch of each control that the settings name or that is heard of later.
+pub async fn follow_controls(
+    app: Arc<App>,
+    news: RoutingNews,
+    find_controls: FindControls,
+    ended: CancellationToken,
+) {
+    let heard = news.clone();
+    let watch = Watch {
+        view: Arc::clone(&app.view),
+        pool: Arc::clone(&app.peers),
+        clock: app.clock.clone(),
+        changed: Arc::clone(&app.targets_changed),
+        heard_routing: Arc::new(move |control, version| heard.hear(control, version)),
+    };
+    let mut watched: BTreeSet<SocketAddr> = BTreeSet::new();
+    let mut is_reload = false;
+    loop {
+        let mut addresses = list_controls(&app);
+        if is_reload || !hears_control(&app) {
+            addresses.extend(find_controls());
+        }
+        for address in addresses {
+            if watched.insert(address) {
+                tokio::spawn(watch_control(watch.clone(), address, ended.clone()));
+            }
+        }
+        tokio::select! {
+            () = ended.cancelled() => return,
+            () = app.shutdown.reload.notified() => is_reload = true,
+            () = sleep(LOOK_MS.to_duration()) => is_reload = false,
+        }
+    }
+}
+
+fn list_controls(app: &App) -> Vec<SocketAddr> {
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let nodes = view.nodes(now);
+    let controls = nodes.iter();
+    let controls = controls.filter(|node| node.info.role == NodeRole::Control);
+    let heard = controls.map(|node| node.info.peer_address);
+    let mut addresses = app.settings.controls.clone();
+    addresses.extend(heard);
+    addresses
+}
+
+fn hears_control(app: &App) -> bool {
+    let now = app.clock.now();
+    let view = app.view.lock();
+    let nodes = view.nodes(now);
+    let mut controls = nodes.iter();
+    controls.any(|node| node.info.role == NodeRole::Control && node.is_alive)
+}
--- /dev/null
+++ b/crates/mgw-relay/src/follow/upkeep.rs
@@ -0,0 +1,39 @@
+//! Brings what requests are decided on in line with the view.
+
+use std::sync::Arc;
+
+use mgw_member::NodePhase;
+use mgw_world::Millis;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::app::App;
+
+/// Longest time between two looks at the view.
+const LOOK_MS: Millis = Millis(500);
+
+/// Follows the view until the token is cancelled.
+pub async fn run_upkeep(app: Arc<App>, ended: CancellationToken) {
+    loop {
+        let told = app.targets_changed.notified();
+        app.follow_targets();
+        app.connections.expire();
+        show_phase(&app);
+        let waiting = timeout(LOOK_MS.to_duration(), told);
+        if ended.run_until_cancelled(waiting).await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Tells the other nodes whether callers may be sent here.
+fn show_phase(app: &App) {
+    let phase = if app.is_leaving() {
+        NodePhase::Leaving
+    } else if app.is_ready() {
+        NodePhase::Serving
+    } else {
+        NodePhase::Starting
+    };
+    app.view.lock().set_phase(phase);
+}
--- /dev/null
+++ b/crates/mgw-relay/src/lib.rs
@@ -0,0 +1,22 @@
+//! Passes callers' requests on to targets and their answers back.
+
+mod app;
+mod callers;
+mod dialect;
+mod follow;
+mod leave;
+mod metrics;
+mod plain;
+mod run;
+mod settings;
+mod stream;
+mod targets;
+mod tries;
+
+pub use dialect::{AnswerHead, CallerHead, Dialect, RelayCalls, TargetHead};
+pub use follow::FindControls;
+pub use run::{Relay, RunError};
+pub use settings::RelaySettings;
+pub use stream::{EventFault, EventOrder, Patience, PauseVerdict, Splitter};
+pub use targets::{Roster, RosterTarget};
+pub use tries::{Tries, TryEnd};
--- /dev/null
+++ b/crates/mgw-relay/src/metrics.rs
@@ -0,0 +1,80 @@
+//! Metrics of a relay.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 11] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0];
+
+/// All metrics of a relay, with the registry that holds them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// The registry.
+    pub registry: Registry,
+    /// Requests by kind and outcome.
+    pub requests: IntCounterVec,
+    /// Sends to targets by how they ended.
+    pub sends: IntCounterVec,
+    /// Streams that went on at other targets, by cause.
+    pub moves: IntCounterVec,
+    /// Time from the arrival of a request to the first event of its answer.
+    pub first_event: Histogram,
+    /// Time from the arrival of a request to the end of its answer.
+    pub whole_answer: Histogram,
+    /// Targets that may get new work.
+    pub targets: IntGauge,
+    /// Version of the routing document in force.
+    pub routing_version: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// When a metric is described wrongly or registered twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let latency = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            Histogram::with_opts(options)
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("mgw_relay_requests_total", "Requests by kind and outcome."),
+                &["kind", "outcome"],
+            )?,
+            sends: IntCounterVec::new(
+                Opts::new("mgw_relay_sends_total", "Sends to targets by end."),
+                &["end"],
+            )?,
+            moves: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_moves_total",
+                    "Streams that changed targets, by cause.",
+                ),
+                &["cause"],
+            )?,
+            first_event: latency(
+                "mgw_relay_first_event_seconds",
+                "Time from a request to the first event of its answer.",
+            )?,
+            whole_answer: latency(
+                "mgw_relay_answer_seconds",
+                "Time from a request to the end of its answer.",
+            )?,
+            targets: IntGauge::new("mgw_relay_targets", "Targets that may get new work.")?,
+            routing_version: IntGauge::new(
+                "mgw_relay_routing_version",
+                "Version of the routing document in force.",
+            )?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.sends.clone()))?;
+        registry.register(Box::new(metrics.moves.clone()))?;
+        registry.register(Box::new(metrics.first_event.clone()))?;
+        registry.register(Box::new(metrics.whole_answer.clone()))?;
+        registry.register(Box::new(metrics.targets.clone()))?;
+        registry.register(Box::new(metrics.routing_version.clone()))?;
+        Ok(metrics)
+    }
+}
--- /dev/null
+++ b/crates/mgw-relay/src/run.rs
@@ -0,0 +1,159 @@
+//! Start and end of a relay.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper::Response;
+use mgw_member::{NodeInfo, NodePhase, NodeRole, View};
+use mgw_peer::{Spread, ViewServer, answer_peers, bind_peer_listener, run_spread, serve_peers};
+use mgw_serve::http::Body;
+use mgw_serve::{Shutdown, render_metrics};
+use mgw_world::{Clock, Incarnation, Revision};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use crate::app::App;
+use crate::callers::{Callers, serve_callers};
+use crate::dialect::RelayCalls;
+use crate::follow::{FindControls, RoutingNews, follow_controls, run_upkeep};
+use crate::leave::leave;
+use crate::settings::RelaySettings;
+
+/// Why a relay can't run.
+#[derive(Debug, displaydoc::Display, derive_more::Error)]
+pub enum RunError {
+    /// can't listen at {address}: {source}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// can't register the metrics: {source}
+    Metrics {
+        /// What is wrong.
+        source: prometheus::Error,
+    },
+}
+
+/// A relay that runs; cheap to clone.
+#[derive(Clone)]
+pub struct Relay {
+    app: Arc<App>,
+    callers: Callers,
+    ended: CancellationToken,
+}
+
+impl Relay {
+    /// Starts a relay.
+    ///
+    /// # Errors
+    /// When an address can't be used.
+    pub async fn start(
+        settings: RelaySettings,
+        calls: RelayCalls,
+        find_controls: FindControls,
+        shutdown: Shutdown,
+    ) -> Result<Self, RunError> {
+        let clock = Clock::monotonic();
+        let listener = listen(settings.listen).await?;
+        let peer_address = settings.peer_listen;
+        let peers = bind_peer_listener(peer_address)
+            .await
+            .map_err(|source| RunError::Listen {
+                address: peer_address,
+                source,
+            })?;
+        let view = start_view(&settings, &clock);
+        let app = App::new(settings, calls, shutdown, view, clock);
+        let app = Arc::new(app.map_err(|source| RunError::Metrics { source })?);
+        let relay = Self {
+            app,
+            callers: Callers::default(),
+            ended: CancellationToken::new(),
+        };
+        relay.spawn_parts(listener, peers, find_controls);
+        Ok(relay)
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.app.is_ready()
+    }
+
+    /// The metrics page.
+    #[must_use]
+    pub fn metrics(&self) -> Response<Body> {
+        render_metrics(&self.app.metrics.registry)
+    }
+
+    /// Waits until the process is asked to end, and ends its requests.
+    pub async fn run_until_ended(self) {
+        self.app.shutdown.graceful.cancelled().await;
+        self.app
+            .shutdown
+            .unless_forced(leave(&self.app, &self.callers))
+            .await;
+        self.ended.cancel();
+        info!("ended");
+    }
+
+    fn spawn_parts(&self, listener: TcpListener, peers: TcpListener, find_controls: FindControls) {
+        let app = &self.app;
+        let news = RoutingNews::default();
+        let server = ViewServer {
+            view: Arc::clone(&app.view),
+            clock: app.clock.clone(),
+        };
+        let spread = Spread {
+            view: Arc::clone(&app.view),
+            pool: Arc::clone(&app.peers),
+            clock: app.clock.clone(),
+            count_bytes: Arc::new(|_| {}),
+        };
+        let ended = &self.ended;
+        tokio::spawn(serve_peers(
+            peers,
+            None,
+            answer_peers!(server),
+            ended.clone(),
+        ));
+        tokio::spawn(run_spread(spread, ended.clone()));
+        tokio::spawn(news.clone().follow(Arc::clone(app)));
+        tokio::spawn(follow_controls(
+            Arc::clone(app),
+            news,
+            find_controls,
+            ended.clone(),
+        ));
+        tokio::spawn(run_upkeep(Arc::clone(app), ended.clone()));
+        let callers = self.callers.clone();
+        tokio::spawn(serve_callers(Arc::clone(app), listener, callers));
+    }
+}
+
+fn start_view(settings: &RelaySettings, clock: &Clock) -> Arc<Mutex<View>> {
+    let me = NodeInfo {
+        name: settings.name.clone(),
+        role: NodeRole::Entry,
+        place: settings.place.clone(),
+        incarnation: Incarnation(Clock::wall().0),
+        peer_address: settings.peer_listen,
+        url: settings.listen.to_string(),
+        weight: 1,
+        phase: NodePhase::Starting,
+        revision: Revision(0),
+    };
+    let seed = rand::random();
+    let members = settings.members.clone();
+    let view = View::new(members, me, &settings.controls, seed, clock.now());
+    Arc::new(Mutex::new(view))
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RunError::Listen { address, source })
+}
--- /dev/null
+++ b/crates/mgw-relay/src/targets/connections.rs
@@ -0,0 +1,140 @@
+//! Connections to targets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use mgw_world::{Clock, Millis};
+use parking_lot::Mutex;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Time within which a connection to a target must come about; beyond it the target counts as not
+/// reachable. Targets are a fraction of a millisecond away.
+const CONNECT_LIMIT_MS: Millis = Millis(350);
+/// Time after which unacknowledged data ends a connection.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+/// Longest time that a connection stays idle, whatever the target allows: one that has gone silent
+/// shows only at its next use.
+const IDLE_LIMIT_MS: Millis = Millis(4_000);
+/// Most idle connections to one target.
+const IDLE_PER_TARGET: usize = 48;
+
+/// A connection that is in use; dropping it closes the connection.
+#[derive(Debug)]
+pub struct Lent {
+    /// Where it leads.
+    pub address: SocketAddr,
+    /// Whether it was used before.
+    pub is_reused: bool,
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    lent: Lent,
+    since: Millis,
+}
+
+/// Idle connections, and how new ones are made.
+pub struct Connections {
+    clock: Clock,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Connections {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// An idle connection that still looks open, else a new one.
+    ///
+    /// # Errors
+    /// When no connection comes about; nothing was sent.
+    pub async fn lend(&self, address: SocketAddr, is_fresh: bool) -> std::io::Result<Lent> {
+        if !is_fresh && let Some(lent) = self.take_idle(address) {
+            return Ok(lent);
+        }
+        let connecting = timeout(CONNECT_LIMIT_MS.to_duration(), connect(address));
+        connecting
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+    }
+
+    /// Takes a connection back whose answer was read to its end.
+    pub fn give_back(&self, mut lent: Lent) {
+        if lent.sender.is_closed() {
+            return;
+        }
+        lent.is_reused = true;
+        let since = self.clock.now();
+        let mut idle = self.idle.lock();
+        let held = idle.entry(lent.address).or_default();
+        if held.len() < IDLE_PER_TARGET {
+            held.push(Idle { lent, since });
+        }
+    }
+
+    /// Drops the idle connections to a target, which may have gone silent like the one just used.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().remove(&address);
+    }
+
+    /// Drops connections that were idle for long.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock();
+        for held in idle.values_mut() {
+            held.retain(|it| now - it.since < IDLE_LIMIT_MS && !it.lent.sender.is_closed());
+        }
+        idle.retain(|_, held| !held.is_empty());
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Lent> {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock();
+        let held = idle.get_mut(&address)?;
+        while let Some(it) = held.pop() {
+            let is_young = now - it.since < IDLE_LIMIT_MS;
+            if is_young && it.lent.sender.is_ready() {
+                return Some(it.lent);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<Lent> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+    // Its end shows in the sender and in the bodies that it carries.
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(Lent {
+        address,
+        is_reused: false,
+        sender,
+        task: task.abort_handle(),
+    })
+}
--- /dev/null
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -0,0 +1,79 @@
+//! Asks forwarding engines whether they are there and how fast they work.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use mgw_route::{Hop, ProbeOutcome};
+use mgw_world::{Millis, ServiceName};
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+use crate::app::App;
+
+/// Time within which an engine must answer a probe.
+const PROBE_LIMIT_MS: Millis = Millis(500);
+/// Time after which an engine that didn't answer is asked again.
+const REPEAT_MS: Millis = Millis(1_000);
+/// How often it is asked again.
+const REPEATS: u32 = 5;
+/// Largest answer to a probe.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Asks each engine in the background and notes what it answers.
+pub fn probe_hops(app: &Arc<App>, service: &ServiceName, hops: Vec<Hop>, cause: &'static str) {
+    for hop in hops {
+        let app = Arc::clone(app);
+        let service = service.clone();
+        tokio::spawn(async move { probe_until_known(&app, &service, &hop, cause).await });
+    }
+}
+
+async fn probe_until_known(app: &App, service: &ServiceName, hop: &Hop, cause: &'static str) {
+    for repeat in 0..=REPEATS {
+        let outcome = probe(app, hop).await;
+        let now = app.clock.now();
+        app.with_chains(service, |chains| {
+            chains.take_probe(&hop.target, outcome, now);
+        });
+        match outcome {
+            ProbeOutcome::Alive { slowness } => {
+                info!(target_name = %hop.target, cause, repeat, slowness, "engine answered a probe");
+                return;
+            }
+            ProbeOutcome::Dead => {
+                warn!(target_name = %hop.target, cause, repeat, "engine didn't answer a probe");
+            }
+        }
+        sleep(REPEAT_MS.to_duration()).await;
+    }
+}
+
+async fn probe(app: &App, hop: &Hop) -> ProbeOutcome {
+    let asking = timeout(PROBE_LIMIT_MS.to_duration(), ask(app, hop));
+    let slowness = asking.await.ok().flatten();
+    slowness.map_or(ProbeOutcome::Dead, |slowness| ProbeOutcome::Alive {
+        slowness,
+    })
+}
+
+/// Asks over a new connection, as an old one may have gone silent by itself.
+async fn ask(app: &App, hop: &Hop) -> Option<f64> {
+    let mut lent = app.connections.lend(hop.address, true).await.ok()?;
+    let request = Request::get(app.calls.report.path)
+        .header(hyper::header::HOST, hop.address.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let response = lent.sender.try_send_request(request).await.ok()?;
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    app.connections.give_back(lent);
+    match (app.calls.report.read)(&body) {
+        Ok(report) => Some(report.slowness),
+        Err(error) => {
+            warn!(target_name = %hop.target, %error, "engine's report can't be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-relay/src/tries.rs
@@ -0,0 +1,95 @@
+//! How often a request may be sent, and what may be said when no target answered it.
+
+/// How a send of a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum TryEnd {
+    /// No byte left this process.
+    #[display("not sent")]
+    NotSent,
+    /// The target states that it didn't run the request.
+    #[display("not run")]
+    NotRun,
+    /// The target is gone; it may have run the request.
+    #[display("target lost")]
+    TargetLost,
+    /// The target may have run the request.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Most sends that failed before a byte left, for one request.
+const MAX_UNSENT: u32 = 3;
+/// Sends of a repeatable request beyond its targets, for those that stated that they didn't run it.
+const FURTHER_SENDS: u32 = 1;
+
+/// Account of one request's sends.
+///
+/// ```
+/// use mgw_relay::{Tries, TryEnd};
+/// let mut tries = Tries::new(1, false);
+/// assert!(tries.may_send());
+/// tries.note(TryEnd::Unknown);
+/// assert!(!tries.may_send());
+/// assert!(tries.may_have_run());
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct Tries {
+    max_targets: u32,
+    may_repeat: bool,
+    unsent: u32,
+    not_run: u32,
+    ran: u32,
+    lost: u32,
+}
+
+impl Tries {
+    /// The account of a request that may be sent to `max_targets` targets, and may run more than
+    /// once if `may_repeat`.
+    #[must_use]
+    pub const fn new(max_targets: u32, may_repeat: bool) -> Self {
+        Self {
+            max_targets,
+            may_repeat,
+            unsent: 0,
+            not_run: 0,
+            ran: 0,
+            lost: 0,
+        }
+    }
+
+    /// Notes how a send ended.
+    pub const fn note(&mut self, end: TryEnd) {
+        match end {
+            TryEnd::NotSent => self.unsent += 1,
+            TryEnd::NotRun => self.not_run += 1,
+            TryEnd::TargetLost => self.lost += 1,
+            TryEnd::Unknown => self.ran += 1,
+        }
+    }
+
+    /// Whether another send is allowed. A target that is gone counts for nothing once the request
+    /// may be repeated; one that didn't run it leaves room for one further send.
+    #[must_use]
+    pub const fn may_send(&self) -> bool {
+        if self.unsent >= MAX_UNSENT {
+            return false;
+        }
+        if !self.may_repeat {
+            return self.ran + self.lost == 0 && self.not_run < self.max_targets;
+        }
+        let is_within = self.ran < self.max_targets && self.lost <= self.max_targets;
+        is_within && self.ran + self.not_run < self.max_targets + FURTHER_SENDS
+    }
+
+    /// Whether any target may have run the request.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        self.ran + self.lost > 0
+    }
+
+    /// Sends that reached a target.
+    #[must_use]
+    pub const fn sent(&self) -> u32 {
+        self.not_run + self.ran + self.lost
+    }
+}
--- /dev/null
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -0,0 +1,63 @@
+//! What a request costs at a target.
+
+use mgw_world::{Accelerator, PipelineModel};
+
+use super::fleet::Member;
+use super::router::ChainSettings;
+
+/// What a request needs of each target on its chain.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Work {
+    pub prompt_tokens: f64,
+    pub answer_tokens: f64,
+}
+
+impl Work {
+    /// Tokens whose KV cache the request takes at its end.
+    pub fn kv_tokens(self) -> f64 {
+        self.prompt_tokens + self.answer_tokens
+    }
+}
+
+/// Room at a target as this process sees it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Room {
+    /// Part of the KV cache in use, with the requests of all entries.
+    pub used_share: f64,
+    /// Requests of all entries that pass through.
+    pub requests: f64,
+}
+
+impl Room {
+    /// Other entries are taken to use a target as much as this one does.
+    pub fn of(member: &Member, settings: &ChainSettings) -> Self {
+        let entries = f64::from(settings.entries.max(1));
+        let used = member.used_token_layers * entries;
+        Self {
+            used_share: used / member.capacity_token_layers.max(1.0),
+            requests: f64::from(member.requests) * entries,
+        }
+    }
+}
+
+/// Milliseconds that a request spends at a target for a number of layers.
+pub(super) fn request_ms(
+    model: &PipelineModel,
+    accelerator: &Accelerator,
+    layers: u16,
+    work: Work,
+    batch: f64,
+) -> f64 {
+    let prefill_ms = work.prompt_tokens / model.prefill_tokens_per_ms.max(f64::MIN_POSITIVE);
+    let context = model.context_step_ms * work.kv_tokens() / 1_000.0;
+    let step_ms = model.step_ms + batch * (model.request_step_ms + context);
+    let decode_ms = work.answer_tokens * step_ms * accelerator.step_factor;
+    model.share(layers) * (prefill_ms * accelerator.prefill_factor + decode_ms)
+}
+
+/// Factor on the cost of a target whose memory fills: a request there is likelier to be preempted
+/// and read again.
+pub(super) fn crowding(used_share: f64, full_share: f64) -> f64 {
+    let left = 1.0 - used_share / full_share.max(f64::MIN_POSITIVE);
+    1.0 / left.clamp(0.05, 1.0)
+}
--- /dev/null
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -0,0 +1,126 @@
+//! The targets that chains are made of, in an arena.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use mgw_world::{
+    Accelerator, AcceleratorKind, Incarnation, LayerRange, Millis, PipelineModel, PlaceName,
+    TargetName,
+};
+
+use super::evidence::Standing;
+
+/// A target that holds layers and may take part in new chains.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChainTarget {
+    /// Name of the target.
+    pub name: TargetName,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Zone that it stands in.
+    pub place: PlaceName,
+    /// Kind of accelerator.
+    pub accelerator: AcceleratorKind,
+    /// Layers held.
+    pub layers: LayerRange,
+}
+
+/// Place of a target in the arena.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct MemberKey(pub usize);
+
+/// A target with what this process knows of its work.
+#[derive(Debug, Clone)]
+pub(super) struct Member {
+    pub target: ChainTarget,
+    pub accelerator: Accelerator,
+    /// Whether it may take part in new chains.
+    pub is_listed: bool,
+    /// KV cache that the requests of this process may take there, in tokens of one layer.
+    pub used_token_layers: f64,
+    /// KV cache beside its weights, in tokens of one layer.
+    pub capacity_token_layers: f64,
+    /// Requests of this process that pass through it.
+    pub requests: u32,
+    pub standing: Standing,
+}
+
+/// All targets that were ever listed and are still in use.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    members: Vec<Member>,
+    keys: HashMap<(TargetName, Incarnation), MemberKey>,
+}
+
+impl Fleet {
+    /// Takes the present list; targets that are gone from it stay as long as requests use them.
+    pub fn set(&mut self, model: &PipelineModel, targets: Vec<ChainTarget>, now: Millis) {
+        for member in &mut self.members {
+            member.is_listed = false;
+        }
+        for target in targets {
+            let Some(accelerator) = model.accelerator(&target.accelerator) else {
+                continue;
+            };
+            let capacity = model.kv_token_layers(accelerator, target.layers.count());
+            let key = (target.name.clone(), target.incarnation);
+            match self.keys.get(&key).copied() {
+                Some(at) => {
+                    let member = &mut self.members[at.0];
+                    member.target = target;
+                    member.capacity_token_layers = capacity;
+                    member.is_listed = true;
+                }
+                None => {
+                    self.keys.insert(key, MemberKey(self.members.len()));
+                    self.members.push(Member {
+                        accelerator: accelerator.clone(),
+                        is_listed: true,
+                        used_token_layers: 0.0,
+                        capacity_token_layers: capacity,
+                        requests: 0,
+                        standing: Standing::new(now),
+                        target,
+                    });
+                }
+            }
+        }
+        self.compact();
+    }
+
+    pub fn get(&self, key: MemberKey) -> &Member {
+        &self.members[key.0]
+    }
+
+    pub fn get_mut(&mut self, key: MemberKey) -> &mut Member {
+        &mut self.members[key.0]
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        let listed = self.members.iter().enumerate();
+        let listed = listed.filter(|(_, member)| member.is_listed);
+        listed.map(|(at, member)| (MemberKey(at), member))
+    }
+
+    /// The newest incarnation of a target.
+    pub fn find(&self, name: &TargetName) -> Option<MemberKey> {
+        let named = self.members.iter().enumerate();
+        let named = named.filter(|(_, member)| member.target.name == *name);
+        let newest = named.max_by_key(|(_, member)| member.target.incarnation);
+        newest.map(|(at, _)| MemberKey(at))
+    }
+
+    /// Drops unused targets from the end of the arena, so that keys in use stay valid.
+    fn compact(&mut self) {
+        while let Some(last) = self.members.last() {
+            if last.is_listed || last.requests > 0 {
+                return;
+            }
+            let key = (last.target.name.clone(), last.target.incarnation);
+            self.keys.remove(&key);
+            self.members.pop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -0,0 +1,13 @@
+//! Chains of targets that pass a request's tokens on by themselves.
+
+mod cost;
+mod evidence;
+mod fleet;
+mod router;
+mod search;
+
+pub use evidence::{EvidenceSettings, ProbeOutcome};
+pub use fleet::ChainTarget;
+pub use router::{
+    Chain, ChainHold, ChainLoad, ChainRequest, ChainRouter, ChainSettings, Hop, NoChain, Suspicion,
+};
--- /dev/null
+++ b/crates/mgw-route/src/chain/router.rs
@@ -0,0 +1,361 @@
+//! Chooses the chain of each request and keeps account of what runs where.
+
+use std::net::SocketAddr;
+
+use mgw_world::{LayerRange, Millis, PipelineModel, PlaceName, TargetName};
+use slotmap::{SlotMap, new_key_type};
+
+use super::cost::Work;
+use super::evidence::{EvidenceSettings, ProbeOutcome};
+use super::fleet::{ChainTarget, Fleet, MemberKey};
+use super::search::{Found, Search};
+
+new_key_type! {
+    /// A request's place on the targets of its chain; given back with [`ChainRouter::release`].
+    pub struct ChainHold;
+}
+
+/// Settings of the choice of chains.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChainSettings {
+    /// Entries that share the targets; each takes an equal part of their memory.
+    pub entries: u32,
+    /// Part of a target's KV cache that requests may take by estimate; the rest covers answers
+    /// that run longer than expected and differences between entries.
+    pub full_share: f64,
+    /// Factor on the cost of a chain in another zone than the entry's own.
+    pub far_factor: f64,
+    /// Factor on the time of moving a prompt between zones, for the queue on that link.
+    pub crossing_factor: f64,
+    /// Judgement of targets.
+    pub evidence: EvidenceSettings,
+}
+
+impl Default for ChainSettings {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            full_share: 0.85,
+            far_factor: 1.25,
+            crossing_factor: 4.0,
+            evidence: EvidenceSettings::default(),
+        }
+    }
+}
+
+/// A request that needs a chain.
+#[derive(Debug, Clone, Copy)]
+pub struct ChainRequest<'a> {
+    /// Tokens of the prompt, with those of the answer that were sent before.
+    pub prompt_tokens: u32,
+    /// Tokens that the answer is expected to have.
+    pub answer_tokens: u32,
+    /// Targets that shall not take part.
+    pub avoid: &'a [TargetName],
+}
+
+/// One target of a chain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hop {
+    /// The target.
+    pub target: TargetName,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// Targets that cover all layers in order.
+#[derive(Debug, Clone)]
+pub struct Chain {
+    /// The targets, the one that takes the request first.
+    pub hops: Vec<Hop>,
+    /// Estimate of the request's whole time on them.
+    pub cost_ms: f64,
+    /// The place that the request takes.
+    pub hold: ChainHold,
+}
+
+/// Targets of a chain that may be at fault.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Targets that brought no token to any request.
+    pub silent: usize,
+    /// Those of them to probe now.
+    pub probes: Vec<Hop>,
+}
+
+/// Why there is no chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, derive_more::Error)]
+pub enum NoChain {
+    /// the known targets don't cover all layers
+    Uncovered,
+    /// the targets that cover the layers have no room for the request
+    Full,
+}
+
+/// Use of the targets, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ChainLoad {
+    /// Targets that may take part in new chains.
+    pub targets: usize,
+    /// Those of them that are left out at present.
+    pub blocked: usize,
+    /// Requests that hold a chain.
+    pub requests: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    parts: Vec<(MemberKey, LayerRange)>,
+    kv_tokens: f64,
+}
+
+/// Chooses chains for the requests of one model at one entry.
+///
+/// Every entry chooses by itself and takes the others to do the same as it does, so nothing is
+/// exchanged for a choice. A chain stays within one zone where one covers all layers, as a prompt's
+/// activations load the links between zones far more than an answer does.
+#[derive(Debug)]
+pub struct ChainRouter {
+    settings: ChainSettings,
+    model: PipelineModel,
+    home: PlaceName,
+    fleet: Fleet,
+    holds: SlotMap<ChainHold, Held>,
+}
+
+impl ChainRouter {
+    /// A router of an entry in the zone `home` that knows no targets yet.
+    #[must_use]
+    pub fn new(settings: ChainSettings, model: PipelineModel, home: PlaceName) -> Self {
+        Self {
+            settings,
+            model,
+            home,
+            fleet: Fleet::default(),
+            holds: SlotMap::with_key(),
+        }
+    }
+
+    /// The model.
+    #[must_use]
+    pub const fn model(&self) -> &PipelineModel {
+        &self.model
+    }
+
+    /// Takes the times of the model anew; what runs goes on.
+    pub fn set_model(&mut self, model: PipelineModel) {
+        self.model = model;
+    }
+
+    /// Takes the number of entries that share the targets.
+    pub const fn set_entries(&mut self, entries: u32) {
+        self.settings.entries = entries;
+    }
+
+    /// Takes the list of targets that may take part in new chains.
+    pub fn set_targets(&mut self, targets: Vec<ChainTarget>, now: Millis) {
+        self.fleet.set(&self.model, targets, now);
+    }
+
+    /// Chooses the cheapest chain and takes the request's place on it.
+    ///
+    /// # Errors
+    /// When no chain covers the layers or none has room.
+    pub fn choose(&mut self, request: &ChainRequest<'_>, now: Millis) -> Result<Chain, NoChain> {
+        let work = Work {
+            prompt_tokens: f64::from(request.prompt_tokens),
+            answer_tokens: f64::from(request.answer_tokens),
+        };
+        let search = Search {
+            model: &self.model,
+            settings: &self.settings,
+            work,
+            avoid: request.avoid,
+            place: None,
+            now,
+        };
+        let found = self.search_places(&search);
+        let found = found.or_else(|| search.run(&self.fleet));
+        let Some(found) = found else {
+            return Err(self.explain(&search));
+        };
+        Ok(self.take(&found, work))
+    }
+
+    fn search_places(&self, search: &Search<'_>) -> Option<Found> {
+        let found = self.list_places().into_iter().filter_map(|place| {
+            let found = Search {
+                place: Some(&place),
+                ..*search
+            }
+            .run(&self.fleet)?;
+            let is_home = place == self.home;
+            let factor = if is_home {
+                1.0
+            } else {
+                self.settings.far_factor
+            };
+            Some((found.cost_ms * factor, found))
+        });
+        let best = found.min_by(|left, right| left.0.total_cmp(&right.0));
+        best.map(|(_, found)| found)
+    }
+
+    fn list_places(&self) -> Vec<PlaceName> {
+        let places = self.fleet.iter();
+        let mut places: Vec<PlaceName> = places
+            .map(|(_, member)| member.target.place.clone())
+            .collect();
+        places.sort_unstable();
+        places.dedup();
+        places
+    }
+
+    /// Tells a lack of targets from a lack of room.
+    fn explain(&self, search: &Search<'_>) -> NoChain {
+        let settings = ChainSettings {
+            full_share: f64::INFINITY,
+            ..self.settings
+        };
+        let roomy = Search {
+            settings: &settings,
+            ..*search
+        };
+        match roomy.run(&self.fleet) {
+            Some(_) => NoChain::Full,
+            None => NoChain::Uncovered,
+        }
+    }
+
+    fn take(&mut self, found: &Found, work: Work) -> Chain {
+        let mut hops = Vec::with_capacity(found.parts.len());
+        for &(key, layers) in &found.parts {
+            let member = self.fleet.get_mut(key);
+            member.requests += 1;
+            member.used_token_layers += work.kv_tokens() * f64::from(layers.count());
+            hops.push(Hop {
+                target: member.target.name.clone(),
+                address: member.target.address,
+                layers,
+            });
+        }
+        let hold = self.holds.insert(Held {
+            parts: found.parts.clone(),
+            kv_tokens: work.kv_tokens(),
+        });
+        Chain {
+            hops,
+            cost_ms: found.cost_ms,
+            hold,
+        }
+    }
+
+    /// Gives a request's place back.
+    pub fn release(&mut self, hold: ChainHold) {
+        let Some(held) = self.holds.remove(hold) else {
+            return;
+        };
+        for (key, layers) in held.parts {
+            let member = self.fleet.get_mut(key);
+            member.requests = member.requests.saturating_sub(1);
+            let taken = held.kv_tokens * f64::from(layers.count());
+            member.used_token_layers = (member.used_token_layers - taken).max(0.0);
+        }
+    }
+
+    /// Notes that a token came through a chain.
+    pub fn hear(&mut self, hold: ChainHold, now: Millis) {
+        let Some(held) = self.holds.get(hold) else {
+            return;
+        };
+        for (key, _) in &held.parts {
+            self.fleet.get_mut(*key).standing.hear(now);
+        }
+    }
+
+    /// Notes that nothing has come through a chain since `since`: its targets that brought no token
+    /// to any other request meanwhile are left out until a probe clears them.
+    pub fn suspect(&mut self, hold: ChainHold, since: Millis, now: Millis) -> Suspicion {
+        let evidence = self.settings.evidence;
+        let mut suspicion = Suspicion::default();
+        let Some(held) = self.holds.get(hold) else {
+            return suspicion;
+        };
+        for &(key, layers) in &held.parts {
+            let member = self.fleet.get_mut(key);
+            if member.standing.heard_at > since {
+                continue;
+            }
+            member.standing.block(now + evidence.suspected_ms);
+            suspicion.silent += 1;
+            if member.standing.take_probe(&evidence, now) {
+                suspicion.probes.push(to_hop(&member.target, layers));
+            }
+        }
+        suspicion
+    }
+
+    /// Targets of a chain to probe because a request on it goes slowly; nothing is held against
+    /// them yet.
+    pub fn inspect(&mut self, hold: ChainHold, now: Millis) -> Vec<Hop> {
+        let evidence = self.settings.evidence;
+        let Some(held) = self.holds.get(hold) else {
+            return Vec::new();
+        };
+        let mut due = Vec::new();
+        for &(key, layers) in &held.parts {
+            let member = self.fleet.get_mut(key);
+            if member.standing.take_probe(&evidence, now) {
+                due.push(to_hop(&member.target, layers));
+            }
+        }
+        due
+    }
+
+    /// Leaves a target out for a while because it was at fault.
+    pub fn block(&mut self, name: &TargetName, now: Millis) {
+        let until = now + self.settings.evidence.blocked_ms;
+        if let Some(key) = self.fleet.find(name) {
+            self.fleet.get_mut(key).standing.block(until);
+        }
+    }
+
+    /// The target at an address that may take part in new chains.
+    #[must_use]
+    pub fn name_at(&self, address: SocketAddr) -> Option<TargetName> {
+        let mut listed = self.fleet.iter();
+        let found = listed.find(|(_, member)| member.target.address == address);
+        found.map(|(_, member)| member.target.name.clone())
+    }
+
+    /// Takes the answer to a probe.
+    pub fn take_probe(&mut self, name: &TargetName, outcome: ProbeOutcome, now: Millis) {
+        let evidence = self.settings.evidence;
+        if let Some(key) = self.fleet.find(name) {
+            let standing = &mut self.fleet.get_mut(key).standing;
+            standing.take_outcome(outcome, &evidence, now);
+        }
+    }
+
+    /// Use of the targets.
+    #[must_use]
+    pub fn load(&self, now: Millis) -> ChainLoad {
+        let blocked = self.fleet.iter();
+        let blocked = blocked.filter(|(_, member)| member.standing.is_blocked(now));
+        ChainLoad {
+            targets: self.fleet.iter().count(),
+            blocked: blocked.count(),
+            requests: self.holds.len(),
+        }
+    }
+}
+
+fn to_hop(target: &ChainTarget, layers: LayerRange) -> Hop {
+    Hop {
+        target: target.name.clone(),
+        address: target.address,
+        layers,
+    }
+}
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -4,6 +4,7 @@
 //! comes from a seed. [`Router`] chooses paths, one [`Admission`] for each model decides when a
 //! request may start.
 
+mod chain;
 mod error;
 mod graph;
 mod limit;
@@ -11,6 +12,10 @@
 mod prefix;
 mod router;
 
+pub use chain::{
+    Chain, ChainHold, ChainLoad, ChainRequest, ChainRouter, ChainSettings, ChainTarget,
+    EvidenceSettings, Hop, NoChain, ProbeOutcome, Suspicion,
+};
 pub use error::NoPath;
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
--- /dev/null
+++ b/crates/mgw-routing/src/lib.rs
@@ -0,0 +1,12 @@
+//! Routes, services, workspace keys and caller limits: the part of the configuration that entries
+//! need for each request.
+
+mod check;
+mod document;
+mod objects;
+mod table;
+
+pub use check::{RoutingFinding, check_routing};
+pub use document::RoutingDocument;
+pub use objects::{CallKind, CallerLimits, KeyedWorkspace, Route, RoutedService, Routing, Split};
+pub use table::{NoRoute, RouteTable};
--- a/crates/mgw-serve/src/lib.rs
+++ b/crates/mgw-serve/src/lib.rs
@@ -5,6 +5,6 @@
 mod metrics;
 mod shutdown;
 
-pub use logging::start_logging;
+pub use logging::{DecisionLog, start_decision_log, start_logging};
 pub use metrics::render_metrics;
 pub use shutdown::Shutdown;
--- a/crates/mgw-state/src/command.rs
+++ b/crates/mgw-state/src/command.rs
@@ -1,7 +1,10 @@
 //! Commands that go through the log and the replies to them.
 
 use mgw_contract::operator::{ApplyReply, DrainRequest, ResolveRequest};
-use mgw_world::{FenceNumber, NodeName, OperatorName, RequestId, Revision, UnixMillis};
+use mgw_routing::RoutingDocument;
+use mgw_world::{
+    FenceNumber, NodeName, OperatorName, RequestId, Revision, RoutingVersion, UnixMillis,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -88,6 +91,8 @@
         /// The leader.
         leader: NodeName,
     },
+    /// Replaces the routing document if the version is higher than the one held.
+    ReplaceRouting(RoutingDocument),
     /// Moves the time, so that claims leave the window while nothing else happens.
     AdvanceTime,
 }
@@ -118,6 +123,11 @@
         /// Newest fencing number; higher than the one asked for if that was refused.
         newest: FenceNumber,
     },
+    /// To [`Action::ReplaceRouting`].
+    Routing {
+        /// Version held now.
+        version: RoutingVersion,
+    },
     /// To [`Action::NoteRefusal`] and [`Action::AdvanceTime`].
     Noted,
     /// The log index was applied before; nothing changed.
--- a/crates/mgw-state/src/state.rs
+++ b/crates/mgw-state/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use mgw_contract::operator::{ApplyReply, AuditRecord, DrainRequest, ResolveRequest};
+use mgw_routing::RoutingDocument;
 use mgw_world::{EntryName, FenceNumber, NodeName, OperatorName, Revision, TargetName, UnixMillis};
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +15,7 @@
 };
 
 /// Form of the snapshot; grows with each change that older programs can't read.
-const SNAPSHOT_FORMAT: u8 = 1;
+const SNAPSHOT_FORMAT: u8 = 2;
 
 /// Everything that the controls agree on.
 ///
@@ -38,6 +39,7 @@
     drained_targets: BTreeSet<TargetName>,
     fence: FenceNumber,
     leader: Option<NodeName>,
+    routing: RoutingDocument,
 }
 
 impl State {
@@ -95,6 +97,12 @@
         (self.fence, self.leader.as_ref())
     }
 
+    /// The routing document of the highest version; version zero when none was accepted.
+    #[must_use]
+    pub const fn routing(&self) -> &RoutingDocument {
+        &self.routing
+    }
+
     /// All state as bytes.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
@@ -157,6 +165,7 @@
             Action::Undrain { operator, subject } => self.set_drain(operator, subject, false),
             Action::NoteRefusal(refusal) => self.note_refusal(refusal),
             Action::SetFence { fence, leader } => self.set_fence(fence, leader),
+            Action::ReplaceRouting(document) => self.replace_routing(document),
             Action::AdvanceTime => Reply::Noted,
         }
     }
@@ -257,6 +266,26 @@
         Reply::Fence { newest: self.fence }
     }
 
+    fn replace_routing(&mut self, document: RoutingDocument) -> Reply {
+        let accepted = document.version > self.routing.version;
+        let detail = format!("{} bytes", document.source.len());
+        self.note(AuditRecord {
+            accepted,
+            detail,
+            ..self.blank_record(
+                OperatorName::default(),
+                "replace routing",
+                format!("version {}", document.version),
+            )
+        });
+        if accepted {
+            self.routing = document;
+        }
+        Reply::Routing {
+            version: self.routing.version,
+        }
+    }
+
     fn blank_record(&self, operator: OperatorName, action: &str, subject: String) -> AuditRecord {
         AuditRecord {
             number: 0,
--- a/crates/mgw-world/src/fence.rs
+++ b/crates/mgw-world/src/fence.rs
@@ -34,3 +34,7 @@
     /// Grows at each start of a target or node, so that a restart differs from a delay.
     Incarnation
 );
+growing_number!(
+    /// Version of the routing document; the highest one is in force, zero stands for none.
+    RoutingVersion
+);
--- a/crates/mgw-world/src/lib.rs
+++ b/crates/mgw-world/src/lib.rs
@@ -7,16 +7,19 @@
 mod layers;
 mod names;
 mod objects;
+mod pipeline;
 mod request;
 
 pub use clock::{Clock, ManualClock, Millis, UnixMillis};
-pub use fence::{FenceNumber, Incarnation, Revision};
+pub use fence::{FenceNumber, Incarnation, Revision, RoutingVersion};
 pub use layers::{LayerRange, LayerRangeError};
 pub use names::{
     AcceleratorKind, AdapterName, EntryName, KeyName, ModelName, ModelVersion, NodeName,
     OperatorName, PlaceName, RegionName, ServiceName, TargetName, VmName, WorkspaceName,
 };
 pub use objects::{
-    Engine, Limits, Link, Model, Place, Service, ServiceKind, Target, TargetDuty, Vm, Workspace,
+    Engine, ForwardingEngine, Limits, Link, Model, Place, Service, ServiceKind, Target, TargetDuty,
+    Vm, Workspace,
 };
+pub use pipeline::{Accelerator, PipelineModel};
 pub use request::{Attempt, ParseRequestIdError, Position, RequestId};
--- a/crates/mgw-world/src/objects.rs
+++ b/crates/mgw-world/src/objects.rs
@@ -117,6 +117,18 @@
     pub accelerator: AcceleratorKind,
 }
 
+/// An engine that passes a token on to the next engine by itself, along a chain that each request
+/// names.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardingEngine {
+    /// Service answered for.
+    pub service: ServiceName,
+    /// Kind of accelerator.
+    pub accelerator: AcceleratorKind,
+    /// Layers held; none until weights were loaded.
+    pub layers: Option<LayerRange>,
+}
+
 /// What a target is for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -128,6 +140,8 @@
         /// Service answered for.
         service: ServiceName,
     },
+    /// Runs a range of layers and passes tokens on by itself.
+    Forwarding(ForwardingEngine),
 }
 
 /// Limits that a target states for itself.
@@ -166,7 +180,26 @@
     pub const fn engine(&self) -> Option<&Engine> {
         match &self.duty {
             TargetDuty::Engine(engine) => Some(engine),
-            TargetDuty::Plain { .. } => None,
+            TargetDuty::Plain { .. } | TargetDuty::Forwarding(_) => None,
+        }
+    }
+
+    /// The service that this target answers for by itself, if it does.
+    #[must_use]
+    pub const fn service(&self) -> Option<&ServiceName> {
+        match &self.duty {
+            TargetDuty::Plain { service } => Some(service),
+            TargetDuty::Forwarding(engine) => Some(&engine.service),
+            TargetDuty::Engine(_) => None,
+        }
+    }
+
+    /// The engine part, for a target that passes tokens on by itself.
+    #[must_use]
+    pub const fn forwarding(&self) -> Option<&ForwardingEngine> {
+        match &self.duty {
+            TargetDuty::Forwarding(engine) => Some(engine),
+            TargetDuty::Engine(_) | TargetDuty::Plain { .. } => None,
         }
     }
 
