Entries share their use of targets; slow streams have their targets probed

Streams over targets that worked twelve times slower kept being sent there until they fell silent.

Ruled out: a leak in the account of places (requests held followed the streams that ran).

Change: each entry tells one control its use of targets about twice a second and gets that of all others together; the guess stays for the time that nothing is heard. A pause over 150 ms has the targets of its chain probed, and the slowness that they report counts in the choice.

--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -4,6 +4,7 @@
 
 use mgw_member::View;
 use mgw_peer::PeerPool;
+use mgw_route::UseBoard;
 use mgw_serve::Shutdown;
 use mgw_world::Clock;
 use parking_lot::Mutex;
@@ -27,6 +28,8 @@
     pub view: Arc<Mutex<View>>,
     /// Connections to the other processes.
     pub pool: Arc<PeerPool>,
+    /// Entries' use of targets.
+    pub uses: Mutex<UseBoard>,
     /// Notified when a target's state changes here.
     pub news: Notify,
     /// Metrics.
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -9,9 +9,10 @@
     WatchAnswer, WatchQuestion,
 };
 use mgw_quorum::{Envelope, ReplicaId, Role};
+use mgw_route::TargetUse;
 use mgw_routing::RoutingDocument;
 use mgw_state::{Command, ConfigUpdate, Reply};
-use mgw_world::Millis;
+use mgw_world::{Millis, NodeName};
 use tarpc::context::Context;
 use tokio::time::{sleep, timeout};
 
@@ -93,6 +94,17 @@
         Ok(answer_watch(self.app()?, &question).await)
     }
 
+    async fn share_use(
+        self,
+        _: Context,
+        entry: NodeName,
+        uses: Vec<TargetUse>,
+    ) -> Result<Vec<TargetUse>, PeerError> {
+        let app = self.app()?;
+        let now = app.clock.now();
+        Ok(app.uses.lock().exchange(entry.as_str(), uses, now))
+    }
+
     async fn routing(
         self,
         _: Context,
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -9,6 +9,7 @@
 use mgw_quorum::{Recovered, Replica, ReplicaId, Storage};
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, Millis};
+use parking_lot::Mutex;
 use ractor::{Actor, ActorRef};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, OnceCell, watch};
@@ -257,6 +258,7 @@
             commit_limit_ms,
         },
         view: start_view(&settings, seed, clock.now()),
+        uses: Mutex::default(),
         news: Notify::new(),
         metrics: Metrics::new().map_err(|error| start_error(&error))?,
         settings,
--- a/crates/mgw-peer/src/view_server.rs
+++ b/crates/mgw-peer/src/view_server.rs
@@ -4,9 +4,10 @@
 
 use mgw_member::{Exchange, ExchangeReply, View};
 use mgw_quorum::Envelope;
+use mgw_route::TargetUse;
 use mgw_routing::RoutingDocument;
 use mgw_state::{Command, Reply};
-use mgw_world::Clock;
+use mgw_world::{Clock, NodeName};
 use parking_lot::Mutex;
 use tarpc::context::Context;
 
@@ -54,6 +55,15 @@
         Err(PeerError::NotAControl)
     }
 
+    async fn share_use(
+        self,
+        _: Context,
+        _: NodeName,
+        _: Vec<TargetUse>,
+    ) -> Result<Vec<TargetUse>, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
     async fn routing(
         self,
         _: Context,
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -5,7 +5,7 @@
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
-use mgw_route::{ChainRouter, ChainTarget, RetryBudget, RetryBudgetSettings};
+use mgw_route::{ChainRouter, ChainTarget, RetryBudget, RetryBudgetSettings, TargetUse};
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
@@ -123,6 +123,27 @@
         self.chains.lock().get_mut(service).map(work)
     }
 
+    /// Use of targets by the requests of this process.
+    #[must_use]
+    pub fn own_uses(&self) -> Vec<TargetUse> {
+        let chains = self.chains.lock();
+        chains.values().flat_map(ChainRouter::own_uses).collect()
+    }
+
+    /// Takes the use of all other entries together.
+    pub fn set_others(&self, uses: &[TargetUse]) {
+        let now = self.clock.now();
+        for router in self.chains.lock().values_mut() {
+            router.set_others(uses, now);
+        }
+    }
+
+    /// Entries that share the targets, this one included.
+    #[must_use]
+    pub fn entries(&self) -> u32 {
+        *self.entries.lock()
+    }
+
     /// Works with the choice among targets of plain services.
     pub fn with_plain<T>(&self, work: impl FnOnce(&mut PlainChoice) -> T) -> T {
         work(&mut self.plain.lock())
--- a/crates/mgw-relay/src/run.rs
+++ b/crates/mgw-relay/src/run.rs
@@ -17,7 +17,7 @@
 use crate::app::App;
 use crate::callers::{Callers, serve_callers};
 use crate::dialect::RelayCalls;
-use crate::follow::{FindControls, RoutingNews, follow_controls, run_upkeep};
+use crate::follow::{FindControls, RoutingNews, follow_controls, run_upkeep, share_uses};
 use crate::leave::leave;
 use crate::settings::RelaySettings;
 
@@ -129,6 +129,7 @@
             find_controls,
             ended.clone(),
         ));
+        tokio::spawn(share_uses(Arc::clone(app), ended.clone()));
         tokio::spawn(run_upkeep(Arc::clone(app), ended.clone()));
         let callers = self.callers.clone();
         tokio::spawn(serve_callers(Arc::clone(app), listener, callers));
--- a/crates/mgw-relay/src/stream/patience.rs
+++ b/crates/mgw-relay/src/stream/patience.rs
@@ -11,6 +11,8 @@
 pub struct Patience {
     /// Pause after which a chain is suspected whose targets bring nothing to anyone.
     pub silence_ms: Millis,
+    /// Pause after which the targets of a chain are asked how fast they work.
+    pub slow_ms: Millis,
     /// Time without a token for anyone after which a target counts as silent.
     pub target_silence_ms: Millis,
     /// Time to the first event after which such a chain is suspected.
@@ -27,6 +29,7 @@
 impl Default for Patience {
     fn default() -> Self {
         Self {
+            slow_ms: Millis(150),
             silence_ms: Millis(350),
             target_silence_ms: Millis(300),
             first_silence_ms: Millis(600),
--- a/crates/mgw-relay/src/stream/run.rs
+++ b/crates/mgw-relay/src/stream/run.rs
@@ -118,13 +118,10 @@
                     run.ended = Some("target failed");
                     return StreamStart::Answered(response);
                 }
-                Err(NoLeg::NoChain(NoChain::Full)) if !run.tries.may_have_run() => {
-                    break Refusal::full();
+                Err(NoLeg::NoChain(no_chain)) => {
+                    run.log_no_chain(no_chain);
+                    break run.refuse(no_chain);
                 }
-                Err(NoLeg::NoChain(NoChain::Uncovered)) if !run.tries.may_have_run() => {
-                    break Refusal::uncovered();
-                }
-                Err(NoLeg::NoChain(_)) => break run.give_up(),
                 Err(NoLeg::Ended(end, cause)) => run.note_failed_send(end, cause),
             }
         };
@@ -180,6 +177,34 @@
         }
     }
 
+    fn refuse(&self, no_chain: NoChain) -> Refusal {
+        match no_chain {
+            _ if self.tries.may_have_run() => self.give_up(),
+            NoChain::Full => Refusal::full(),
+            NoChain::Uncovered => Refusal::uncovered(),
+        }
+    }
+
+    fn log_no_chain(&self, no_chain: NoChain) {
+        let now = self.app.clock.now();
+        let service = &self.call.service;
+        let load = self.app.with_chains(service, |chains| chains.load(now));
+        let load = load.unwrap_or_default();
+        warn!(
+            id = %self.call.head.id,
+            %service,
+            cause = %no_chain,
+            avoided = self.avoid.len(),
+            targets = load.targets,
+            blocked = load.blocked,
+            requests = load.requests,
+            entries = load.entries,
+            knows_others = load.knows_others,
+            used_share = load.used_share,
+            "no chain for a stream"
+        );
+    }
+
     fn begin(mut self, mut parts: Box<Parts>, first: Bytes) -> StreamStart {
         self.has_begun = true;
         let ms = self.app.clock.now() - self.call.arrived_at;
@@ -424,10 +449,17 @@
     fn take_data(&mut self, data: Bytes) -> Result<Option<Bytes>, &'static str> {
         let now = self.app.clock.now();
         if let Some(leg) = &mut self.leg {
+            let pause = now - leg.heard_at;
             leg.heard_at = now;
             let hold = leg.place.hold;
-            self.app
-                .with_chains(&self.call.service, |chains| chains.hear(hold, now));
+            let is_slow = self.has_begun && pause > self.app.patience.slow_ms;
+            let service = &self.call.service;
+            let probes = self.app.with_chains(service, |chains| {
+                chains.hear(hold, now);
+                is_slow.then(|| chains.inspect(hold, now))
+            });
+            let probes = probes.flatten().unwrap_or_default();
+            probe_hops(&self.app, service, probes, "slow stream");
         }
         let whole = self.splitter.push(data).map_err(|_| "event too long")?;
         let Some(events) = whole else {
--- a/crates/mgw-route/src/chain/cost.rs
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -29,13 +29,20 @@
 }
 
 impl Room {
-    /// Other entries are taken to use a target as much as this one does.
-    pub fn of(member: &Member, settings: &ChainSettings) -> Self {
-        let entries = f64::from(settings.entries.max(1));
-        let used = member.used_token_layers * entries;
+    /// The use of this entry and of the others. Where nothing was heard of them, they are taken to
+    /// use a target as much as this one does.
+    pub fn of(member: &Member, knows_others: bool, settings: &ChainSettings) -> Self {
+        let own = member.used_token_layers;
+        let requests = f64::from(member.requests);
+        let further = f64::from(settings.entries.max(1)) - 1.0;
+        let (others, others_requests) = if knows_others {
+            (member.others.token_layers, member.others.requests)
+        } else {
+            (own * further, requests * further)
+        };
         Self {
-            used_share: used / member.capacity_token_layers.max(1.0),
-            requests: f64::from(member.requests) * entries,
+            used_share: (own + others) / member.capacity_token_layers.max(1.0),
+            requests: requests + others_requests,
         }
     }
 }
--- a/crates/mgw-route/src/chain/evidence.rs
+++ b/crates/mgw-route/src/chain/evidence.rs
@@ -23,7 +23,7 @@
             blocked_ms: Millis(1_000),
             dead_ms: Millis(6_000),
             suspected_ms: Millis(700),
-            probe_pause_ms: Millis(1_000),
+            probe_pause_ms: Millis(1_500),
             slow_ms: Millis(4_000),
         }
     }
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -8,6 +8,7 @@
     TargetName,
 };
 
+use super::TargetUse;
 use super::evidence::Standing;
 
 /// A target that holds layers and may take part in new chains.
@@ -31,6 +32,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct MemberKey(pub usize);
 
+/// Use of a target by all other entries together.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct OthersUse {
+    pub token_layers: f64,
+    pub requests: f64,
+}
+
 /// A target with what this process knows of its work.
 #[derive(Debug, Clone)]
 pub(super) struct Member {
@@ -44,6 +52,8 @@
     pub capacity_token_layers: f64,
     /// Requests of this process that pass through it.
     pub requests: u32,
+    /// Use of all other entries together, as of their last words.
+    pub others: OthersUse,
     pub standing: Standing,
 }
 
@@ -81,6 +91,7 @@
                         used_token_layers: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
+                        others: OthersUse::default(),
                         standing: Standing::new(now),
                         target,
                     });
@@ -112,6 +123,19 @@
         newest.map(|(at, _)| MemberKey(at))
     }
 
+    /// Takes the use of all other entries together; targets that aren't named have none.
+    pub fn set_others(&mut self, uses: &[TargetUse]) {
+        let by_address: HashMap<SocketAddr, &TargetUse> =
+            uses.iter().map(|used| (used.address, used)).collect();
+        for member in &mut self.members {
+            let used = by_address.get(&member.target.address);
+            member.others = used.map_or_else(OthersUse::default, |used| OthersUse {
+                token_layers: used.token_layers as f64,
+                requests: f64::from(used.requests),
+            });
+        }
+    }
+
     /// Drops unused targets from the end of the arena, so that keys in use stay valid.
     fn compact(&mut self) {
         while let Some(last) = self.members.last() {
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -1,11 +1,13 @@
 //! Chains of targets that pass a request's tokens on by themselves.
 
+mod board;
 mod cost;
 mod evidence;
 mod fleet;
 mod router;
 mod search;
 
+pub use board::{TargetUse, UseBoard};
 pub use evidence::{EvidenceSettings, ProbeOutcome};
 pub use fleet::ChainTarget;
 pub use router::{
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -5,7 +5,8 @@
 use mgw_world::{LayerRange, Millis, PipelineModel, PlaceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
-use super::cost::Work;
+use super::TargetUse;
+use super::cost::{Room, Work};
 use super::evidence::{EvidenceSettings, ProbeOutcome};
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::search::{Found, Search};
@@ -23,6 +24,8 @@
     /// Part of a target's KV cache that requests may take by estimate; the rest covers answers
     /// that run longer than expected and differences between entries.
     pub full_share: f64,
+    /// How long the other entries' word on their use is believed.
+    pub others_ms: Millis,
     /// Cost of each target of a chain: the failure of any of them stops the request.
     pub hop_ms: f64,
     /// Factor on the cost of a chain in another zone than the entry's own: answers over links
@@ -39,6 +42,7 @@
         Self {
             entries: 1,
             full_share: 0.85,
+            others_ms: Millis(2_500),
             hop_ms: 25.0,
             far_factor: 2.0,
             crossing_factor: 4.0,
@@ -107,6 +111,12 @@
     pub blocked: usize,
     /// Requests that hold a chain.
     pub requests: usize,
+    /// Entries that share the targets.
+    pub entries: u32,
+    /// Whether their use is known; else they are taken to use as much as this one does.
+    pub knows_others: bool,
+    /// Sum over the targets of the KV cache that is taken to be in use, between 0 and 1.
+    pub used_share: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -127,6 +137,7 @@
     home: PlaceName,
     fleet: Fleet,
     holds: SlotMap<ChainHold, Held>,
+    others_at: Option<Millis>,
 }
 
 impl ChainRouter {
@@ -139,6 +150,7 @@
             home,
             fleet: Fleet::default(),
             holds: SlotMap::with_key(),
+            others_at: None,
         }
     }
 
@@ -163,6 +175,29 @@
         self.fleet.set(&self.model, targets, now);
     }
 
+    /// Use of each target by the requests of this process.
+    #[must_use]
+    pub fn own_uses(&self) -> Vec<TargetUse> {
+        let used = self.fleet.iter().filter(|(_, member)| member.requests > 0);
+        used.map(|(_, member)| TargetUse {
+            address: member.target.address,
+            token_layers: member.used_token_layers as u64,
+            requests: member.requests,
+        })
+        .collect()
+    }
+
+    /// Takes the use of all other entries together.
+    pub fn set_others(&mut self, uses: &[TargetUse], now: Millis) {
+        self.fleet.set_others(uses);
+        self.others_at = Some(now);
+    }
+
+    fn knows_others(&self, now: Millis) -> bool {
+        let heard = self.others_at;
+        heard.is_some_and(|at| now - at <= self.settings.others_ms)
+    }
+
     /// Chooses the cheapest chain and takes the request's place on it.
     ///
     /// # Errors
@@ -178,6 +213,7 @@
             work,
             avoid: request.avoid,
             place: None,
+            knows_others: self.knows_others(now),
             now,
         };
         let found = self.search_places(&search);
@@ -348,10 +384,22 @@
     pub fn load(&self, now: Millis) -> ChainLoad {
         let blocked = self.fleet.iter();
         let blocked = blocked.filter(|(_, member)| member.standing.is_blocked(now));
+        let knows_others = self.knows_others(now);
+        let (used, capacity) = self
+            .fleet
+            .iter()
+            .fold((0.0, 0.0), |(used, all), (_, member)| {
+                let room = Room::of(member, knows_others, &self.settings);
+                let capacity = member.capacity_token_layers;
+                (used + room.used_share * capacity, all + capacity)
+            });
         ChainLoad {
             targets: self.fleet.iter().count(),
             blocked: blocked.count(),
             requests: self.holds.len(),
+            entries: self.settings.entries,
+            knows_others,
+            used_share: used / f64::max(capacity, 1.0),
         }
     }
 }
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -20,6 +20,8 @@
     pub avoid: &'a [TargetName],
     /// Only targets of this zone; none for chains across zones.
     pub place: Option<&'a PlaceName>,
+    /// Whether the use of the other entries is known.
+    pub knows_others: bool,
     pub now: Millis,
 }
 
@@ -78,7 +80,7 @@
             .map(|(key, member)| Candidate {
                 key,
                 member,
-                room: Room::of(member, self.settings),
+                room: Room::of(member, self.knows_others, self.settings),
                 slowness: member.standing.slowness(self.now),
             })
             .collect()
@@ -164,12 +166,12 @@
     fn part_ms(&self, candidate: &Candidate<'_>, layers: u16) -> Option<f64> {
         let needed = self.work.kv_tokens() * f64::from(layers);
         let capacity = candidate.member.capacity_token_layers.max(1.0);
-        let entries = f64::from(self.settings.entries.max(1));
+        let is_guess = !self.knows_others && self.settings.entries > 1;
         let is_empty = candidate.member.requests == 0;
         let after = candidate.room.used_share + needed / capacity;
         let is_full = after > self.settings.full_share;
         // A share below one request of this process would otherwise never be used.
-        if is_full && !(is_empty && needed <= capacity && entries > 1.0) {
+        if is_full && !(is_guess && is_empty && needed <= capacity) {
             return None;
         }
         let batch = 1.0 + candidate.room.requests * BATCH_SHARE;
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use chain::{
     Chain, ChainHold, ChainLoad, ChainRequest, ChainRouter, ChainSettings, ChainTarget,
-    EvidenceSettings, Hop, NoChain, ProbeOutcome, Suspicion,
+    EvidenceSettings, Hop, NoChain, ProbeOutcome, Suspicion, TargetUse, UseBoard,
 };
 pub use error::NoPath;
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
