Short waits instead of refusals; suspects are judged by probes; controls watch each other

An empty target was ordered its layers 1.2 s after it had announced itself to another control than the leader.

Change: requests wait for routes and targets while the process starts (1.4 s at most), and for room or targets under suspicion up to 0.8 s, first come first; only a target that is probed anew is left out; 0.9 of the memory is used; controls watch each other.

--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod replica;
 mod run;
 mod settings;
+mod watches;
 
 pub use gateway::{Gateway, RoutingCalls};
 pub use placement::{OrderCall, PlacementCalls};
--- a/crates/mgw-control/src/placement/duty.rs
+++ b/crates/mgw-control/src/placement/duty.rs
@@ -16,7 +16,7 @@
 use crate::gateway::{Gateway, RoutingCalls};
 
 /// Time between two rounds.
-const ROUND_MS: Millis = Millis(400);
+const ROUND_MS: Millis = Millis(250);
 
 /// A service whose targets hold layers of a model.
 struct PlacedService {
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -30,6 +30,7 @@
 use crate::replica::{ReplicaActor, ReplicaHandle, ReplicaMessage, ReplicaStart, SharedState};
 use crate::replica::{Senders, start_state};
 use crate::settings::ControlSettings;
+use crate::watches::watch_controls;
 
 /// Number of the disks of controls that found a group together, so that each of them knows the
 /// identity of the others; all other disks draw theirs at random.
@@ -285,6 +286,7 @@
         count_bytes: Arc::new(move |bytes| view_bytes.inc_by(bytes)),
     };
     tokio::spawn(run_spread(spread, ended.clone()));
+    tokio::spawn(watch_controls(Arc::clone(app), ended.clone()));
     vec![
         tokio::spawn(serving),
         tokio::spawn(run_duties(Arc::clone(app))),
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -11,6 +11,7 @@
 use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tracing::info;
 
 use crate::dialect::RelayCalls;
@@ -18,6 +19,7 @@
 use crate::settings::RelaySettings;
 use crate::stream::Patience;
 use crate::targets::{Connections, PlainChoice, Roster};
+use crate::waiting::Waiting;
 
 /// What the parts of a relay share.
 pub struct App {
@@ -35,6 +37,12 @@
     pub peers: Arc<PeerPool>,
     /// Connections to targets.
     pub connections: Connections,
+    /// How long requests wait before they are sent.
+    pub waiting: Waiting,
+    /// Told one waiter of room at a time, in the order in which they came.
+    pub room: Notify,
+    /// Notified when the first routing document is in force.
+    pub routing_known: Notify,
     /// What pauses of streams mean.
     pub patience: Patience,
     /// Notified with news of targets.
@@ -62,6 +70,9 @@
             connections: Connections::new(clock.clone()),
             peers: Arc::new(PeerPool::new(None)),
             patience: Patience::default(),
+            waiting: Waiting::default(),
+            room: Notify::new(),
+            routing_known: Notify::new(),
             targets_changed: Arc::new(Notify::new()),
             metrics: Metrics::new()?,
             routing: RwLock::default(),
@@ -98,6 +109,21 @@
         self.metrics.routing_version.set(to_gauge(version.0));
         self.follow_models();
         self.follow_targets();
+        self.routing_known.notify_waiters();
+    }
+
+    /// The routing document once there is one, if it comes while the process starts and within a
+    /// part of the caller's time.
+    pub async fn wait_for_routing(&self, time_ms: Millis) -> Arc<RouteTable> {
+        let known = self.routing_known.notified();
+        let held = self.routing();
+        if held.version() > RoutingVersion(0) {
+            return held;
+        }
+        let wait_ms = self.waiting.start_ms(time_ms, self.clock.now());
+        // Without one the request is refused.
+        let _ = timeout(wait_ms.to_duration(), known).await;
+        self.routing()
     }
 
     /// Whether callers may be sent here.
--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -52,12 +52,14 @@
     /// When the request takes no route or breaks a limit.
     pub async fn read(app: &App, request: Request<Incoming>) -> Result<Self, Refusal> {
         let arrived_at = app.clock.now();
-        let routing = app.routing();
+        let (parts, body) = request.into_parts();
+        let head = (app.calls.dialect.read_request)(&parts.headers);
+        let routing = app
+            .wait_for_routing(head.deadline_ms.unwrap_or_default())
+            .await;
         if routing.version() == RoutingVersion(0) {
             return Err(Refusal::no_routing());
         }
-        let (parts, body) = request.into_parts();
-        let head = (app.calls.dialect.read_request)(&parts.headers);
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
         let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
         let not_found = |error: NoRoute| match error {
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod stream;
 mod targets;
 mod tries;
+mod waiting;
 
 pub use dialect::{AnswerHead, CallerHead, Dialect, RelayCalls, TargetHead};
 pub use follow::FindControls;
@@ -20,3 +21,4 @@
 pub use stream::{EventFault, EventOrder, Patience, PauseVerdict, Splitter};
 pub use targets::{Roster, RosterTarget};
 pub use tries::{Tries, TryEnd};
+pub use waiting::Waiting;
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -9,7 +9,7 @@
 use hyper::http::response::Parts;
 use mgw_routing::CallKind;
 use mgw_world::{Millis, TargetName};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use crate::app::App;
@@ -20,6 +20,8 @@
 
 /// Least time that a target gets for an idempotent call before another one is asked.
 const MIN_TRY_MS: Millis = Millis(250);
+/// Time between two looks for a first target.
+const LOOK_MS: Millis = Millis(50);
 /// Time before the end within which no further target is asked.
 const LAST_SEND_MS: Millis = Millis(20);
 /// Time kept at the end of a call for the answer that tells of its failure.
@@ -94,7 +96,7 @@
         if left <= LAST_SEND_MS || (tries.sent() > 0 && !app.try_retry(&call.service)) {
             break;
         }
-        let Some(mut place) = choose(app, call, &avoid) else {
+        let Some(mut place) = choose_waiting(app, call, &avoid).await else {
             break;
         };
         if tries.sent() == 0 {
@@ -127,6 +129,20 @@
     failed.ok_or_else(|| give_up(app, call, tries))
 }
 
+/// Chooses a target; a process that has just started may not have heard of any yet.
+async fn choose_waiting(app: &Arc<App>, call: &Call, avoid: &[TargetName]) -> Option<Place> {
+    let from = app.clock.now();
+    let limit_ms = app.waiting.start_ms(call.ends_at - from, from);
+    loop {
+        let place = choose(app, call, avoid);
+        let is_over = app.clock.now() - from >= limit_ms;
+        if place.is_some() || is_over || !avoid.is_empty() {
+            return place;
+        }
+        sleep(LOOK_MS.to_duration()).await;
+    }
+}
+
 fn choose(app: &Arc<App>, call: &Call, avoid: &[TargetName]) -> Option<Place> {
     let now = app.clock.now();
     let hold = app.with_plain(|choice| choice.choose(&call.service, avoid, now))?;
--- a/crates/mgw-relay/src/stream/leg.rs
+++ b/crates/mgw-relay/src/stream/leg.rs
@@ -39,6 +39,7 @@
         let hold = self.hold;
         self.app
             .with_chains(&self.service, |chains| chains.release(hold));
+        self.app.room.notify_one();
     }
 }
 
--- a/crates/mgw-relay/src/stream/run.rs
+++ b/crates/mgw-relay/src/stream/run.rs
@@ -9,7 +9,7 @@
 use hyper::http::response::Parts;
 use mgw_route::{ChainHold, ChainRequest, NoChain};
 use mgw_world::{Millis, TargetName};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use super::leg::{ChainPlace, Leg, Piece};
@@ -22,11 +22,8 @@
 
 /// Time before the end within which a stream isn't started or moved.
 const LAST_SEND_MS: Millis = Millis(100);
-/// Longest wait for room on full targets; a small part of the time to the first event that callers
-/// expect.
-const ROOM_WAIT_MS: Millis = Millis(120);
-/// Pause between two looks for room.
-const ROOM_LOOK_MS: Millis = Millis(30);
+/// Longest time between two looks for room or targets: other entries free room too.
+const LOOK_MS: Millis = Millis(80);
 /// Pause after a stream found no other chain to go on at.
 const MOVE_PAUSE_MS: Millis = Millis(400);
 /// Largest body of a target's failure.
@@ -181,7 +178,7 @@
         match no_chain {
             _ if self.tries.may_have_run() => self.give_up(),
             NoChain::Full => Refusal::full(),
-            NoChain::Uncovered => Refusal::uncovered(),
+            NoChain::Uncovered | NoChain::Suspected => Refusal::uncovered(),
         }
     }
 
@@ -304,17 +301,30 @@
         }
     }
 
+    /// Chooses a chain; a stream that has sent nothing yet waits a short time for room, and for
+    /// targets of which a process that has just started hasn't heard.
     async fn choose_waiting(&self) -> Result<ChainPlace, NoChain> {
         let from = self.app.clock.now();
+        let left_ms = self.call.ends_at - from;
+        let waiting = self.app.waiting;
         loop {
+            let freed = self.app.room.notified();
             let chosen = self.choose();
-            let waited = self.app.clock.now() - from;
-            match chosen {
-                Err(NoChain::Full) if waited < ROOM_WAIT_MS && !self.has_begun => {
-                    sleep(ROOM_LOOK_MS.to_duration()).await;
-                }
-                chosen => return chosen,
+            let Err(no_chain) = chosen else {
+                return chosen;
+            };
+            let limit_ms = match no_chain {
+                _ if self.has_begun => Millis::ZERO,
+                NoChain::Full | NoChain::Suspected => waiting.room_ms(left_ms),
+                NoChain::Uncovered => waiting.start_ms(left_ms, from),
+            };
+            let waited_ms = self.app.clock.now() - from;
+            if waited_ms >= limit_ms {
+                return chosen;
             }
+            let look_ms = (limit_ms - waited_ms).min(LOOK_MS);
+            // Whether it was told or has waited, it looks again.
+            let _ = timeout(look_ms.to_duration(), freed).await;
         }
     }
 
@@ -335,7 +345,7 @@
             };
             let chosen = chains.choose(&request, now);
             match chosen {
-                Err(NoChain::Uncovered) if !self.avoid.is_empty() => {
+                Err(NoChain::Uncovered | NoChain::Suspected) if !self.avoid.is_empty() => {
                     let anywhere = ChainRequest {
                         avoid: &[],
                         ..request
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
 use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
-use mgw_relay::{Patience, PauseVerdict, Roster, Tries, TryEnd};
+use mgw_relay::{Patience, PauseVerdict, Roster, Tries, TryEnd, Waiting};
 use mgw_world::{Incarnation, Limits, Millis, Revision, Target, TargetDuty};
 
 #[test]
@@ -143,3 +143,21 @@
     roster.follow(&view.targets(Millis(20)), Millis(20));
     assert_eq!(names(&roster), ["new"]);
 }
+
+/// Load pattern: all processes restart, and callers that were cut off come back at once.
+#[test]
+fn only_a_process_that_has_just_started_lets_requests_wait_for_routes() {
+    let waiting = Waiting::default();
+    assert_eq!(waiting.start_ms(Millis(20_000), Millis(200)), Millis(1_400));
+    assert_eq!(waiting.start_ms(Millis(1_500), Millis(200)), Millis(300));
+    assert_eq!(waiting.start_ms(Millis(20_000), Millis(60_000)), Millis(0));
+}
+
+/// Load pattern: a burst fills the targets; room comes free many times a second.
+#[test]
+fn a_request_waits_for_room_a_small_part_of_its_time() {
+    let waiting = Waiting::default();
+    assert_eq!(waiting.room_ms(Millis(20_000)), Millis(800));
+    assert_eq!(waiting.room_ms(Millis(4_000)), Millis(200));
+    assert_eq!(waiting.room_ms(Millis(0)), Millis(0));
+}
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -21,8 +21,8 @@
 pub struct ChainSettings {
     /// Entries that share the targets; each takes an equal part of their memory.
     pub entries: u32,
-    /// Part of a target's KV cache that requests may take by estimate; the rest covers answers
-    /// that run longer than expected and differences between entries.
+    /// Part of a target's KV cache that requests may take by estimate. The estimate counts whole
+    /// answers, of which half is still to come on average.
     pub full_share: f64,
     /// How long the other entries' word on their use is believed.
     pub others_ms: Millis,
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             entries: 1,
-            full_share: 0.85,
+            full_share: 0.9,
             others_ms: Millis(2_500),
             hop_ms: 25.0,
             far_factor: 2.0,
@@ -98,6 +98,8 @@
 pub enum NoChain {
     /// the known targets don't cover all layers
     Uncovered,
+    /// the targets that aren't left out don't cover all layers
+    Suspected,
     /// the targets that cover the layers have no room for the request
     Full,
 }
@@ -253,8 +255,9 @@
         places
     }
 
-    /// Tells a lack of targets from a lack of room.
+    /// Tells a lack of targets from a lack of room and from targets that may be back at once.
     fn explain(&self, search: &Search<'_>) -> NoChain {
+        let has_blocked = self.load(search.now).blocked > 0;
         let settings = ChainSettings {
             full_share: f64::INFINITY,
             ..self.settings
@@ -265,6 +268,7 @@
         };
         match roomy.run(&self.fleet) {
             Some(_) => NoChain::Full,
+            None if has_blocked => NoChain::Suspected,
             None => NoChain::Uncovered,
         }
     }
@@ -316,7 +320,8 @@
     }
 
     /// Notes that a request on a chain waits: its targets that have brought no token to any request
-    /// for `silence_ms` are left out until a probe clears them.
+    /// for `silence_ms` are left out until a probe clears them; one that answered a probe a moment
+    /// ago isn't.
     pub fn suspect(&mut self, hold: ChainHold, silence_ms: Millis, now: Millis) -> Suspicion {
         let evidence = self.settings.evidence;
         let mut suspicion = Suspicion::default();
@@ -328,9 +333,9 @@
             if now - member.standing.heard_at < silence_ms {
                 continue;
             }
-            member.standing.block(now + evidence.suspected_ms);
             suspicion.silent += 1;
             if member.standing.take_probe(&evidence, now) {
+                member.standing.block(now + evidence.suspected_ms);
                 suspicion.probes.push(to_hop(&member.target, layers));
             }
         }
