--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -9,7 +9,7 @@
     WatchAnswer, WatchQuestion,
 };
 use mgw_quorum::{Envelope, ReplicaId, Role};
-use mgw_route::TargetUse;
+use mgw_route::{EntryUse, OthersUse};
 use mgw_routing::RoutingDocument;
 use mgw_state::{Command, ConfigUpdate, Reply};
 use mgw_world::{Millis, NodeName};
@@ -98,11 +98,11 @@
         self,
         _: Context,
         entry: NodeName,
-        uses: Vec<TargetUse>,
-    ) -> Result<Vec<TargetUse>, PeerError> {
+        word: EntryUse,
+    ) -> Result<OthersUse, PeerError> {
         let app = self.app()?;
         let now = app.clock.now();
-        Ok(app.uses.lock().exchange(entry.as_str(), uses, now))
+        Ok(app.uses.lock().exchange(entry.as_str(), word, now))
     }
 
     async fn routing(
--- a/crates/mgw-peer/src/view_server.rs
+++ b/crates/mgw-peer/src/view_server.rs
@@ -4,7 +4,7 @@
 
 use mgw_member::{Exchange, ExchangeReply, View};
 use mgw_quorum::Envelope;
-use mgw_route::TargetUse;
+use mgw_route::{EntryUse, OthersUse};
 use mgw_routing::RoutingDocument;
 use mgw_state::{Command, Reply};
 use mgw_world::{Clock, NodeName};
@@ -55,12 +55,7 @@
         Err(PeerError::NotAControl)
     }
 
-    async fn share_use(
-        self,
-        _: Context,
-        _: NodeName,
-        _: Vec<TargetUse>,
-    ) -> Result<Vec<TargetUse>, PeerError> {
+    async fn share_use(self, _: Context, _: NodeName, _: EntryUse) -> Result<OthersUse, PeerError> {
         Err(PeerError::NotAControl)
     }
 
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -20,6 +20,9 @@
     /// How long a gap must have lasted before engines that hold layers are moved into it: an
     /// engine that restarts takes its layers back sooner than a move would help.
     pub gap_ms: Millis,
+    /// How long an empty engine of a zone without a gap waits for layers: when targets are replaced,
+    /// the new one starts first, and the layers that it shall take become free a moment later.
+    pub spare_ms: Millis,
     /// Time beside the load itself after which an order's effect must have been announced.
     pub announce_ms: Millis,
 }
@@ -30,6 +33,7 @@
             settle_ms: Millis(1_300),
             settle_limit_ms: Millis(4_000),
             gap_ms: Millis(2_500),
+            spare_ms: Millis(2_500),
             announce_ms: Millis(3_000),
         }
     }
@@ -92,6 +96,7 @@
 #[derive(Debug, Clone, Default)]
 struct Record {
     incarnation: Incarnation,
+    seen_at: Millis,
     accepted_orders: u64,
     order: Option<HeldOrder>,
     /// Whether the target must be asked for its state before another order.
@@ -219,6 +224,7 @@
             if record.incarnation != engine.incarnation {
                 *record = Record {
                     incarnation: engine.incarnation,
+                    seen_at: now,
                     // Another leader may have given it orders before.
                     must_ask: engine.layers.is_some(),
                     ..Record::default()
@@ -271,7 +277,8 @@
             let holds_layers = self.expected_layers(engine).is_some();
             let record = self.records.get(&engine.name)?;
             let is_free = record.order.is_none() && !record.must_ask;
-            let may_order = is_free && (!holds_layers || may_move);
+            let is_spare = !has_gap && now - record.seen_at < self.settings.spare_ms;
+            let may_order = is_free && if holds_layers { may_move } else { !is_spare };
             may_order.then(|| PlaceOrder {
                 target: engine.name.clone(),
                 incarnation: engine.incarnation,
--- a/crates/mgw-place/tests/placement.rs
+++ b/crates/mgw-place/tests/placement.rs
@@ -247,3 +247,40 @@
     assert_eq!(again[0].target, engines[1].name);
     assert_eq!(again[0].accepted_orders, 0);
 }
+
+/// Load pattern: the targets of a zone are replaced one after the other; each new one starts before
+/// the old one leaves.
+#[test]
+fn a_spare_engine_waits_for_the_layers_of_the_one_that_it_replaces() {
+    let mut engines = vec![
+        view("a", Some(range(0, 27))),
+        view("b", Some(range(27, 54))),
+        view("c", Some(range(54, 80))),
+    ];
+    let mut placer = Placer::new(PlacerSettings::default(), Millis(0));
+    placer.plan(&model(), &engines, Millis(0));
+    placer.plan(&model(), &engines, Millis(2_000));
+    engines.push(view("new", None));
+    assert!(placer.plan(&model(), &engines, Millis(2_100)).is_empty());
+    engines.remove(1);
+    let orders = placer.plan(&model(), &engines, Millis(3_000));
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].target, "new".into());
+    let layers = orders[0].layers;
+    assert!(layers.first() <= 27 && layers.end() >= 54, "{layers}");
+}
+
+#[test]
+fn a_spare_engine_without_a_gap_is_used_after_a_while() {
+    let mut engines = vec![
+        view("a", Some(range(0, 27))),
+        view("b", Some(range(27, 54))),
+        view("c", Some(range(54, 80))),
+    ];
+    let mut placer = Placer::new(PlacerSettings::default(), Millis(0));
+    placer.plan(&model(), &engines, Millis(0));
+    placer.plan(&model(), &engines, Millis(2_000));
+    engines.push(view("new", None));
+    assert!(placer.plan(&model(), &engines, Millis(2_100)).is_empty());
+    assert_eq!(placer.plan(&model(), &engines, Millis(5_000)).len(), 1);
+}
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -5,7 +5,7 @@
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
-use mgw_route::{ChainRouter, ChainTarget, RetryBudget, RetryBudgetSettings, TargetUse};
+use mgw_route::{ChainRouter, ChainTarget, OthersUse, RetryBudget, RetryBudgetSettings, TargetUse};
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use crate::balance::EntriesLoad;
 use crate::dialect::RelayCalls;
 use crate::metrics::Metrics;
 use crate::settings::RelaySettings;
@@ -55,6 +56,7 @@
     plain: Mutex<PlainChoice>,
     retries: Mutex<HashMap<ServiceName, RetryBudget>>,
     entries: Mutex<u32>,
+    others: Mutex<Option<EntriesLoad>>,
 }
 
 impl App {
@@ -81,6 +83,7 @@
             plain: Mutex::default(),
             retries: Mutex::default(),
             entries: Mutex::new(1),
+            others: Mutex::default(),
             settings,
             calls,
             clock,
@@ -157,11 +160,36 @@
     }
 
     /// Takes the use of all other entries together.
-    pub fn set_others(&self, uses: &[TargetUse]) {
+    pub fn set_others(&self, others: &OthersUse) {
         let now = self.clock.now();
         for router in self.chains.lock().values_mut() {
-            router.set_others(uses, now);
+            router.set_others(&others.uses, now);
         }
+        *self.others.lock() = Some(EntriesLoad {
+            heard_at: now,
+            entries: others.entries,
+            requests: others.requests,
+        });
+    }
+
+    /// Streams that hold a chain.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        let chains = self.chains.lock();
+        let held = chains
+            .values()
+            .map(|router| router.load(Millis::ZERO).requests);
+        u32::try_from(held.sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a caller's connection shall be closed after its answer, so that it connects anew:
+    /// this process ends, or it has far more work than the others.
+    #[must_use]
+    pub fn sends_callers_on(&self) -> bool {
+        let others = *self.others.lock();
+        let is_busy =
+            || others.is_some_and(|it| it.is_exceeded_by(self.in_flight(), self.clock.now()));
+        self.is_leaving() || is_busy()
     }
 
     /// Entries that share the targets, this one included.
@@ -245,8 +273,10 @@
         if *held != entries {
             info!(from = *held, to = entries, "entries that share the targets");
             *held = entries;
-            // The shares of the retry budgets change with the number of entries.
-            self.retries.lock().clear();
+            let share = self.settings.retries.max_saved / entries.max(1);
+            for budget in self.retries.lock().values_mut() {
+                budget.set_max_saved(share);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/mgw-relay/src/balance.rs
@@ -0,0 +1,36 @@
+//! Whether this entry has far more work than the others.
+//!
+//! Load pattern: while entries restart one after the other, callers open connections to the rest and
+//! keep them, so that in the end a few entries carry nearly everything.
+
+use mgw_world::Millis;
+
+/// Times the mean of the others that an entry may have.
+const MOST_FACTOR: f64 = 1.3;
+/// Requests beyond that which are no sign of an imbalance.
+const SLACK_REQUESTS: f64 = 4.0;
+/// Age from which the others' word counts no more.
+const WORD_MS: Millis = Millis(2_500);
+
+/// Work of all other entries together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntriesLoad {
+    /// When it was heard.
+    pub heard_at: Millis,
+    /// Number of the other entries.
+    pub entries: u32,
+    /// Requests in flight there.
+    pub requests: u32,
+}
+
+impl EntriesLoad {
+    /// Whether an entry with some requests in flight has far more than its share.
+    #[must_use]
+    pub fn is_exceeded_by(&self, requests: u32, now: Millis) -> bool {
+        if self.entries == 0 || now - self.heard_at > WORD_MS {
+            return false;
+        }
+        let mean = f64::from(self.requests) / f64::from(self.entries);
+        f64::from(requests) > mean * MOST_FACTOR + SLACK_REQUESTS
+    }
+}
--- a/crates/mgw-relay/src/callers/handle.rs
+++ b/crates/mgw-relay/src/callers/handle.rs
@@ -30,7 +30,7 @@
             refusal.to_response()
         }
     };
-    if app.is_leaving() {
+    if app.sends_callers_on() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/mgw-relay/src/follow/uses.rs
+++ b/crates/mgw-relay/src/follow/uses.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use mgw_member::NodeRole;
+use mgw_route::EntryUse;
 use mgw_world::Millis;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -34,11 +35,14 @@
 
 async fn exchange(app: &App, keeper: SocketAddr) {
     let entry = app.settings.name.clone();
-    let uses = app.own_uses();
+    let word = EntryUse {
+        requests: app.in_flight(),
+        uses: app.own_uses(),
+    };
     let answer = app
         .peers
         .call(keeper, ANSWER_LIMIT_MS, |client, context| async move {
-            client.share_use(context, entry, uses).await
+            client.share_use(context, entry, word).await
         })
         .await;
     // Without an answer the last one counts for a while, then the number of entries.
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Passes callers' requests on to targets and their answers back.
 
 mod app;
+mod balance;
 mod callers;
 mod dialect;
 mod follow;
@@ -14,6 +15,7 @@
 mod tries;
 mod waiting;
 
+pub use balance::EntriesLoad;
 pub use dialect::{AnswerHead, CallerHead, Dialect, RelayCalls, TargetHead};
 pub use follow::FindControls;
 pub use run::{Relay, RunError};
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
 use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
-use mgw_relay::{Patience, PauseVerdict, Roster, Tries, TryEnd, Waiting};
+use mgw_relay::{EntriesLoad, Patience, PauseVerdict, Roster, Tries, TryEnd, Waiting};
 use mgw_world::{Incarnation, Limits, Millis, Revision, Target, TargetDuty};
 
 #[test]
@@ -161,3 +161,29 @@
     assert_eq!(waiting.room_ms(Millis(4_000)), Millis(200));
     assert_eq!(waiting.room_ms(Millis(0)), Millis(0));
 }
+
+/// Load pattern: entries restart in turn, and callers keep to those that restart last.
+#[test]
+fn an_entry_with_far_more_work_than_the_others_sends_callers_on() {
+    let others = EntriesLoad {
+        heard_at: Millis(1_000),
+        entries: 5,
+        requests: 100,
+    };
+    let cases = [
+        (20, 1_100, false),
+        (30, 1_100, false),
+        (31, 1_100, true),
+        (90, 9_000, false),
+    ];
+    for (requests, now, expected) in cases {
+        let exceeded = others.is_exceeded_by(requests, Millis(now));
+        assert_eq!(exceeded, expected, "{requests} at {now}");
+    }
+    let alone = EntriesLoad {
+        entries: 0,
+        requests: 0,
+        ..others
+    };
+    assert!(!alone.is_exceeded_by(90, Millis(1_100)));
+}
--- a/crates/mgw-route/src/chain/board.rs
+++ b/crates/mgw-route/src/chain/board.rs
@@ -20,10 +20,30 @@
     pub requests: u32,
 }
 
+/// What one entry says of its use.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryUse {
+    /// Requests in flight there.
+    pub requests: u32,
+    /// Use of targets.
+    pub uses: Vec<TargetUse>,
+}
+
+/// What all other entries say together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OthersUse {
+    /// Number of those entries.
+    pub entries: u32,
+    /// Requests in flight there.
+    pub requests: u32,
+    /// Use of targets.
+    pub uses: Vec<TargetUse>,
+}
+
 #[derive(Debug, Clone)]
 struct Word {
     said_at: Millis,
-    uses: Vec<TargetUse>,
+    word: EntryUse,
 }
 
 /// The words of all entries, kept by one control. They are worth nothing after a few seconds, so
@@ -35,13 +55,14 @@
 
 impl UseBoard {
     /// Takes an entry's word and gives what all others use together.
-    pub fn exchange(&mut self, entry: &str, uses: Vec<TargetUse>, now: Millis) -> Vec<TargetUse> {
-        let word = Word { said_at: now, uses };
-        self.words.insert(entry.to_owned(), word);
+    pub fn exchange(&mut self, entry: &str, word: EntryUse, now: Millis) -> OthersUse {
+        let said = Word { said_at: now, word };
+        self.words.insert(entry.to_owned(), said);
         self.words.retain(|_, word| now - word.said_at <= WORD_MS);
         let mut sums: BTreeMap<SocketAddr, TargetUse> = BTreeMap::new();
         let others = self.words.iter().filter(|(name, _)| *name != entry);
-        for used in others.flat_map(|(_, word)| &word.uses) {
+        let others: Vec<&EntryUse> = others.map(|(_, said)| &said.word).collect();
+        for used in others.iter().flat_map(|word| &word.uses) {
             let sum = sums.entry(used.address).or_insert(TargetUse {
                 token_layers: 0,
                 requests: 0,
@@ -50,6 +71,10 @@
             sum.token_layers += used.token_layers;
             sum.requests += used.requests;
         }
-        sums.into_values().collect()
+        OthersUse {
+            entries: u32::try_from(others.len()).unwrap_or(u32::MAX),
+            requests: others.iter().map(|word| word.requests).sum(),
+            uses: sums.into_values().collect(),
+        }
     }
 }
--- a/crates/mgw-route/src/chain/cost.rs
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -36,7 +36,7 @@
         let requests = f64::from(member.requests);
         let further = f64::from(settings.entries.max(1)) - 1.0;
         let (others, others_requests) = if knows_others {
-            (member.others.token_layers, member.others.requests)
+            (member.elsewhere.token_layers, member.elsewhere.requests)
         } else {
             (own * further, requests * further)
         };
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -34,7 +34,7 @@
 
 /// Use of a target by all other entries together.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct OthersUse {
+pub(super) struct Elsewhere {
     pub token_layers: f64,
     pub requests: f64,
 }
@@ -53,7 +53,7 @@
     /// Requests of this process that pass through it.
     pub requests: u32,
     /// Use of all other entries together, as of their last words.
-    pub others: OthersUse,
+    pub elsewhere: Elsewhere,
     pub standing: Standing,
 }
 
@@ -91,7 +91,7 @@
                         used_token_layers: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
-                        others: OthersUse::default(),
+                        elsewhere: Elsewhere::default(),
                         standing: Standing::new(now),
                         target,
                     });
@@ -129,7 +129,7 @@
             uses.iter().map(|used| (used.address, used)).collect();
         for member in &mut self.members {
             let used = by_address.get(&member.target.address);
-            member.others = used.map_or_else(OthersUse::default, |used| OthersUse {
+            member.elsewhere = used.map_or_else(Elsewhere::default, |used| Elsewhere {
                 token_layers: used.token_layers as f64,
                 requests: f64::from(used.requests),
             });
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -7,7 +7,7 @@
 mod router;
 mod search;
 
-pub use board::{TargetUse, UseBoard};
+pub use board::{EntryUse, OthersUse, TargetUse, UseBoard};
 pub use evidence::{EvidenceSettings, ProbeOutcome};
 pub use fleet::ChainTarget;
 pub use router::{
--- a/crates/mgw-route/src/limit/budget.rs
+++ b/crates/mgw-route/src/limit/budget.rs
@@ -61,6 +61,13 @@
         self.settings.retries_per_hundred = retries_per_hundred;
     }
 
+    /// Sets how many retries are saved up at most from now on. What was saved beyond that is lost;
+    /// a higher limit has to be earned.
+    pub fn set_max_saved(&mut self, max_saved: u32) {
+        self.settings.max_saved = max_saved;
+        self.saved = self.saved.min(u64::from(max_saved) * COST_OF_RETRY);
+    }
+
     /// Counts a first try and earns its part of a retry.
     pub fn count_request(&mut self) {
         self.requests += 1;
