--- a/crates/mgw-relay/src/tries.rs
+++ b/crates/mgw-relay/src/tries.rs
@@ -9,7 +9,7 @@
     /// The target states that it didn't run the request.
     #[display("not run")]
     NotRun,
-    /// The target is gone; it may have run the request.
+    /// The connection broke; the target may have run the request.
     #[display("target lost")]
     TargetLost,
     /// The target may have run the request.
@@ -39,7 +39,6 @@
     unsent: u32,
     not_run: u32,
     ran: u32,
-    lost: u32,
 }
 
 impl Tries {
@@ -53,7 +52,6 @@
             unsent: 0,
             not_run: 0,
             ran: 0,
-            lost: 0,
         }
     }
 
@@ -62,34 +60,33 @@
         match end {
             TryEnd::NotSent => self.unsent += 1,
             TryEnd::NotRun => self.not_run += 1,
-            TryEnd::TargetLost => self.lost += 1,
-            TryEnd::Unknown => self.ran += 1,
+            TryEnd::TargetLost | TryEnd::Unknown => self.ran += 1,
         }
     }
 
-    /// Whether another send is allowed. A target that is gone counts for nothing once the request
-    /// may be repeated; one that didn't run it leaves room for one further send.
+    /// Whether another send is allowed. A target that stated that it didn't run a repeatable request
+    /// leaves room for one further send; one whose connection broke may be alive and count.
     #[must_use]
     pub const fn may_send(&self) -> bool {
         if self.unsent >= MAX_UNSENT {
             return false;
         }
         if !self.may_repeat {
-            return self.ran + self.lost == 0 && self.not_run < self.max_targets;
+            return self.ran == 0 && self.not_run < self.max_targets;
         }
-        let is_within = self.ran < self.max_targets && self.lost <= self.max_targets;
-        is_within && self.ran + self.not_run < self.max_targets + FURTHER_SENDS
+        let sent = self.ran + self.not_run;
+        self.ran < self.max_targets && sent < self.max_targets + FURTHER_SENDS
     }
 
     /// Whether any target may have run the request.
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
-        self.ran + self.lost > 0
+        self.ran > 0
     }
 
     /// Sends that reached a target.
     #[must_use]
     pub const fn sent(&self) -> u32 {
-        self.not_run + self.ran + self.lost
+        self.not_run + self.ran
     }
 }
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -8,7 +8,7 @@
 #[test]
 fn sends_end_when_the_request_may_have_run_or_enough_targets_had_it() {
     use TryEnd::{NotRun, NotSent, TargetLost, Unknown};
-    let cases: [(u32, bool, &[TryEnd], bool); 12] = [
+    let cases: [(u32, bool, &[TryEnd], bool); 13] = [
         (1, false, &[], true),
         (1, false, &[NotSent], true),
         (1, false, &[NotSent, NotSent, NotSent], false),
@@ -18,7 +18,8 @@
         (2, false, &[TargetLost], false),
         (2, true, &[Unknown], true),
         (2, true, &[Unknown, Unknown], false),
-        (2, true, &[TargetLost, Unknown], true),
+        (2, true, &[TargetLost], true),
+        (2, true, &[TargetLost, Unknown], false),
         (2, true, &[NotRun, Unknown], true),
         (2, true, &[NotRun, NotRun, NotRun], false),
     ];
