Routing documents are fetched again after a failure; a stream's present send counts before it goes on

Change: RoutingSources keeps controls that failed and asks them again; StreamRun counts the present send before it asks whether another one is allowed.

--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -1,6 +1,5 @@
 //! Fetches the routing document when a control holds a newer one.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +11,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use super::{RoutingSource, RoutingSources};
 use crate::app::App;
 
 /// Time that a control in the same zone is waited for before the document is fetched from another
@@ -22,17 +22,17 @@
 /// Pause after a document couldn't be fetched.
 const RETRY_MS: Millis = Millis(100);
 
-/// Versions that controls hold.
+/// News of the versions that controls hold.
 #[derive(Debug, Clone, Default)]
 pub struct RoutingNews {
-    held: Arc<Mutex<BTreeMap<SocketAddr, RoutingVersion>>>,
+    sources: Arc<Mutex<RoutingSources>>,
     told: Arc<Notify>,
 }
 
 impl RoutingNews {
     /// Notes the version that a control holds.
     pub fn hear(&self, control: SocketAddr, version: RoutingVersion) {
-        self.held.lock().insert(control, version);
+        self.sources.lock().hear(control, version);
         self.told.notify_one();
     }
 
@@ -40,41 +40,33 @@
     pub async fn follow(self, app: Arc<App>) {
         loop {
             self.told.notified().await;
-            while let Some((control, version)) = self.find_newer(&app).await {
-                if !fetch(&app, control).await {
+            while let Some(source) = self.find_source(&app).await {
+                if !fetch(&app, source.control).await {
+                    let RoutingSource { control, version } = source;
                     warn!(%control, %version, "routing document couldn't be fetched");
-                    self.held.lock().remove(&control);
+                    self.sources.lock().note_failure(control, app.clock.now());
                     sleep(RETRY_MS.to_duration()).await;
                 }
             }
         }
     }
 
-    /// The control to fetch a newer document from: the one in this zone, if it has it soon.
-    async fn find_newer(&self, app: &App) -> Option<(SocketAddr, RoutingVersion)> {
-        let (control, version) = self.newest(app, false)?;
-        if !has_near_control(app) {
-            return Some((control, version));
-        }
-        let mut waited = Millis::ZERO;
-        while waited < NEAR_WAIT_MS {
-            if let Some(near) = self.newest(app, true).filter(|near| near.1 >= version) {
-                return Some(near);
+    /// Where to fetch a newer document: from a control in this zone, if one has it soon.
+    async fn find_source(&self, app: &App) -> Option<RoutingSource> {
+        let near = near_controls(app);
+        let find = |near: &[SocketAddr]| {
+            let have = app.routing().version();
+            self.sources.lock().choose(have, near, app.clock.now())
+        };
+        let from = app.clock.now();
+        loop {
+            let source = find(&near)?;
+            let is_near = near.is_empty() || near.contains(&source.control);
+            if is_near || app.clock.now() - from >= NEAR_WAIT_MS {
+                return Some(source);
             }
-            sleep((NEAR_WAIT_MS - waited).min(RETRY_MS).to_duration()).await;
-            waited += RETRY_MS;
+            sleep(RETRY_MS.to_duration()).await;
         }
-        Some((control, version))
-    }
-
-    fn newest(&self, app: &App, only_near: bool) -> Option<(SocketAddr, RoutingVersion)> {
-        let have = app.routing().version();
-        let near = near_controls(app);
-        let held = self.held.lock();
-        let newer = held.iter().filter(|(_, version)| **version > have);
-        let newer = newer.filter(|(control, _)| !only_near || near.contains(control));
-        let best = newer.max_by_key(|(control, version)| (**version, near.contains(control)));
-        best.map(|(control, version)| (*control, *version))
     }
 }
 
@@ -89,10 +81,6 @@
     near.map(|node| node.info.peer_address).collect()
 }
 
-fn has_near_control(app: &App) -> bool {
-    !near_controls(app).is_empty()
-}
-
 async fn fetch(app: &App, control: SocketAddr) -> bool {
     let question = RoutingQuestion {
         have: app.routing().version(),
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use balance::EntriesLoad;
 pub use dialect::{AnswerHead, CallerHead, Dialect, RelayCalls, TargetHead};
-pub use follow::FindControls;
+pub use follow::{FindControls, RoutingSource, RoutingSources};
 pub use run::{Relay, RunError};
 pub use settings::RelaySettings;
 pub use stream::{EventFault, EventOrder, Patience, PauseVerdict, Splitter};
--- a/crates/mgw-relay/src/stream/run.rs
+++ b/crates/mgw-relay/src/stream/run.rs
@@ -481,25 +481,25 @@
 
     /// Goes on at another chain after the last event; false when that can't be done.
     async fn go_on(&mut self, cause: &'static str, is_broken: bool) -> bool {
-        let can_resume = self.call.route.is_resumable && self.order.last().is_some();
-        let is_allowed = can_resume && self.time_left() > LAST_SEND_MS && self.may_send();
-        if !is_allowed {
+        let end = if is_broken {
+            TryEnd::TargetLost
+        } else {
+            TryEnd::Unknown
+        };
+        let mut tries = self.tries;
+        tries.note(end);
+        if !self.may_go_on(tries) {
             return self.keep_waiting(is_broken);
         }
         let old = self.leg.take();
         if let Some(leg) = &old {
-            let end = if is_broken {
-                TryEnd::TargetLost
-            } else {
-                TryEnd::Unknown
-            };
             self.blame_first(&leg.place, end);
             self.avoid_chain(&leg.place);
-            self.tries.note(end);
         }
         let from = self.describe(&old);
         match self.open().await {
             Ok((_, leg)) => {
+                self.tries = tries;
                 self.moves += 1;
                 self.splitter = Splitter::default();
                 self.leg = Some(leg);
@@ -525,6 +525,14 @@
         }
     }
 
+    /// Whether a stream may go on elsewhere once the present send is counted; takes the further
+    /// send from the budget.
+    fn may_go_on(&self, tries: Tries) -> bool {
+        let can_resume = self.call.route.is_resumable && self.order.last().is_some();
+        let has_time = self.time_left() > LAST_SEND_MS;
+        can_resume && has_time && tries.may_send() && self.app.try_retry(&self.call.service)
+    }
+
     fn describe(&self, leg: &Option<Leg>) -> String {
         let hops = leg.iter().flat_map(|leg| &leg.place.hops);
         let names: Vec<&str> = hops.map(|hop| hop.target.as_str()).collect();
--- /dev/null
+++ b/crates/mgw-relay/tests/sources.rs
@@ -0,0 +1,45 @@
+//! Where a newer routing document is fetched from.
+
+use std::net::SocketAddr;
+
+use mgw_relay::{RoutingSource, RoutingSources};
+use mgw_world::{Millis, RoutingVersion};
+
+fn control(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_000).into()
+}
+
+fn source(number: u8, version: u64) -> Option<RoutingSource> {
+    Some(RoutingSource {
+        control: control(number),
+        version: RoutingVersion(version),
+    })
+}
+
+const HAVE: RoutingVersion = RoutingVersion(3);
+
+#[test]
+fn the_highest_version_counts_and_then_the_near_control() {
+    let mut sources = RoutingSources::default();
+    assert_eq!(sources.choose(HAVE, &[], Millis(0)), None);
+    sources.hear(control(1), RoutingVersion(3));
+    assert_eq!(sources.choose(HAVE, &[], Millis(0)), None);
+    sources.hear(control(1), RoutingVersion(5));
+    sources.hear(control(2), RoutingVersion(5));
+    assert_eq!(sources.choose(HAVE, &[control(1)], Millis(0)), source(1, 5));
+    sources.hear(control(3), RoutingVersion(6));
+    assert_eq!(sources.choose(HAVE, &[control(1)], Millis(0)), source(3, 6));
+}
+
+/// A partition begins between the word of a new version and the fetch: the control says it once, so
+/// it must be asked again when the partition ends.
+#[test]
+fn a_control_that_gave_no_document_is_asked_again() {
+    let mut sources = RoutingSources::default();
+    sources.hear(control(1), RoutingVersion(5));
+    sources.note_failure(control(1), Millis(100));
+    assert_eq!(sources.choose(HAVE, &[], Millis(200)), source(1, 5));
+    sources.hear(control(2), RoutingVersion(4));
+    assert_eq!(sources.choose(HAVE, &[], Millis(200)), source(2, 4));
+    assert_eq!(sources.choose(HAVE, &[], Millis(1_200)), source(1, 5));
+}
