Tests of the relay with stand-in targets and a control in one process

Streams that break or fall silent, refusals, lost and foreign answers, callers and targets that leave, new routing documents, the end of the process.

--- /dev/null
+++ b/crates/mgw-relay/tests/relaying.rs
@@ -0,0 +1,200 @@
+//! Callers get whole answers to their own requests, whatever targets do, and nothing runs twice
+//! that must not.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::header::{CONNECTION, RETRY_AFTER};
+use mgw_contract::target::Readiness;
+use support::{Behaviour, Standin, System, names, request, whole_stream};
+use tokio::time::sleep;
+
+async fn engines(first: &[Behaviour], second: &[Behaviour]) -> (Standin, Standin, System) {
+    let one = Standin::start("one", true, first).await;
+    let two = Standin::start("two", true, second).await;
+    let system = System::start(&[&one, &two]).await;
+    (one, two, system)
+}
+
+async fn records(first: &[Behaviour], second: &[Behaviour]) -> (Standin, Standin, System) {
+    let one = Standin::start("one", false, first).await;
+    let two = Standin::start("two", false, second).await;
+    let system = System::start(&[&one, &two]).await;
+    (one, two, system)
+}
+
+fn runs(one: &Standin, two: &Standin) -> usize {
+    one.seen().len() + two.seen().len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_comes_whole_and_the_target_learns_the_workspace_but_not_the_key() {
+    let (one, two, system) = engines(&[], &[]).await;
+    let answer = system.call("a", "/stream/x").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, whole_stream());
+    let seen = [one.seen(), two.seen()].concat();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].workspace.as_deref(), Some("marshals"));
+    assert_eq!(seen[0].chain.as_deref(), Some("1"));
+    assert_eq!(seen[0].body, "question");
+    assert!(!seen[0].has_key);
+}
+
+/// The first target dies in the middle of an event, or falls silent; the answer goes on from the
+/// last whole event at the other one, under the head of the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_target_after_its_last_whole_event() {
+    for fault in [Behaviour::BreakAfter(2), Behaviour::SilentAfter(2)] {
+        let (one, two, system) = engines(&[fault], &[fault]).await;
+        let answer = system.call("a", "/stream/x").await;
+        assert!(answer.is_whole, "{fault:?}");
+        assert_eq!(answer.body, whole_stream(), "{fault:?}");
+        let seen = [one.seen(), two.seen()].concat();
+        let mut resumed: Vec<Option<u64>> = seen.iter().map(|it| it.last_event).collect();
+        resumed.sort_unstable();
+        assert_eq!(resumed, [None, Some(2)], "{fault:?}");
+        let is_one_first = one.seen().iter().any(|it| it.last_event.is_none());
+        let first = if is_one_first { "one" } else { "two" };
+        assert_eq!(answer.headers[names::SEAL], first, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_cant_be_made_whole_doesnt_look_complete() {
+    let breaks = [Behaviour::BreakEarly, Behaviour::BreakEarly];
+    let (one, two, system) = engines(&breaks, &breaks).await;
+    let seen_before = runs(&one, &two);
+    let answer = system.call("a", "/stream/x").await;
+    assert!(!answer.is_whole);
+    assert!(
+        whole_stream().starts_with(&answer.body),
+        "whole events only"
+    );
+    assert!(
+        runs(&one, &two) - seen_before <= 2,
+        "no more targets than the route allows"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_stream_is_sent_to_another_target() {
+    let (one, two, system) = engines(&[Behaviour::NotRun], &[]).await;
+    for id in ["a", "b", "c"] {
+        let answer = system.call(id, "/stream/x").await;
+        assert_eq!(answer.body, whole_stream(), "{id}");
+    }
+    assert!(runs(&one, &two) <= 4);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_work_at_the_target() {
+    let (one, two, system) =
+        engines(&[Behaviour::SilentAfter(1)], &[Behaviour::SilentAfter(1)]).await;
+    let calling = system.call("a", "/stream/x");
+    let left = tokio::time::timeout(Duration::from_millis(250), calling).await;
+    assert!(left.is_err(), "the stream is silent");
+    system
+        .wait_until(|_| one.dropped() + two.dropped() >= 1)
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_non_idempotent_call_whose_answer_is_lost_runs_once_and_is_told_as_unknown() {
+    let lost = [Behaviour::LoseAnswer];
+    let (one, two, system) = records(&lost, &lost).await;
+    let answer = system.call("a", "/once/x").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(!answer.headers.contains_key(RETRY_AFTER));
+    assert!(!answer.headers.contains_key(names::SEAL));
+    assert_eq!(runs(&one, &two), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_non_idempotent_call_that_didnt_run_may_come_back() {
+    let refused = [Behaviour::NotRun];
+    let (one, two, system) = records(&refused, &refused).await;
+    let answer = system.call("a", "/once/x").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key(RETRY_AFTER));
+    assert_eq!(runs(&one, &two), 1, "one target at most");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_is_asked_again_at_another_target() {
+    for fault in [
+        Behaviour::LoseAnswer,
+        Behaviour::Fail,
+        Behaviour::NotRun,
+        Behaviour::Foreign,
+    ] {
+        let (one, two, system) = records(&[fault], &[]).await;
+        for id in ["a", "b"] {
+            let answer = system.call(id, "/read/x").await;
+            assert_eq!(answer.status, StatusCode::OK, "{fault:?} {id}");
+            assert_eq!(answer.body, "answer");
+        }
+        assert!(runs(&one, &two) <= 3, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_the_name_of_another_request_is_never_passed_on() {
+    let foreign = [Behaviour::Foreign, Behaviour::Foreign];
+    let (one, two, system) = records(&foreign, &foreign).await;
+    let answer = system.call("a", "/once/x").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_ne!(answer.body, "answer");
+    assert_eq!(runs(&one, &two), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_leaves_gets_no_new_work() {
+    let (one, two, mut system) = records(&[], &[]).await;
+    system.announce(&one, Readiness::Leaving);
+    sleep(Duration::from_millis(500)).await;
+    let before = one.seen().len();
+    for number in 0..10 {
+        let answer = system.call(&number.to_string(), "/read/x").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(one.seen().len(), before);
+    assert_eq!(two.seen().len(), 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn routes_and_keys_decide_and_a_new_document_is_in_force_soon() {
+    let (_one, _two, system) = records(&[], &[]).await;
+    let nowhere = system.call("a", "/nowhere/x").await;
+    assert_eq!(nowhere.status, StatusCode::NOT_FOUND);
+    let mut stranger = request("b", "/read/x");
+    stranger.headers_mut().remove(names::KEY);
+    let stranger = system.call_with(stranger).await;
+    assert_eq!(stranger.status, StatusCode::UNAUTHORIZED);
+    let early = system.call("c", "/later/x").await;
+    assert_eq!(early.status, StatusCode::NOT_FOUND);
+    system.replace_routing(2).await;
+    sleep(Duration::from_millis(500)).await;
+    let later = system.call("d", "/later/x").await;
+    assert_eq!(later.status, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_ends_serves_on_and_cuts_no_answer() {
+    let (_one, _two, system) = engines(&[], &[]).await;
+    let ending = tokio::spawn(system.relay.clone().run_until_ended());
+    let running = system.call("a", "/stream/x");
+    system.shutdown.graceful.cancel();
+    let (running, late) = tokio::join!(running, system.call("b", "/stream/x"));
+    assert!(!system.relay.is_ready());
+    for answer in [running, late] {
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, whole_stream());
+    }
+    let after = system.call("c", "/stream/x").await;
+    assert_eq!(after.headers[CONNECTION], "close");
+    ending.await.unwrap();
+}
--- /dev/null
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -0,0 +1,365 @@
+//! A relay with a control and stand-in targets in one process, in a dialect of the tests' own.
+#![allow(dead_code, reason = "each test uses a part")]
+
+mod standin;
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use mgw_contract::target::{Announcement, EngineReport, LoadReport, Readiness, ReportCall};
+use mgw_control::{Control, ControlSettings, Founding, Gateway, Peer, start_control};
+use mgw_relay::{AnswerHead, CallerHead, Dialect, Relay, RelayCalls, RelaySettings, TargetHead};
+use mgw_routing::{
+    CallKind, KeyedWorkspace, Route, RoutedService, Routing, RoutingDocument, Split,
+};
+use mgw_serve::Shutdown;
+use mgw_world::{
+    Accelerator, ForwardingEngine, Incarnation, LayerRange, Limits, Millis, PipelineModel,
+    RoutingVersion, Target, TargetDuty,
+};
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+pub use standin::{Behaviour, EVENTS, Standin};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+const LAYERS: u16 = 4;
+
+/// Names of the tests' own dialect.
+pub mod names {
+    pub const ID: &str = "x-id";
+    pub const TIME: &str = "x-time-left";
+    pub const KEY: &str = "x-key";
+    pub const TARGET: &str = "x-target";
+    pub const WORKSPACE: &str = "x-workspace";
+    pub const CHAIN: &str = "x-chain";
+    pub const LAST_EVENT: &str = "x-last-event";
+    pub const NOT_RUN: &str = "x-not-run";
+    pub const AT_FAULT: &str = "x-at-fault";
+    pub const SEAL: &str = "x-seal";
+}
+
+pub struct System {
+    pub relay: Relay,
+    pub shutdown: Shutdown,
+    pub gateway: Gateway,
+    pub listen: SocketAddr,
+    sequence: u64,
+    _control: Control,
+    _data: TempDir,
+}
+
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the answer came to its proper end.
+    pub is_whole: bool,
+}
+
+impl System {
+    /// Starts a control and a relay that know the targets.
+    pub async fn start(targets: &[&Standin]) -> Self {
+        let data = tempfile::tempdir().unwrap();
+        let control_at = free_address();
+        let settings = ControlSettings {
+            name: control_at.to_string().as_str().into(),
+            vm: "vm".into(),
+            place: "home".into(),
+            region: "here".into(),
+            listen: free_address(),
+            peer_listen: control_at,
+            data: data.path().join("state"),
+            controls: vec![Peer {
+                name: control_at.to_string().as_str().into(),
+                address: control_at,
+            }],
+            group: None,
+            quorum: mgw_control::QuorumSettings::default(),
+            url: String::new(),
+            open_group: false,
+            members: mgw_member::MemberSettings::default(),
+            log: mgw_settings::LogSettings::default(),
+        };
+        let started = start_control(settings, Founding::Alone, Shutdown::default()).await;
+        let control = started.unwrap().unwrap();
+        let listen = free_address();
+        let shutdown = Shutdown::default();
+        let settings = RelaySettings {
+            name: "entry".into(),
+            place: "home".into(),
+            listen,
+            peer_listen: free_address(),
+            controls: vec![control_at],
+            ..RelaySettings::default()
+        };
+        let relay = Relay::start(settings, CALLS, Box::new(Vec::new), shutdown.clone());
+        let mut system = Self {
+            relay: relay.await.unwrap(),
+            shutdown,
+            gateway: control.gateway(),
+            listen,
+            sequence: 0,
+            _control: control,
+            _data: data,
+        };
+        for target in targets {
+            system.announce(target, Readiness::Ready);
+        }
+        system.replace_routing(1).await;
+        system.wait_until(|system| system.relay.is_ready()).await;
+        // The targets came before the routing document or with it.
+        sleep(Duration::from_millis(100)).await;
+        system
+    }
+
+    pub async fn replace_routing(&self, version: u64) {
+        let document = RoutingDocument {
+            version: RoutingVersion(version),
+            source: version.to_string().into_bytes().into(),
+        };
+        let from = Instant::now();
+        while self
+            .gateway
+            .replace_routing(document.clone())
+            .await
+            .is_err()
+        {
+            assert!(from.elapsed() < PATIENCE, "no leader");
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
+    pub fn announce(&mut self, standin: &Standin, readiness: Readiness) {
+        self.sequence += 1;
+        let duty = if standin.is_engine {
+            TargetDuty::Forwarding(ForwardingEngine {
+                service: "pool".into(),
+                accelerator: "card".into(),
+                layers: LayerRange::new(0, LAYERS).ok(),
+            })
+        } else {
+            TargetDuty::Plain {
+                service: "records".into(),
+            }
+        };
+        let target = Target {
+            name: standin.name.as_str().into(),
+            incarnation: Incarnation(1),
+            vm: "vm".into(),
+            place: "home".into(),
+            address: standin.address,
+            duty,
+            limits: Limits {
+                max_requests: 6,
+                kv_bytes: 0,
+                tokens_per_s: 0,
+            },
+        };
+        self.gateway.announce(&Announcement {
+            target,
+            sequence: self.sequence,
+            readiness,
+            load: LoadReport::default(),
+            cache_events: Vec::new(),
+        });
+    }
+
+    pub async fn wait_until(&self, is_so: impl Fn(&Self) -> bool) {
+        let from = Instant::now();
+        while !is_so(self) {
+            assert!(from.elapsed() < PATIENCE, "not seen in time");
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Calls the relay over a new connection.
+    pub async fn call(&self, id: &str, path: &str) -> Answer {
+        self.call_with(request(id, path)).await
+    }
+
+    pub async fn call_with(&self, request: Request<Full<Bytes>>) -> Answer {
+        let stream = TcpStream::connect(self.listen).await.unwrap();
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(connection);
+        let answering = timeout(PATIENCE, sender.send_request(request));
+        let (parts, mut body) = answering.await.unwrap().unwrap().into_parts();
+        let mut text = Vec::new();
+        let is_whole = loop {
+            match timeout(PATIENCE, body.frame()).await.unwrap() {
+                Some(Ok(frame)) => text.extend(frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => break false,
+                None => break true,
+            }
+        };
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8(text).unwrap(),
+            is_whole,
+        }
+    }
+}
+
+pub fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(HOST, "drills.example")
+        .header(names::ID, id)
+        .header(names::KEY, "key")
+        .header(names::TIME, "20000")
+        .body(Full::from("question"))
+        .unwrap()
+}
+
+/// The whole stream that a sound target sends.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(standin::event).collect()
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+const CALLS: RelayCalls = RelayCalls {
+    dialect: Dialect {
+        read_request,
+        write_request,
+        read_answer,
+    },
+    report: ReportCall {
+        path: "/report",
+        read: |_| {
+            Ok(EngineReport {
+                accepted_orders: 0,
+                is_busy: false,
+                layers: None,
+                slowness: 1.0,
+            })
+        },
+    },
+    decode_routing,
+};
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn read_request(headers: &HeaderMap) -> CallerHead {
+    let number = |name| text(headers, name)?.parse().ok();
+    CallerHead {
+        id: text(headers, names::ID).unwrap_or_default().to_owned(),
+        deadline_ms: number(names::TIME).map(Millis),
+        key: text(headers, names::KEY).map(ToOwned::to_owned),
+        last_event: number(names::LAST_EVENT),
+        ..CallerHead::default()
+    }
+}
+
+fn write_request(headers: &mut HeaderMap, head: &TargetHead<'_>) {
+    headers.remove(names::KEY);
+    let mut put = |name: &'static str, text: String| {
+        headers.insert(name, HeaderValue::from_str(&text).unwrap());
+    };
+    put(names::TIME, head.time_left_ms.0.to_string());
+    put(names::TARGET, head.target.to_string());
+    put(names::CHAIN, head.chain.len().to_string());
+    if let Some(workspace) = head.workspace {
+        put(names::WORKSPACE, workspace.to_string());
+    }
+    if let Some(last_event) = head.last_event {
+        put(names::LAST_EVENT, last_event.to_string());
+    }
+}
+
+fn read_answer(_: u16, headers: &HeaderMap) -> AnswerHead {
+    AnswerHead {
+        id: text(headers, names::ID).map(ToOwned::to_owned),
+        not_run: headers.contains_key(names::NOT_RUN),
+        at_fault: text(headers, names::AT_FAULT).and_then(|at| at.parse().ok()),
+    }
+}
+
+fn decode_routing(source: &[u8]) -> Result<Routing, String> {
+    let text = std::str::from_utf8(source).map_err(|error| error.to_string())?;
+    let version: u64 = text.parse().map_err(|_| "no version".to_owned())?;
+    let route = |path: &str, kind, service: &str| Route {
+        name: path.to_owned(),
+        host: "drills.example".to_owned(),
+        path_prefix: path.to_owned(),
+        kind,
+        timeout_ms: Millis(20_000),
+        priority: 1,
+        splits: vec![Split {
+            service: service.into(),
+            weight: 1,
+        }],
+        max_targets: if kind == CallKind::NonIdempotent {
+            1
+        } else {
+            2
+        },
+        is_public: false,
+        is_resumable: kind == CallKind::Stream,
+        pause_aim_ms: Millis(200),
+    };
+    let mut routes = vec![
+        route("/stream/", CallKind::Stream, "pool"),
+        route("/once/", CallKind::NonIdempotent, "records"),
+        route("/read/", CallKind::Idempotent, "records"),
+    ];
+    if version > 1 {
+        routes.push(route("/later/", CallKind::Idempotent, "records"));
+    }
+    let service = |name: &str, model| RoutedService {
+        name: name.into(),
+        max_connections: 100,
+        model,
+    };
+    Ok(Routing {
+        version: RoutingVersion(version),
+        routes,
+        services: vec![service("pool", Some(model())), service("records", None)],
+        workspaces: vec![KeyedWorkspace {
+            name: "marshals".into(),
+            keys: vec!["key".to_owned()],
+            priority: None,
+        }],
+        ..Routing::default()
+    })
+}
+
+fn model() -> PipelineModel {
+    PipelineModel {
+        name: "drill".into(),
+        layers: LAYERS,
+        layer_bytes: 1_000,
+        kv_bytes_per_layer: 1.0,
+        step_ms: 1.0,
+        request_step_ms: 0.01,
+        context_step_ms: 0.01,
+        prefill_tokens_per_ms: 100.0,
+        activation_bytes: 1.0,
+        place_link_bytes_per_ms: 1_000.0,
+        usual_prompt_tokens: 100,
+        usual_answer_tokens: 100,
+        load_ms: Millis(1_000),
+        loads_at_once: 5,
+        accelerators: vec![Accelerator {
+            kind: "card".into(),
+            memory_bytes: 1_000_000,
+            step_factor: 1.0,
+            prefill_factor: 1.0,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -0,0 +1,237 @@
+//! A target that does what a test tells it.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::unfold;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderValue;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::names;
+
+/// Events of a whole answer.
+pub const EVENTS: u64 = 6;
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What a target does with its next request; sound once the list is used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers.
+    Sound,
+    /// Breaks a stream from its start in the middle of the event after this one.
+    BreakAfter(u64),
+    /// Sends nothing more of a stream from its start after this event.
+    SilentAfter(u64),
+    /// Breaks any stream in the middle of its second event.
+    BreakEarly,
+    /// States that it didn't run the request.
+    NotRun,
+    /// Runs the request and breaks the connection without an answer.
+    LoseAnswer,
+    /// Answers with a failure.
+    Fail,
+    /// Answers in the name of another request.
+    Foreign,
+}
+
+/// A request that arrived.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub id: String,
+    pub last_event: Option<u64>,
+    pub has_key: bool,
+    pub workspace: Option<String>,
+    pub chain: Option<String>,
+    pub body: String,
+}
+
+#[derive(Clone)]
+pub struct Standin {
+    pub name: String,
+    pub address: SocketAddr,
+    pub is_engine: bool,
+    plan: Arc<Mutex<VecDeque<Behaviour>>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    dropped: Arc<Mutex<u32>>,
+}
+
+type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Counts an answer whose caller left before its end.
+struct Unfinished {
+    dropped: Arc<Mutex<u32>>,
+    is_finished: bool,
+}
+
+impl Drop for Unfinished {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            *self.dropped.lock() += 1;
+        }
+    }
+}
+
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
+
+impl Standin {
+    pub async fn start(name: &str, is_engine: bool, plan: &[Behaviour]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let standin = Self {
+            name: name.to_owned(),
+            address: listener.local_addr().unwrap(),
+            is_engine,
+            plan: Arc::new(Mutex::new(plan.iter().copied().collect())),
+            seen: Arc::default(),
+            dropped: Arc::default(),
+        };
+        tokio::spawn(standin.clone().serve(listener));
+        standin
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().clone()
+    }
+
+    /// Answers whose caller left before their end.
+    pub fn dropped(&self) -> u32 {
+        *self.dropped.lock()
+    }
+
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let standin = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let standin = standin.clone();
+                    async move { standin.answer(request).await }
+                });
+                // A connection that a behaviour breaks ends with an error.
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        if request.uri().path() == "/report" {
+            return Ok(Response::new(whole("{}")));
+        }
+        let (parts, body) = request.into_parts();
+        let text = |name| {
+            let value = parts.headers.get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let body = body.collect().await.map_err(std::io::Error::other)?;
+        let last_event = text(names::LAST_EVENT).and_then(|it| it.parse().ok());
+        let id = text(names::ID).unwrap_or_default();
+        self.seen.lock().push(Seen {
+            id: id.clone(),
+            last_event,
+            has_key: parts.headers.contains_key(names::KEY),
+            workspace: text(names::WORKSPACE),
+            chain: text(names::CHAIN),
+            body: String::from_utf8(body.to_bytes().to_vec()).unwrap(),
+        });
+        let behaviour = self.plan.lock().pop_front().unwrap_or(Behaviour::Sound);
+        let mut response = Response::new(whole("answer"));
+        match behaviour {
+            Behaviour::LoseAnswer => return Err(std::io::Error::other("answer lost")),
+            Behaviour::NotRun => {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                let stated = HeaderValue::from_static("1");
+                response.headers_mut().insert(names::NOT_RUN, stated);
+            }
+            Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+            _ if self.is_engine => {
+                *response.body_mut() = self.stream(last_event.unwrap_or(0), behaviour);
+            }
+            _ => {}
+        }
+        let named = if behaviour == Behaviour::Foreign {
+            "another"
+        } else {
+            id.as_str()
+        };
+        let headers = response.headers_mut();
+        headers.insert(names::ID, HeaderValue::from_str(named).unwrap());
+        let seal = HeaderValue::from_str(&self.name).unwrap();
+        headers.insert(names::SEAL, seal);
+        Ok(response)
+    }
+
+    fn stream(&self, last_event: u64, behaviour: Behaviour) -> Body {
+        let is_from_start = last_event == 0;
+        let (fault_after, is_silent) = match behaviour {
+            Behaviour::BreakAfter(after) if is_from_start => (Some(after), false),
+            Behaviour::SilentAfter(after) if is_from_start => (Some(after), true),
+            Behaviour::BreakEarly => (Some(last_event + 1), false),
+            _ => (None, false),
+        };
+        let run = StreamRun {
+            last: last_event,
+            fault_after,
+            is_silent,
+            is_broken: false,
+            unfinished: Unfinished {
+                dropped: Arc::clone(&self.dropped),
+                is_finished: false,
+            },
+        };
+        let events = unfold(run, StreamRun::next);
+        StreamBody::new(events.map(|piece| piece.map(Frame::data))).boxed_unsync()
+    }
+}
+
+struct StreamRun {
+    last: u64,
+    fault_after: Option<u64>,
+    is_silent: bool,
+    is_broken: bool,
+    unfinished: Unfinished,
+}
+
+impl StreamRun {
+    async fn next(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
+        sleep(EVENT_PAUSE).await;
+        if self.is_broken {
+            self.unfinished.is_finished = true;
+            return Some((Err(std::io::Error::other("broken off")), self));
+        }
+        if self.fault_after == Some(self.last) {
+            if self.is_silent {
+                std::future::pending::<()>().await;
+            }
+            self.is_broken = true;
+            let half = event(self.last + 1)[..7].to_owned();
+            return Some((Ok(Bytes::from(half)), self));
+        }
+        if self.last == EVENTS {
+            self.unfinished.is_finished = true;
+            return None;
+        }
+        self.last += 1;
+        Some((Ok(Bytes::from(event(self.last))), self))
+    }
+}
+
+fn whole(text: &'static str) -> Body {
+    let full = Full::from(text);
+    full.map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
