--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -10,10 +10,12 @@
 use mgw_member::{Exchange, ExchangeReply, NodeId};
 use mgw_peer::{
     CallFailure, ConfigAnswer, ConfigQuestion, FoundingState, GROUP_NAME, GroupError, GroupFiles,
-    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, answer_peers, bind_peer_listener,
-    serve_peers,
+    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, RoutingQuestion, WatchAnswer,
+    WatchQuestion, answer_peers, bind_peer_listener, serve_peers,
 };
 use mgw_quorum::{Envelope, ReplicaId};
+use mgw_route::{EntryUse, OthersUse};
+use mgw_routing::RoutingDocument;
 use mgw_state::{Command, Reply};
 use mgw_world::{Millis, NodeName};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
@@ -61,6 +63,27 @@
     async fn join(self, _: Context, _: JoinRequest) -> Result<(), PeerError> {
         Err(PeerError::NotAControl)
     }
+
+    async fn watch(self, _: Context, _: WatchQuestion) -> Result<WatchAnswer, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn share_use(
+        self,
+        _: Context,
+        _: NodeName,
+        _: EntryUse,
+    ) -> Result<OthersUse, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
+    async fn routing(
+        self,
+        _: Context,
+        _: RoutingQuestion,
+    ) -> Result<Option<RoutingDocument>, PeerError> {
+        Err(PeerError::NotAControl)
+    }
 }
 
 /// Makes the files of one process of a new group in a folder.
