A new retry budget takes many entries to share it

Each entry that restarted made its budget before it had heard of the others and so with all of the saved retries instead of a sixth.

Change: until entries are heard, 32 are taken to share; a higher limit has to be earned.

Test without the bench: a_higher_limit_of_saved_retries_has_to_be_earned.

--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -68,12 +68,7 @@
         Err(PeerError::NotAControl)
     }
 
-    async fn share_use(
-        self,
-        _: Context,
-        _: NodeName,
-        _: EntryUse,
-    ) -> Result<OthersUse, PeerError> {
+    async fn share_use(self, _: Context, _: NodeName, _: EntryUse) -> Result<OthersUse, PeerError> {
         Err(PeerError::NotAControl)
     }
 
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -22,6 +22,10 @@
 use crate::targets::{Connections, PlainChoice, Roster};
 use crate::waiting::Waiting;
 
+/// Entries that a process takes to share a retry budget until it has heard of them: all that restart
+/// together begin with a new budget.
+const STARTING_ENTRIES: u32 = 32;
+
 /// What the parts of a relay share.
 pub struct App {
     /// Settings of the process.
@@ -223,8 +227,9 @@
             return work(budget);
         }
         let shared = self.settings.retries;
+        let entries = (*self.entries.lock()).max(STARTING_ENTRIES);
         let settings = RetryBudgetSettings {
-            max_saved: shared.max_saved / (*self.entries.lock()).max(1),
+            max_saved: shared.max_saved / entries,
             ..shared
         };
         work(
--- a/crates/mgw-route/tests/limits.rs
+++ b/crates/mgw-route/tests/limits.rs
@@ -5,7 +5,7 @@
 use mgw_contract::caller::Reason;
 use mgw_route::{
     Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
-    LatencyLimit, LatencyLimitSettings,
+    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings,
 };
 use mgw_world::{Millis, RequestId};
 use proptest::prelude::*;
@@ -396,3 +396,21 @@
         }
     }
 }
+
+/// Load pattern: all entries restart at once, each with a new budget, and learn only then how many
+/// they are.
+#[test]
+fn a_higher_limit_of_saved_retries_has_to_be_earned() {
+    let settings = RetryBudgetSettings {
+        retries_per_hundred: 10,
+        max_saved: 2,
+    };
+    let mut budget = RetryBudget::new(settings);
+    budget.set_max_saved(20);
+    let taken = (0..20).filter(|_| budget.try_retry()).count();
+    assert_eq!(taken, 2);
+    (0..1_000).for_each(|_| budget.count_request());
+    budget.set_max_saved(5);
+    let taken = (0..20).filter(|_| budget.try_retry()).count();
+    assert_eq!(taken, 5);
+}
