--- a/crates/mgw-cli/tests/pages.rs
+++ b/crates/mgw-cli/tests/pages.rs
@@ -64,12 +64,13 @@
         "README.md",
         "docs/CAPACITY.md",
         "docs/PROMISES.md",
-        "docs/OPERATING.md",
+        "docs/OPERATIONS.md",
         "docs/GLOSSARY.md",
         "docs/MEASUREMENTS.md",
         "docs/INTERFACES.md",
-        "docs/DEVELOPING.md",
+        "DEVELOPERS.md",
         "docs/design/house-style.md",
+        "docs/design/platform.md",
         "docs/design/related-paper.md",
     ];
     let mut broken = Vec::new();
@@ -189,7 +190,7 @@
 
 #[test]
 fn settings_reference_lists_every_key() {
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     let sections = sections! {
         "Entry": mgw_entry::EntrySettings;
         "Entry: `peers`, `controls`; control: `controls`": mgw_entry::Peer;
@@ -257,7 +258,7 @@
 
 #[test]
 fn settings_reference_lists_the_defaults() {
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     defaults! { &page,
         "`log`": mgw_settings::LogSettings;
         "Entry: `pipe`": mgw_pipe::PipeSettings;
@@ -282,7 +283,7 @@
 
 #[test]
 fn metrics_are_described() {
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     let names = metric_names();
     let missing: Vec<&String> = names
         .iter()
@@ -291,10 +292,10 @@
     assert!(missing.is_empty(), "metrics without a row: {missing:?}");
 }
 
-/// Names of the metrics in the sources of control and entry.
+/// Names of the metrics in the sources of control, entry and relay.
 fn metric_names() -> Vec<String> {
-    let sources =
-        ["mgw-control", "mgw-entry"].map(|area| read(&format!("crates/{area}/src/metrics.rs")));
+    let sources = ["mgw-control", "mgw-entry", "mgw-relay"]
+        .map(|area| read(&format!("crates/{area}/src/metrics.rs")));
     let texts = sources
         .iter()
         .flat_map(|source| source.split('"').skip(1).step_by(2));
--- a/scripts/operating.sh
+++ b/scripts/operating.sh
@@ -1,17 +1,17 @@
 #!/usr/bin/env bash
-# Runs the commands of docs/OPERATING.md, as they stand there and in order, on a local system: each
+# Runs the commands of docs/OPERATIONS.md, as they stand there and in order, on a local system: each
 # box that follows a line `<!-- run -->`. Exits with 1 at the first command that fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
 
-page=$PWD/docs/OPERATING.md
+page=$PWD/docs/OPERATIONS.md
 
 # Prints the commands of all boxes, each after a line that names its place in the page.
 print_commands() {
     awk '
         /^<!-- run -->$/ { marked = 1; next }
-        marked && /^```sh$/ { marked = 0; inside = 1; print "echo \"== docs/OPERATING.md:" NR "\" >&2"; next }
+        marked && /^```sh$/ { marked = 0; inside = 1; print "echo \"== docs/OPERATIONS.md:" NR "\" >&2"; next }
         /^```$/ { inside = 0 }
         inside { print }
     ' "$page"
@@ -69,5 +69,5 @@
 end_restarted
 stop_all
 [ -z "$unclean" ] || { say "not ended cleanly:$unclean; logs are in $folder"; exit 1; }
-say "all commands of docs/OPERATING.md ran"
+say "all commands of docs/OPERATIONS.md ran"
 rm -rf "$folder"
