--- a/crates/mgw-place/tests/placement.rs
+++ b/crates/mgw-place/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Plans of layers, and the orders that follow from them.
 
+#![allow(clippy::unwrap_used)]
+
 use mgw_contract::target::EngineReport;
 use mgw_place::{Engine, EngineView, OrderOutcome, PlaceOrder, Placer, PlacerSettings, plan_place};
 use mgw_world::{Accelerator, Incarnation, LayerRange, Millis, PipelineModel};
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! How often a request is sent, what a pause means, and who may get new work.
 
+#![allow(clippy::unwrap_used)]
+
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
 use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
 use mgw_relay::{EntriesLoad, Patience, PauseVerdict, Roster, Tries, TryEnd, Waiting};
--- a/crates/mgw-relay/tests/events.rs
+++ b/crates/mgw-relay/tests/events.rs
@@ -1,5 +1,7 @@
 //! Whole events in order, whatever the pieces that they come in and the targets that send them.
 
+#![allow(clippy::unwrap_used)]
+
 use bytes::Bytes;
 use mgw_relay::{EventFault, EventOrder, Splitter};
 
--- a/crates/mgw-relay/tests/relaying.rs
+++ b/crates/mgw-relay/tests/relaying.rs
@@ -1,6 +1,8 @@
 //! Callers get whole answers to their own requests, whatever targets do, and nothing runs twice
 //! that must not.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use std::time::Duration;
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A relay with a control and stand-in targets in one process, in a dialect of the tests' own.
 #![allow(dead_code, reason = "each test uses a part")]
+#![allow(clippy::unwrap_used)]
 
 mod standin;
 
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -1,5 +1,7 @@
 //! A target that does what a test tells it.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -1,5 +1,7 @@
 //! Choice of chains: coverage, zones, room, faults, and the load patterns that it answers.
 
+#![allow(clippy::unwrap_used)]
+
 mod chain_support;
 
 use chain_support::{router, target};
--- a/crates/mgw-route/tests/chain_support/mod.rs
+++ b/crates/mgw-route/tests/chain_support/mod.rs
@@ -1,5 +1,7 @@
 //! A zone-spread fleet of forwarding engines for the tests of chains.
 
+#![allow(clippy::unwrap_used)]
+
 use mgw_route::{ChainRouter, ChainSettings, ChainTarget};
 use mgw_world::{Accelerator, Incarnation, LayerRange, Millis, PipelineModel};
 
