Slow targets are asked less often the more entries there are

Change: for slowness, each entry asks a target at most every 0.3 s times the number of entries, and believes the answer as long; silence is probed as before.

--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -17,7 +17,7 @@
 /// Time after which an engine that didn't answer is asked again.
 const REPEAT_MS: Millis = Millis(1_000);
 /// How often it is asked again.
-const REPEATS: u32 = 5;
+const REPEATS: u32 = 3;
 /// Largest answer to a probe.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use mgw_contract::target::{Announcement, EngineReport, LoadReport, Readiness, ReportCall};
 use mgw_control::{Control, ControlSettings, Founding, Gateway, Peer, start_control};
 use mgw_relay::{AnswerHead, CallerHead, Dialect, Relay, RelayCalls, RelaySettings, TargetHead};
+use mgw_route::RetryBudgetSettings;
 use mgw_routing::{
     CallKind, KeyedWorkspace, Route, RoutedService, Routing, RoutingDocument, Split,
 };
@@ -100,6 +101,11 @@
             listen,
             peer_listen: free_address(),
             controls: vec![control_at],
+            // Enough for the retries of a test, whatever share of it a new process takes.
+            retries: RetryBudgetSettings {
+                max_saved: 1_000,
+                ..RetryBudgetSettings::default()
+            },
             ..RelaySettings::default()
         };
         let relay = Relay::start(settings, CALLS, Box::new(Vec::new), shutdown.clone());
--- a/crates/mgw-route/src/chain/evidence.rs
+++ b/crates/mgw-route/src/chain/evidence.rs
@@ -13,6 +13,9 @@
     pub suspected_ms: Millis,
     /// Shortest time between two probes of a target.
     pub probe_pause_ms: Millis,
+    /// Shortest time between two probes of a target that is only slow, for each entry: all entries
+    /// together then ask it a bounded number of times a second.
+    pub inspect_pause_ms: Millis,
     /// How long the slowness that a probe showed is believed.
     pub slow_ms: Millis,
 }
@@ -24,6 +27,7 @@
             dead_ms: Millis(6_000),
             suspected_ms: Millis(700),
             probe_pause_ms: Millis(1_500),
+            inspect_pause_ms: Millis(300),
             slow_ms: Millis(4_000),
         }
     }
@@ -87,10 +91,8 @@
     }
 
     /// Whether a probe is due; notes that it is sent.
-    pub fn take_probe(&mut self, settings: &EvidenceSettings, now: Millis) -> bool {
-        let is_due = self
-            .probed_at
-            .is_none_or(|at| now - at >= settings.probe_pause_ms);
+    pub fn take_probe(&mut self, pause_ms: Millis, now: Millis) -> bool {
+        let is_due = self.probed_at.is_none_or(|at| now - at >= pause_ms);
         if is_due {
             self.probed_at = Some(now);
         }
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -343,7 +343,7 @@
                 continue;
             }
             suspicion.silent += 1;
-            if member.standing.take_probe(&evidence, now) {
+            if member.standing.take_probe(evidence.probe_pause_ms, now) {
                 member.standing.block(now + evidence.suspected_ms);
                 suspicion.probes.push(to_hop(&member.target, layers));
             }
@@ -351,17 +351,27 @@
         suspicion
     }
 
+    /// Shortest time between two probes of a slow target by this entry.
+    fn inspect_pause_ms(&self) -> Millis {
+        let evidence = self.settings.evidence;
+        let entries = u64::from(self.settings.entries);
+        evidence
+            .inspect_pause_ms
+            .times(entries)
+            .max(evidence.probe_pause_ms)
+    }
+
     /// Targets of a chain to probe because a request on it goes slowly; nothing is held against
     /// them yet.
     pub fn inspect(&mut self, hold: ChainHold, now: Millis) -> Vec<Hop> {
-        let evidence = self.settings.evidence;
+        let pause_ms = self.inspect_pause_ms();
         let Some(held) = self.holds.get(hold) else {
             return Vec::new();
         };
         let mut due = Vec::new();
         for &(key, layers) in &held.parts {
             let member = self.fleet.get_mut(key);
-            if member.standing.take_probe(&evidence, now) {
+            if member.standing.take_probe(pause_ms, now) {
                 due.push(to_hop(&member.target, layers));
             }
         }
@@ -386,7 +396,12 @@
 
     /// Takes the answer to a probe.
     pub fn take_probe(&mut self, name: &TargetName, outcome: ProbeOutcome, now: Millis) {
-        let evidence = self.settings.evidence;
+        // What a probe showed is believed at least until the next one may be sent.
+        let believed_ms = self.settings.evidence.slow_ms.max(self.inspect_pause_ms());
+        let evidence = EvidenceSettings {
+            slow_ms: believed_ms,
+            ..self.settings.evidence
+        };
         if let Some(key) = self.fleet.find(name) {
             let standing = &mut self.fleet.get_mut(key).standing;
             standing.take_outcome(outcome, &evidence, now);
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -280,3 +280,16 @@
     let others = board.exchange("here", nothing, Millis(10_000));
     assert_eq!(others, OthersUse::default());
 }
+
+/// Load pattern: many entries see the same slow targets at once.
+#[test]
+fn the_more_entries_the_more_seldom_each_asks_a_slow_target() {
+    for (entries, pause_ms) in [(1, 1_500), (9, 2_700), (57, 17_100)] {
+        let mut router = router(two_zones());
+        router.set_entries(entries);
+        let chain = router.choose(&REQUEST, Millis(0)).unwrap();
+        assert_eq!(router.inspect(chain.hold, Millis(0)).len(), 2);
+        assert!(router.inspect(chain.hold, Millis(pause_ms - 1)).is_empty());
+        assert_eq!(router.inspect(chain.hold, Millis(pause_ms)).len(), 2);
+    }
+}
