--- a/crates/mgw-relay/src/stream/mod.rs
+++ b/crates/mgw-relay/src/stream/mod.rs
@@ -2,7 +2,10 @@
 
 mod body;
 mod events;
+mod fault;
 mod leg;
+mod moving;
+mod open;
 mod patience;
 mod run;
 
