--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -16,7 +16,7 @@
 use crate::callers::{Call, Refusal, RelayBody, whole_body};
 use crate::dialect::TargetHead;
 use crate::targets::{PlainHold, SendFailure, Sending, send};
-use crate::tries::{Tries, TryEnd};
+use crate::tries::{Tries, TryEnd, says_not_run};
 
 /// Least time that a target gets for an idempotent call before another one is asked.
 const MIN_TRY_MS: Millis = Millis(250);
@@ -208,7 +208,7 @@
         body,
     };
     // These statuses tell a caller that the request didn't run, which the target didn't say.
-    if is_not_run_status(status.as_u16()) {
+    if says_not_run(status.as_u16()) {
         return End::Not(
             TryEnd::Unknown,
             "status without the word that it didn't run",
@@ -230,10 +230,6 @@
     Millis(left.0 / 2).max(MIN_TRY_MS).min(last_ms)
 }
 
-const fn is_not_run_status(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 fn pass_on(whole: Whole) -> Response<RelayBody> {
     let mut parts = whole.parts;
     parts.headers.remove(CONTENT_LENGTH);
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -16,7 +16,7 @@
 use crate::callers::{RelayBody, whole_body};
 use crate::dialect::TargetHead;
 use crate::targets::{Answer, Sending, probe_hops, send};
-use crate::tries::TryEnd;
+use crate::tries::{TryEnd, says_not_run};
 
 /// Longest time between two looks for room or targets: other entries free room too.
 const LOOK_MS: Millis = Millis(80);
@@ -78,8 +78,9 @@
         }
         let status = answer.parts.status;
         if !status.is_success() {
-            let is_promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-            if is_promise || status.is_server_error() && self.tries.sent() == 0 {
+            // Its word that the request didn't run is missing, so the status isn't passed on.
+            let is_unproven = says_not_run(status.as_u16());
+            if is_unproven || status.is_server_error() && self.tries.sent() == 0 {
                 self.avoid.push(place.hops[0].target.clone());
                 return Err(NoLeg::Ended(TryEnd::Unknown, "target failed"));
             }
--- a/crates/mgw-relay/src/tries.rs
+++ b/crates/mgw-relay/src/tries.rs
@@ -17,6 +17,12 @@
     Unknown,
 }
 
+/// Whether a status tells a caller that its request didn't run and never will.
+#[must_use]
+pub const fn says_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Most sends that failed before a byte left, for one request.
 const MAX_UNSENT: u32 = 3;
 /// Sends of a repeatable request beyond its targets, for those that stated that they didn't run it.
