Tests take ports that outgoing connections can't take

The port had been chosen from the system's range for outgoing connections and given back, and a connection took it before the entry started.

Ruled out: a fault of the views; the others stood and waited for entry-1 alone.

--- a/crates/mgw-entry/tests/support/mod.rs
+++ b/crates/mgw-entry/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use hyper::{Request, StatusCode};
@@ -59,9 +60,24 @@
     }
 }
 
+/// First port that tests take; below those that the system gives to outgoing connections, so that
+/// none of them can take a port between its choice and the start of the process that listens there.
+const FIRST_PORT: u32 = 12_000;
+/// Number of ports that tests take.
+const PORTS: u32 = 20_000;
+/// Ports that one process of tests takes before it may meet those of another.
+const PORTS_OF_PROCESS: u32 = 100;
+
 fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address").port()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let from = std::process::id().wrapping_mul(PORTS_OF_PROCESS);
+    loop {
+        let next = from.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(FIRST_PORT + next % PORTS).expect("a port");
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 impl System {
