Read again: a count without a walk, framing taken out once, an inner type kept inside

Cause, found in reading the diff: each answer to a caller asked for the whole use of all chains (a walk over the targets) to learn how many streams run; the framing of a target's answer was taken out in three places, of which one field is gone already where the head is read; HeldOrder was exported and used by nobody.

Change: ChainRouter::requests, one removal in targets/send.rs, HeldOrder private. No change of behaviour.

--- a/crates/mgw-place/src/lib.rs
+++ b/crates/mgw-place/src/lib.rs
@@ -4,5 +4,5 @@
 mod plan;
 mod window;
 
-pub use placer::{EngineView, HeldOrder, OrderOutcome, PlaceOrder, Placer, PlacerSettings};
+pub use placer::{EngineView, OrderOutcome, PlaceOrder, Placer, PlacerSettings};
 pub use plan::{Engine, plan_place};
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -86,11 +86,11 @@
 
 /// An order that was given, until its effect is announced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HeldOrder {
+struct HeldOrder {
     /// Layers ordered.
-    pub layers: LayerRange,
+    layers: LayerRange,
     /// When its effect must have been announced.
-    pub due_at: Millis,
+    due_at: Millis,
 }
 
 #[derive(Debug, Clone, Default)]
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -180,9 +180,7 @@
     #[must_use]
     pub fn in_flight(&self) -> u32 {
         let chains = self.chains.lock();
-        let held = chains
-            .values()
-            .map(|router| router.load(Millis::ZERO).requests);
+        let held = chains.values().map(ChainRouter::requests);
         u32::try_from(held.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use mgw_routing::CallKind;
 use mgw_world::{Millis, TargetName};
@@ -231,8 +230,5 @@
 }
 
 fn pass_on(whole: Whole) -> Response<RelayBody> {
-    let mut parts = whole.parts;
-    parts.headers.remove(CONTENT_LENGTH);
-    parts.headers.remove(TRANSFER_ENCODING);
-    Response::from_parts(parts, whole_body(whole.body))
+    Response::from_parts(whole.parts, whole_body(whole.body))
 }
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -4,7 +4,6 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use mgw_route::{ChainHold, ChainRequest, NoChain};
 use mgw_world::Millis;
@@ -236,11 +235,8 @@
     let body = http_body_util::Limited::new(answer.body, MAX_FAILURE_BYTES);
     match body.collect().await {
         Ok(collected) => {
-            let mut parts = answer.parts;
-            parts.headers.remove(CONTENT_LENGTH);
-            parts.headers.remove(TRANSFER_ENCODING);
             let body = whole_body(collected.to_bytes());
-            NoLeg::Failed(Box::new(Response::from_parts(parts, body)))
+            NoLeg::Failed(Box::new(Response::from_parts(answer.parts, body)))
         }
         Err(_) => NoLeg::Ended(TryEnd::Unknown, "answer broke off"),
     }
--- a/crates/mgw-relay/src/stream/run.rs
+++ b/crates/mgw-relay/src/stream/run.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use mgw_route::NoChain;
 use mgw_world::{Millis, TargetName};
@@ -177,12 +176,10 @@
         );
     }
 
-    fn begin(mut self, mut parts: Box<Parts>, first: Bytes) -> StreamStart {
+    fn begin(mut self, parts: Box<Parts>, first: Bytes) -> StreamStart {
         self.has_begun = true;
         let ms = self.app.clock.now() - self.call.arrived_at;
         self.app.metrics.first_event.observe(to_seconds(ms));
-        parts.headers.remove(CONTENT_LENGTH);
-        parts.headers.remove(TRANSFER_ENCODING);
         info!(
             id = %self.call.head.id,
             route = %self.call.route.name,
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::http::response::Parts;
 use hyper::{Method, Request};
 use mgw_world::Millis;
@@ -120,6 +122,8 @@
         return Err(SendFailure::Foreign);
     }
     strip_connection_fields(&mut parts.headers);
+    // The body is framed anew towards the caller.
+    parts.headers.remove(CONTENT_LENGTH);
     Ok(Answer {
         parts,
         head,
@@ -134,7 +138,7 @@
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let mut headers = sending.headers.clone();
     strip_connection_fields(&mut headers);
-    headers.remove(hyper::header::CONTENT_LENGTH);
+    headers.remove(CONTENT_LENGTH);
     headers.remove(hyper::header::EXPECT);
     (app.calls.dialect.write_request)(&mut headers, &sending.head);
     let mut request = Request::builder()
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -408,6 +408,12 @@
         }
     }
 
+    /// Requests that hold a chain.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.holds.len()
+    }
+
     /// Use of the targets.
     #[must_use]
     pub fn load(&self, now: Millis) -> ChainLoad {
@@ -425,7 +431,7 @@
         ChainLoad {
             targets: self.fleet.iter().count(),
             blocked: blocked.count(),
-            requests: self.holds.len(),
+            requests: self.requests(),
             entries: self.settings.entries,
             knows_others: others != Others::Guessed,
             used_share: used / f64::max(capacity, 1.0),
