Step windows grow only while a whole window waits, and fall while less does

The window had grown in the first seconds, when all sessions start at the first stage, and nothing let it fall again.

Change: a window grows only while at least a window of steps waits, and falls by a quarter of the message while less, but something, waits.

--- a/crates/mgw-route/src/limit/step_window.rs
+++ b/crates/mgw-route/src/limit/step_window.rs
@@ -9,7 +9,8 @@
     pub min: f64,
     /// The window never rises above this number of steps.
     pub max: f64,
-    /// The window grows while a message takes at most this multiple of the unloaded time.
+    /// The window grows only while a message takes at most this multiple of the unloaded time, and a
+    /// whole window waits.
     pub tolerance: f64,
     /// Part of the window that a whole window of slow steps takes off.
     pub decrease: f64,
@@ -29,6 +30,9 @@
 
 /// Weight of one message in the short average.
 const SHORT_WEIGHT: f64 = 0.1;
+/// Part of a message by which the window falls while less than a window waits: with all steps in few
+/// messages, stages stand idle between them.
+const FALL_PART: f64 = 0.25;
 /// Rate at which the unloaded time drifts up towards the short average.
 const BASE_DRIFT: f64 = 0.000_1;
 
@@ -103,8 +107,10 @@
         let part = steps as f64 / self.allowed;
         if took_ms > self.base_ms * self.settings.tolerance {
             self.allowed *= 1.0 - self.settings.decrease * part.min(1.0);
-        } else if waiting > 0 {
+        } else if waiting as f64 >= self.allowed {
             self.allowed += part;
+        } else if waiting > 0 {
+            self.allowed -= part * FALL_PART;
         }
         self.allowed = self.allowed.clamp(self.settings.min, self.settings.max);
     }
