Controls name each other in answers to watches, so restarted entries find all targets at once

"All targets are full" 762 times with used_share 0.25 to 0.5. Ruled out: workers that come back late (the controls' lines show 69 and 21 announcements in two seconds), lost routing documents (84 of 84 entries fetched it at 36 s).

Change: an answer to a watch names the controls that the answering one knows; one in an open group also knows the members on its disk, which carry their addresses as names. An entry watches each of them at once.

--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -1,5 +1,6 @@
 //! What the parts of a control share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgw_member::View;
@@ -28,6 +29,8 @@
     pub view: Arc<Mutex<View>>,
     /// Connections to the other processes.
     pub pool: Arc<PeerPool>,
+    /// Other controls that were known at the last look.
+    pub controls: Mutex<Vec<SocketAddr>>,
     /// Entries' use of targets.
     pub uses: Mutex<UseBoard>,
     /// Notified when a target's state changes here.
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -134,6 +134,7 @@
             return WatchAnswer {
                 reply: app.view.lock().answer_watch(&question.exchange, now),
                 routing: version,
+                controls: app.controls.lock().clone(),
             };
         }
         // Leases that run out are news that nobody is notified of.
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -259,6 +259,7 @@
             commit_limit_ms,
         },
         view: start_view(&settings, seed, clock.now()),
+        controls: Mutex::default(),
         uses: Mutex::default(),
         news: Notify::new(),
         metrics: Metrics::new().map_err(|error| start_error(&error))?,
--- a/crates/mgw-control/src/watches.rs
+++ b/crates/mgw-control/src/watches.rs
@@ -2,6 +2,7 @@
 //! elsewhere.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgw_peer::{Watch, watch_control};
@@ -16,6 +17,24 @@
 /// Time between two looks for controls that aren't watched yet.
 const LOOK_MS: Millis = Millis(1_000);
 
+/// Brings the list of the other controls up to date: those that were heard of, and, in a group whose
+/// members are named by their addresses, the members on the disk. After a restart of all machines
+/// nothing has been heard yet.
+async fn know_controls(app: &App) -> Vec<SocketAddr> {
+    let mut known = list_controls(app);
+    if app.settings.open_group
+        && let Some(report) = app.replica.describe().await
+    {
+        let members = report.membership.voters.iter();
+        let members = members.filter_map(|id| id.name.parse::<SocketAddr>().ok());
+        known.extend(members.filter(|address| *address != app.settings.peer_listen));
+        known.sort_unstable();
+        known.dedup();
+    }
+    app.controls.lock().clone_from(&known);
+    known
+}
+
 /// Starts a watch of each other control until the token is cancelled.
 pub async fn watch_controls(app: Arc<App>, ended: CancellationToken) {
     let watch = Watch {
@@ -23,12 +42,14 @@
         pool: Arc::clone(&app.pool),
         clock: app.clock.clone(),
         changed: Arc::new(Notify::new()),
+        heard_controls: Arc::new(|_| {}),
         // Documents come through the log.
         heard_routing: Arc::new(|_, _| {}),
     };
     let mut watched = BTreeSet::new();
     loop {
-        for address in list_controls(&app) {
+        let known = know_controls(&app).await;
+        for address in known {
             if watched.insert(address) {
                 tokio::spawn(watch_control(watch.clone(), address, ended.clone()));
             }
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -92,6 +92,9 @@
     pub reply: ExchangeReply,
     /// Version of the routing document held there.
     pub routing: RoutingVersion,
+    /// Other controls that are known there, so that an asker which has just started finds them all
+    /// at once.
+    pub controls: Vec<SocketAddr>,
 }
 
 /// Asks for the routing document.
--- a/crates/mgw-peer/src/watch.rs
+++ b/crates/mgw-peer/src/watch.rs
@@ -31,6 +31,8 @@
     pub clock: Clock,
     /// Notified with each piece of news.
     pub changed: Arc<Notify>,
+    /// Told which other controls a control knows.
+    pub heard_controls: Arc<dyn Fn(&[SocketAddr]) + Send + Sync>,
     /// Told the version of the routing document that a control holds.
     pub heard_routing: Arc<dyn Fn(SocketAddr, RoutingVersion) + Send + Sync>,
 }
@@ -88,6 +90,7 @@
         .view
         .lock()
         .take_watch(address, &answer.reply, sent_at, now);
+    (watch.heard_controls)(&answer.controls);
     if answer.routing > *routing {
         *routing = answer.routing;
         (watch.heard_routing)(address, answer.routing);
--- a/crates/mgw-relay/src/follow/controls.rs
+++ b/crates/mgw-relay/src/follow/controls.rs
@@ -7,6 +7,8 @@
 use mgw_member::NodeRole;
 use mgw_peer::{Watch, watch_control};
 use mgw_world::Millis;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -27,17 +29,22 @@
     ended: CancellationToken,
 ) {
     let heard = news.clone();
+    let named = Arc::new(Named::default());
+    let naming = Arc::clone(&named);
     let watch = Watch {
         view: Arc::clone(&app.view),
         pool: Arc::clone(&app.peers),
         clock: app.clock.clone(),
         changed: Arc::clone(&app.targets_changed),
+        heard_controls: Arc::new(move |controls| naming.add(controls)),
         heard_routing: Arc::new(move |control, version| heard.hear(control, version)),
     };
     let mut watched: BTreeSet<SocketAddr> = BTreeSet::new();
     let mut is_reload = false;
     loop {
+        let told = named.changed.notified();
         let mut addresses = list_controls(&app);
+        addresses.extend(named.addresses.lock().iter());
         if is_reload || !hears_control(&app) {
             addresses.extend(find_controls());
         }
@@ -48,12 +55,31 @@
         }
         tokio::select! {
             () = ended.cancelled() => return,
+            () = told => is_reload = false,
             () = app.shutdown.reload.notified() => is_reload = true,
             () = sleep(LOOK_MS.to_duration()) => is_reload = false,
         }
     }
 }
 
+/// Controls that other controls have named.
+#[derive(Debug, Default)]
+struct Named {
+    addresses: Mutex<BTreeSet<SocketAddr>>,
+    changed: Notify,
+}
+
+impl Named {
+    fn add(&self, controls: &[SocketAddr]) {
+        let mut addresses = self.addresses.lock();
+        let before = addresses.len();
+        addresses.extend(controls);
+        if addresses.len() > before {
+            self.changed.notify_one();
+        }
+    }
+}
+
 fn list_controls(app: &App) -> Vec<SocketAddr> {
     let now = app.clock.now();
     let view = app.view.lock();
