--- a/crates/mgw-control/tests/system/processes.rs
+++ b/crates/mgw-control/tests/system/processes.rs
@@ -5,10 +5,10 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::{Mutex, OnceLock};
+use std::sync::Mutex;
 
 use mgw_serve::http::{HttpClient, unpooled_client};
-use mgw_testkit::own_ip;
+use mgw_testkit::{build_programs, own_ip};
 use tempfile::TempDir;
 
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
@@ -185,27 +185,13 @@
     assert!(command.status().unwrap().success());
 }
 
-/// The program for a process, next to the control's; built first if need be.
+/// The program for a process.
 fn binary_of(name: &str) -> PathBuf {
-    static BUILT: OnceLock<()> = OnceLock::new();
-    let control = Path::new(env!("CARGO_BIN_EXE_mgw-control"));
-    BUILT.get_or_init(|| build_others(control));
     let program = match name.split_once('-') {
         None => "mgw",
         Some(("control", _)) => "mgw-control",
         Some(("entry", _)) => "mgw-entry",
         Some(_) => "mgw-standin",
     };
-    control.with_file_name(program)
-}
-
-fn build_others(control: &Path) {
-    let folder = control.parent().unwrap();
-    let mut cargo = Command::new(env!("CARGO"));
-    cargo.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
-    if folder.ends_with("release") {
-        cargo.arg("--release");
-    }
-    cargo.arg("--target-dir").arg(folder.parent().unwrap());
-    assert!(cargo.current_dir(ROOT).status().unwrap().success());
+    build_programs(Path::new(env!("CARGO_BIN_EXE_mgw-control"))).join(program)
 }
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -5,7 +5,10 @@
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
-use mgw_route::{ChainRouter, ChainTarget, OthersUse, RetryBudget, RetryBudgetSettings, TargetUse};
+use mgw_route::{
+    ChainRouter, ChainTarget, EntryUse, OthersUse, RetryBudget, RetryBudgetSettings, ServiceSends,
+    grant_retries,
+};
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
@@ -23,6 +26,10 @@
 use crate::waiting::Waiting;
 
 /// Entries that a process takes to share a retry budget until it has heard of them: all that restart
+/// Part of the entries whose words must be known for a grant; the rest may have restarted.
+const HEARD_PART: f64 = 0.9;
+/// Age beyond which the others' words on their sends grant no more retries.
+const BUDGET_WORD_MS: Millis = Millis(2_500);
 /// together begin with a new budget.
 const STARTING_ENTRIES: u32 = 32;
 
@@ -156,19 +163,38 @@
         self.chains.lock().get_mut(service).map(work)
     }
 
-    /// Use of targets by the requests of this process.
+    /// What the other entries are told of this one.
     #[must_use]
-    pub fn own_uses(&self) -> Vec<TargetUse> {
+    pub fn own_word(&self) -> EntryUse {
+        let now = self.clock.now();
+        let requests = self.in_flight();
         let chains = self.chains.lock();
-        chains.values().flat_map(ChainRouter::own_uses).collect()
+        let routers = chains.values();
+        EntryUse {
+            requests,
+            uses: routers.clone().flat_map(ChainRouter::own_uses).collect(),
+            lost: routers.flat_map(|router| router.own_lost(now)).collect(),
+            sends: self.own_sends(),
+        }
+    }
+
+    fn own_sends(&self) -> Vec<ServiceSends> {
+        let budgets = self.retries.lock();
+        let sends = budgets.iter().map(|(service, budget)| ServiceSends {
+            service: service.clone(),
+            first: budget.requests(),
+            further: budget.retries(),
+        });
+        sends.collect()
     }
 
     /// Takes the use of all other entries together.
     pub fn set_others(&self, others: &OthersUse) {
         let now = self.clock.now();
         for router in self.chains.lock().values_mut() {
-            router.set_others(&others.uses, now);
+            router.set_others(&others.uses, &others.lost, now);
         }
+        self.take_sends(others);
         *self.others.lock() = Some(EntriesLoad {
             heard_at: now,
             entries: others.entries,
@@ -176,6 +202,33 @@
         });
     }
 
+    /// The others' words didn't come: once the last ones are too old, retries are earned again.
+    pub fn miss_others(&self) {
+        let now = self.clock.now();
+        let is_old = |others: &EntriesLoad| now - others.heard_at > BUDGET_WORD_MS;
+        if self.others.lock().as_ref().is_none_or(is_old) {
+            for budget in self.retries.lock().values_mut() {
+                budget.earn();
+            }
+        }
+    }
+
+    /// Grants retries by what all entries have sent, if nearly all of them were heard.
+    fn take_sends(&self, others: &OthersUse) {
+        let entries = self.entries();
+        let heard = f64::from(others.entries + 1);
+        let knows_most = heard >= f64::from(entries) * HEARD_PART;
+        for (service, budget) in self.retries.lock().iter_mut() {
+            let all = others.sends.iter().find(|sends| sends.service == *service);
+            match all {
+                Some(all) if knows_most => {
+                    budget.grant(grant_retries(&self.settings.retries, all, entries));
+                }
+                _ => budget.earn(),
+            }
+        }
+    }
+
     /// Streams that hold a chain.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -210,6 +263,11 @@
         self.with_retries(service, RetryBudget::count_request);
     }
 
+    /// Whether the budget of a service allows a further send now.
+    pub fn has_retry(&self, service: &ServiceName) -> bool {
+        self.with_retries(service, |budget| budget.has_retry())
+    }
+
     /// Takes a further send from the budget of the service.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
         self.with_retries(service, RetryBudget::try_retry)
@@ -259,6 +317,7 @@
                     place: target.place.clone(),
                     accelerator: engine.accelerator.clone(),
                     layers,
+                    max_received: target.limits.max_requests,
                 })
             });
             router.set_entries(entries);
--- a/crates/mgw-relay/src/callers/handle.rs
+++ b/crates/mgw-relay/src/callers/handle.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response};
 use mgw_routing::CallKind;
 use tracing::info;
@@ -15,6 +15,8 @@
 
 /// Answers one request.
 pub async fn take_request(app: Arc<App>, request: Request<Incoming>) -> Response<RelayBody> {
+    let id = (app.calls.dialect.read_request)(request.headers()).id;
+    let place = place_of(&request);
     let mut response = match Call::read(&app, request).await {
         Ok(call) => answer_call(&app, call).await,
         Err(refusal) => {
@@ -23,8 +25,11 @@
                 .with_label_values(&["none", refusal.status.as_str()])
                 .inc();
             info!(
+                %id,
+                %place,
+                routing = %app.routing().version(),
                 status = refusal.status.as_u16(),
-                reason = refusal.reason,
+                failure = refusal.reason,
                 "request refused"
             );
             refusal.to_response()
@@ -50,3 +55,10 @@
         StreamStart::Refused(refusal) => Refusal::to_response(refusal),
     }
 }
+
+/// Host and path of a request.
+fn place_of(request: &Request<Incoming>) -> String {
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    format!("{host}{}", request.uri().path())
+}
--- a/crates/mgw-relay/src/follow/uses.rs
+++ b/crates/mgw-relay/src/follow/uses.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use mgw_member::NodeRole;
-use mgw_route::EntryUse;
 use mgw_world::Millis;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -15,7 +14,7 @@
 const WORD_MS: Millis = Millis(400);
 /// Time for each entry that shares the targets: the control that keeps the words takes a bounded
 /// number of them a second, however many entries there are.
-const WORD_PER_ENTRY_MS: Millis = Millis(10);
+const WORD_PER_ENTRY_MS: Millis = Millis(5);
 /// Time within which the control must answer.
 const ANSWER_LIMIT_MS: Millis = Millis(500);
 
@@ -35,10 +34,7 @@
 
 async fn exchange(app: &App, keeper: SocketAddr) {
     let entry = app.settings.name.clone();
-    let word = EntryUse {
-        requests: app.in_flight(),
-        uses: app.own_uses(),
-    };
+    let word = app.own_word();
     let answer = app
         .peers
         .call(keeper, ANSWER_LIMIT_MS, |client, context| async move {
@@ -46,8 +42,9 @@
         })
         .await;
     // Without an answer the last one counts for a while, then the number of entries.
-    if let Ok(Ok(others)) = answer {
-        app.set_others(&others);
+    match answer {
+        Ok(Ok(others)) => app.set_others(&others),
+        _ => app.miss_others(),
     }
 }
 
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -70,21 +70,44 @@
         .requests
         .with_label_values(&[kind.as_str(), status.as_str()])
         .inc();
+    match answer {
+        Ok(whole) => {
+            log_end(call, status.as_u16(), tries.sent(), ms);
+            pass_on(whole)
+        }
+        Err(refusal) => {
+            log_failure(call, &refusal, tries.sent(), ms);
+            refusal.to_response()
+        }
+    }
+}
+
+fn log_end(call: &Call, status: u16, sends: u32, ms: u64) {
     info!(
         id = %call.head.id,
         route = %call.route.name,
         routing = %call.routing,
         service = %call.service,
-        status = status.as_u16(),
-        reason = answer.as_ref().err().map(|refusal| refusal.reason),
-        sends = tries.sent(),
+        status,
+        sends,
         ms,
         "call ended"
     );
-    match answer {
-        Ok(whole) => pass_on(whole),
-        Err(refusal) => refusal.to_response(),
-    }
+}
+
+/// The end of a failed call; its line is never left out.
+fn log_failure(call: &Call, refusal: &Refusal, sends: u32, ms: u64) {
+    warn!(
+        id = %call.head.id,
+        route = %call.route.name,
+        routing = %call.routing,
+        service = %call.service,
+        status = refusal.status.as_u16(),
+        failure = refusal.reason,
+        sends,
+        ms,
+        "call failed"
+    );
 }
 
 async fn run(app: &Arc<App>, call: &Call, tries: &mut Tries) -> Result<Whole, Refusal> {
--- a/crates/mgw-relay/src/stream/leg.rs
+++ b/crates/mgw-relay/src/stream/leg.rs
@@ -32,6 +32,16 @@
             hold: chain.hold,
         }
     }
+
+    /// The targets with their layers, for the log.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let hops = self.hops.iter();
+        let hops: Vec<String> = hops
+            .map(|hop| format!("{}={}", hop.target, hop.layers))
+            .collect();
+        hops.join(",")
+    }
 }
 
 impl Drop for ChainPlace {
--- a/crates/mgw-relay/src/stream/moving.rs
+++ b/crates/mgw-relay/src/stream/moving.rs
@@ -4,7 +4,7 @@
 use tracing::{info, warn};
 
 use super::fault::Fault;
-use super::leg::{ChainPlace, Leg};
+use super::leg::ChainPlace;
 use super::open::NoLeg;
 use super::run::LAST_SEND_MS;
 use super::{Splitter, StreamRun};
@@ -28,7 +28,7 @@
             self.blame_first(&leg.place, end);
             self.avoid_chain(&leg.place);
         }
-        let from = self.describe(&old);
+        let from = self.chain.clone();
         match self.open().await {
             Ok((_, leg)) => {
                 self.tries = tries;
@@ -45,7 +45,7 @@
                     cause = %fault,
                     after_event = self.order.last(),
                     from,
-                    to = %self.describe_chain(),
+                    to = %self.chain,
                     "stream goes on at another chain"
                 );
                 true
@@ -55,6 +55,7 @@
                     self.note_failed_send(*end, cause);
                 }
                 warn!(id = %self.call.head.id, cause = %fault, from, "stream found no other chain");
+                self.chain = from;
                 self.leg = old;
                 self.keep_waiting(fault)
             }
@@ -69,10 +70,12 @@
         can_resume && has_time && tries.may_send() && self.app.try_retry(&self.call.service)
     }
 
-    fn describe(&self, leg: &Option<Leg>) -> String {
-        let hops = leg.iter().flat_map(|leg| &leg.place.hops);
-        let names: Vec<&str> = hops.map(|hop| hop.target.as_str()).collect();
-        names.join(",")
+    /// Whether a chain may be left for another one; takes nothing from the budget.
+    pub(super) fn may_leave(&self) -> bool {
+        let mut tries = self.tries;
+        tries.note(TryEnd::Unknown);
+        let has_time = self.time_left() > LAST_SEND_MS;
+        has_time && tries.may_send() && self.app.has_retry(&self.call.service)
     }
 
     /// A chain that is only silent may still bring the rest.
@@ -141,7 +144,7 @@
         let service = &self.call.service;
         let first = place.hops[0].clone();
         self.app
-            .with_chains(service, |chains| chains.block(&first.target, now));
+            .with_chains(service, |chains| chains.doubt(&first.target, now));
         let cause = Fault::ConnectionBroke.as_str();
         probe_hops(&self.app, service, vec![first], cause);
     }
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -42,7 +42,11 @@
 impl StreamRun {
     /// Sends the request over a chain and waits for the head of the answer.
     pub(super) async fn open(&mut self) -> Result<(Box<Parts>, Leg), NoLeg> {
-        let place = self.choose_waiting().await.map_err(NoLeg::NoChain)?;
+        let asked_at = self.app.clock.now();
+        let chosen = self.choose_waiting().await;
+        self.waited_ms += self.app.clock.now() - asked_at;
+        let place = chosen.map_err(NoLeg::NoChain)?;
+        self.chain = place.describe();
         if self.tries.sent() == 0 {
             self.app.count_first_send(&self.call.service);
         }
@@ -200,20 +204,24 @@
             }
             match patience.judge(now - heard_at, self.has_begun) {
                 PauseVerdict::Wait => {}
-                PauseVerdict::Suspect if self.is_silent(hold) => {
-                    return Waited::GivenUp(Fault::Silence);
+                PauseVerdict::Suspect => {
+                    self.probe_silent(hold);
+                    if self.has_lost(hold) {
+                        return Waited::GivenUp(Fault::Silence);
+                    }
                 }
-                PauseVerdict::Suspect => {}
-                PauseVerdict::Move => {
-                    self.is_silent(hold);
+                PauseVerdict::Move if self.may_leave() => {
+                    self.distrust(hold);
                     return Waited::GivenUp(Fault::LongPause);
                 }
+                // The chain may still answer, and no other one may be asked.
+                PauseVerdict::Move => {}
             }
         }
     }
 
-    /// Whether targets of a chain have brought nothing to anyone for a while; those are probed.
-    fn is_silent(&self, hold: ChainHold) -> bool {
+    /// Probes the targets of a chain that have brought nothing to anyone for a while.
+    fn probe_silent(&self, hold: ChainHold) {
         let now = self.app.clock.now();
         let silence_ms = self.app.patience.target_silence_ms;
         let service = &self.call.service;
@@ -227,7 +235,22 @@
             suspicion.probes,
             Fault::Silence.as_str(),
         );
-        suspicion.silent > 0
+    }
+
+    fn has_lost(&self, hold: ChainHold) -> bool {
+        let service = &self.call.service;
+        let lost = self
+            .app
+            .with_chains(service, |chains| chains.has_lost(hold));
+        lost.unwrap_or_default()
+    }
+
+    fn distrust(&self, hold: ChainHold) {
+        let now = self.app.clock.now();
+        let silence_ms = self.app.patience.longest_ms;
+        self.app.with_chains(&self.call.service, |chains| {
+            chains.distrust(hold, silence_ms, now);
+        });
     }
 }
 
--- a/crates/mgw-relay/src/stream/patience.rs
+++ b/crates/mgw-relay/src/stream/patience.rs
@@ -30,12 +30,12 @@
     fn default() -> Self {
         Self {
             slow_ms: Millis(150),
-            silence_ms: Millis(350),
-            target_silence_ms: Millis(300),
+            silence_ms: Millis(250),
+            target_silence_ms: Millis(200),
             first_silence_ms: Millis(600),
             longest_ms: Millis(1_300),
             first_longest_ms: Millis(1_500),
-            look_ms: Millis(150),
+            look_ms: Millis(40),
         }
     }
 }
@@ -45,9 +45,9 @@
 pub enum PauseVerdict {
     /// Nothing yet.
     Wait,
-    /// Ask whether the chain's targets are silent for everyone; if so, go on elsewhere.
+    /// Probe the chain's targets that are silent for everyone; go on elsewhere if one is lost.
     Suspect,
-    /// Go on elsewhere.
+    /// Go on elsewhere if that is allowed.
     Move,
 }
 
--- a/crates/mgw-relay/src/stream/run.rs
+++ b/crates/mgw-relay/src/stream/run.rs
@@ -47,7 +47,11 @@
     pub(super) order: EventOrder,
     pub(super) splitter: Splitter,
     pub(super) leg: Option<Leg>,
+    /// The last chain that it was sent over, for the log.
+    pub(super) chain: String,
     pub(super) has_begun: bool,
+    /// Time that it waited for room or targets.
+    pub(super) waited_ms: Millis,
     pub(super) moves: u32,
     pub(super) next_move_at: Millis,
     pub(super) ended: Option<&'static str>,
@@ -66,7 +70,9 @@
             order,
             splitter: Splitter::default(),
             leg: None,
+            chain: String::new(),
             has_begun: false,
+            waited_ms: Millis::ZERO,
             moves: 0,
             next_move_at: Millis::ZERO,
             ended: None,
@@ -184,8 +190,9 @@
             id = %self.call.head.id,
             route = %self.call.route.name,
             service = %self.call.service,
-            chain = %self.describe_chain(),
+            chain = %self.chain,
             sends = self.tries.sent(),
+            waited_ms = self.waited_ms.0,
             first_event_ms = ms.0,
             "stream begun"
         );
@@ -196,14 +203,6 @@
         }
     }
 
-    pub(super) fn describe_chain(&self) -> String {
-        let hops = self.leg.iter().flat_map(|leg| &leg.place.hops);
-        let hops: Vec<String> = hops
-            .map(|hop| format!("{}={}", hop.target, hop.layers))
-            .collect();
-        hops.join(",")
-    }
-
     pub(super) async fn wait_for_piece(&mut self) -> Waited<Piece> {
         let Some(mut leg) = self.leg.take() else {
             return Waited::GivenUp(Fault::ConnectionBroke);
@@ -265,6 +264,40 @@
         Ok((!due.is_empty()).then_some(due))
     }
 
+    fn log_end(&self, end: &'static str, ms: Millis) {
+        if end == "whole" {
+            info!(
+                id = %self.call.head.id,
+                route = %self.call.route.name,
+                routing = %self.call.routing,
+                service = %self.call.service,
+                last_event = self.order.last(),
+                sends = self.tries.sent(),
+                moves = self.moves,
+                ms = ms.0,
+                "stream ended"
+            );
+            return;
+        }
+        // The end of a failed stream; its line is never left out.
+        warn!(
+            id = %self.call.head.id,
+            route = %self.call.route.name,
+            routing = %self.call.routing,
+            service = %self.call.service,
+            failure = end,
+            has_begun = self.has_begun,
+            last_event = self.order.last(),
+            chain = %self.chain,
+            avoided = self.avoid.len(),
+            waited_ms = self.waited_ms.0,
+            sends = self.tries.sent(),
+            moves = self.moves,
+            ms = ms.0,
+            "stream failed"
+        );
+    }
+
     fn finish(&mut self) {
         self.ended = Some("whole");
         if let Some(leg) = self.leg.take() {
@@ -293,19 +326,7 @@
             .requests
             .with_label_values(&["stream", outcome])
             .inc();
-        info!(
-            id = %self.call.head.id,
-            route = %self.call.route.name,
-            routing = %self.call.routing,
-            service = %self.call.service,
-            end,
-            has_begun = self.has_begun,
-            last_event = self.order.last(),
-            sends = self.tries.sent(),
-            moves = self.moves,
-            ms = ms.0,
-            "stream ended"
-        );
+        self.log_end(end, ms);
     }
 }
 
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -13,7 +13,7 @@
 use crate::app::App;
 
 /// Time within which an engine must answer a probe.
-const PROBE_LIMIT_MS: Millis = Millis(500);
+const PROBE_LIMIT_MS: Millis = Millis(400);
 /// Time after which an engine that didn't answer is asked again.
 const REPEAT_MS: Millis = Millis(1_000);
 /// How often it is asked again.
--- a/crates/mgw-relay/tests/relaying.rs
+++ b/crates/mgw-relay/tests/relaying.rs
@@ -65,6 +65,17 @@
     }
 }
 
+/// Load pattern: chains are full, and prompts wait for their turn. A stream that was sent
+/// elsewhere for that would be read twice, and be cut where no further send is allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_first_event_of_live_targets_is_waited_for() {
+    let (one, two, system) = engines(&[Behaviour::LateFirst], &[Behaviour::LateFirst]).await;
+    let answer = system.call("a", "/stream/x").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, whole_stream());
+    assert_eq!(runs(&one, &two), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_cant_be_made_whole_doesnt_look_complete() {
     let breaks = [Behaviour::BreakEarly, Behaviour::BreakEarly];
@@ -82,6 +93,16 @@
     );
 }
 
+/// Load pattern: all machines restart. An entry is told of a few controls, and most targets announce
+/// themselves at others.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_a_control_that_only_another_one_names_are_used_at_once() {
+    let one = Standin::start("one", true, &[]).await;
+    let system = System::start_with_unnamed_control(&[&one]).await;
+    let answer = system.call("a", "/stream/x").await;
+    assert_eq!(answer.body, whole_stream());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_stream_is_sent_to_another_target() {
     let (one, two, system) = engines(&[Behaviour::NotRun], &[]).await;
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -56,6 +56,7 @@
     pub gateway: Gateway,
     pub listen: SocketAddr,
     sequence: u64,
+    others: Vec<(Control, TempDir)>,
     _control: Control,
     _data: TempDir,
 }
@@ -71,62 +72,66 @@
 impl System {
     /// Starts a control and a relay that know the targets.
     pub async fn start(targets: &[&Standin]) -> Self {
-        let data = tempfile::tempdir().unwrap();
         let control_at = free_address();
-        let settings = ControlSettings {
-            name: control_at.to_string().as_str().into(),
-            vm: "vm".into(),
-            place: "home".into(),
-            region: "here".into(),
-            listen: free_address(),
-            peer_listen: control_at,
-            data: data.path().join("state"),
-            controls: vec![Peer {
-                name: control_at.to_string().as_str().into(),
-                address: control_at,
-            }],
-            group: None,
-            quorum: mgw_control::QuorumSettings::default(),
-            url: String::new(),
-            open_group: false,
-            members: mgw_member::MemberSettings::default(),
-            log: mgw_settings::LogSettings::default(),
-        };
-        let started = start_control(settings, Founding::Alone, Shutdown::default()).await;
-        let control = started.unwrap().unwrap();
-        let listen = free_address();
-        let shutdown = Shutdown::default();
-        let settings = RelaySettings {
-            name: "entry".into(),
-            place: "home".into(),
-            listen,
-            peer_listen: free_address(),
+        let (control, data) = start_alone(control_at, vec![control_at], Founding::Alone).await;
+        let relay = RelaySettings {
             controls: vec![control_at],
-            // Enough for the retries of a test, whatever share of it a new process takes.
-            retries: RetryBudgetSettings {
-                max_saved: 1_000,
-                ..RetryBudgetSettings::default()
+            ..relay_settings()
+        };
+        let mut system = Self::start_relay(relay, control, data).await;
+        for target in targets {
+            system.announce(target, Readiness::Ready);
+        }
+        system.replace_routing(1).await;
+        system.wait_until(|system| system.relay.is_ready()).await;
+        // The targets came before the routing document or with it.
+        sleep(Duration::from_millis(100)).await;
+        system
+    }
+
+    /// Starts two controls and a relay that is told of one of them and exchanges no views. The
+    /// targets announce themselves at the other one.
+    pub async fn start_with_unnamed_control(targets: &[&Standin]) -> Self {
+        let addresses = [free_address(), free_address()];
+        let [named_at, unnamed_at] = addresses;
+        let found_alone = |at: SocketAddr| Founding::With(vec![at.to_string()]);
+        let own = vec![unnamed_at];
+        let (unnamed, data) = start_alone(unnamed_at, own, found_alone(unnamed_at)).await;
+        let all = addresses.to_vec();
+        let (named, named_data) = start_alone(named_at, all, found_alone(named_at)).await;
+        let relay = RelaySettings {
+            controls: vec![named_at],
+            members: mgw_member::MemberSettings {
+                exchange_every_ms: Millis(3_600_000),
+                ..mgw_member::MemberSettings::default()
             },
-            ..RelaySettings::default()
+            ..relay_settings()
         };
+        let mut system = Self::start_relay(relay, unnamed, data).await;
+        for target in targets {
+            system.announce(target, Readiness::Ready);
+        }
+        system.gateway = named.gateway();
+        system.replace_routing(1).await;
+        system.others.push((named, named_data));
+        system.wait_until(|system| system.relay.is_ready()).await;
+        system
+    }
+
+    async fn start_relay(settings: RelaySettings, control: Control, data: TempDir) -> Self {
+        let shutdown = Shutdown::default();
+        let listen = settings.listen;
         let relay = Relay::start(settings, CALLS, Box::new(Vec::new), shutdown.clone());
-        let mut system = Self {
+        Self {
             relay: relay.await.unwrap(),
             shutdown,
             gateway: control.gateway(),
             listen,
             sequence: 0,
+            others: Vec::new(),
             _control: control,
             _data: data,
-        };
-        for target in targets {
-            system.announce(target, Readiness::Ready);
         }
-        system.replace_routing(1).await;
-        system.wait_until(|system| system.relay.is_ready()).await;
-        // The targets came before the routing document or with it.
-        sleep(Duration::from_millis(100)).await;
-        system
     }
 
     pub async fn replace_routing(&self, version: u64) {
@@ -217,6 +222,52 @@
     }
 }
 
+/// Starts a control with a folder of its own.
+async fn start_alone(
+    at: SocketAddr,
+    controls: Vec<SocketAddr>,
+    founding: Founding,
+) -> (Control, TempDir) {
+    let data = tempfile::tempdir().unwrap();
+    let controls = controls.into_iter().map(|address| Peer {
+        name: address.to_string().as_str().into(),
+        address,
+    });
+    let settings = ControlSettings {
+        name: at.to_string().as_str().into(),
+        vm: "vm".into(),
+        place: "home".into(),
+        region: "here".into(),
+        listen: free_address(),
+        peer_listen: at,
+        data: data.path().join("state"),
+        controls: controls.collect(),
+        group: None,
+        quorum: mgw_control::QuorumSettings::default(),
+        url: String::new(),
+        open_group: false,
+        members: mgw_member::MemberSettings::default(),
+        log: mgw_settings::LogSettings::default(),
+    };
+    let started = start_control(settings, founding, Shutdown::default()).await;
+    (started.unwrap().unwrap(), data)
+}
+
+fn relay_settings() -> RelaySettings {
+    RelaySettings {
+        name: "entry".into(),
+        place: "home".into(),
+        listen: free_address(),
+        peer_listen: free_address(),
+        // Enough for the retries of a test, whatever share of it a new process takes.
+        retries: RetryBudgetSettings {
+            max_saved: 1_000,
+            ..RetryBudgetSettings::default()
+        },
+        ..RelaySettings::default()
+    }
+}
+
 pub fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(Method::POST)
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -27,6 +27,8 @@
 /// Events of a whole answer.
 pub const EVENTS: u64 = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Time to a late first event: more than a caller wants, less than it bears.
+const LATE_FIRST: Duration = Duration::from_millis(1_000);
 
 /// What a target does with its next request; sound once the list is used up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +39,8 @@
     BreakAfter(u64),
     /// Sends nothing more of a stream from its start after this event.
     SilentAfter(u64),
+    /// Sends the first event of a stream late, as under load.
+    LateFirst,
     /// Breaks any stream in the middle of its second event.
     BreakEarly,
     /// States that it didn't run the request.
@@ -186,6 +190,10 @@
             _ => (None, false),
         };
         let run = StreamRun {
+            first_pause: match behaviour {
+                Behaviour::LateFirst => LATE_FIRST,
+                _ => Duration::ZERO,
+            },
             last: last_event,
             fault_after,
             is_silent,
@@ -201,6 +209,7 @@
 }
 
 struct StreamRun {
+    first_pause: Duration,
     last: u64,
     fault_after: Option<u64>,
     is_silent: bool,
@@ -210,7 +219,7 @@
 
 impl StreamRun {
     async fn next(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
-        sleep(EVENT_PAUSE).await;
+        sleep(EVENT_PAUSE + std::mem::take(&mut self.first_pause)).await;
         if self.is_broken {
             self.unfinished.is_finished = true;
             return Some((Err(std::io::Error::other("broken off")), self));
--- a/crates/mgw-route/src/chain/board.rs
+++ b/crates/mgw-route/src/chain/board.rs
@@ -6,9 +6,15 @@
 use mgw_world::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::limit::{SendWindow, ServiceSends};
+
 /// Age beyond which an entry's word on its use counts no more; it is renewed about twice a second.
 const WORD_MS: Millis = Millis(2_500);
 
+/// Entries that must have lost a target for the others to hear of it: one alone may be cut off
+/// itself.
+const LOST_BY: usize = 2;
+
 /// Use of one target by one entry, or by several together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetUse {
@@ -18,6 +24,8 @@
     pub token_layers: u64,
     /// Requests that pass through.
     pub requests: u32,
+    /// Those of them of whose chains it is the first target.
+    pub received: u32,
 }
 
 /// What one entry says of its use.
@@ -27,6 +35,10 @@
     pub requests: u32,
     /// Use of targets.
     pub uses: Vec<TargetUse>,
+    /// Targets that didn't answer its last probe.
+    pub lost: Vec<SocketAddr>,
+    /// Its sends since its start.
+    pub sends: Vec<ServiceSends>,
 }
 
 /// What all other entries say together.
@@ -38,6 +50,11 @@
     pub requests: u32,
     /// Use of targets.
     pub uses: Vec<TargetUse>,
+    /// Targets that didn't answer the last probe of several entries.
+    pub lost: Vec<SocketAddr>,
+    /// Sends of all entries in the last seconds, the one that asks included; empty until that is
+    /// known.
+    pub sends: Vec<ServiceSends>,
 }
 
 #[derive(Debug, Clone)]
@@ -51,11 +68,13 @@
 #[derive(Debug, Default)]
 pub struct UseBoard {
     words: BTreeMap<String, Word>,
+    sends: SendWindow,
 }
 
 impl UseBoard {
     /// Takes an entry's word and gives what all others use together.
     pub fn exchange(&mut self, entry: &str, word: EntryUse, now: Millis) -> OthersUse {
+        self.sends.take(entry, &word.sends, now);
         let said = Word { said_at: now, word };
         self.words.insert(entry.to_owned(), said);
         self.words.retain(|_, word| now - word.said_at <= WORD_MS);
@@ -66,15 +85,29 @@
             let sum = sums.entry(used.address).or_insert(TargetUse {
                 token_layers: 0,
                 requests: 0,
+                received: 0,
                 ..*used
             });
             sum.token_layers += used.token_layers;
             sum.requests += used.requests;
+            sum.received += used.received;
         }
         OthersUse {
             entries: u32::try_from(others.len()).unwrap_or(u32::MAX),
             requests: others.iter().map(|word| word.requests).sum(),
             uses: sums.into_values().collect(),
+            lost: find_lost(&others),
+            sends: self.sends.sums(now),
         }
     }
 }
+
+/// Targets that several entries have lost.
+fn find_lost(words: &[&EntryUse]) -> Vec<SocketAddr> {
+    let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for address in words.iter().flat_map(|word| &word.lost) {
+        *counts.entry(*address).or_default() += 1;
+    }
+    let lost = counts.into_iter().filter(|(_, count)| *count >= LOST_BY);
+    lost.map(|(address, _)| address).collect()
+}
--- a/crates/mgw-route/src/chain/cost.rs
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -2,7 +2,7 @@
 
 use mgw_world::{Accelerator, PipelineModel};
 
-use super::fleet::Member;
+use super::fleet::{Elsewhere, Member};
 use super::router::ChainSettings;
 
 /// What a request needs of each target on its chain.
@@ -38,6 +38,8 @@
     pub used_share: f64,
     /// Requests of all entries that pass through.
     pub requests: f64,
+    /// Part of the requests that it takes at once as the first of their chains.
+    pub received_share: f64,
 }
 
 impl Room {
@@ -48,19 +50,24 @@
         let own = member.used_token_layers;
         let requests = f64::from(member.requests);
         let further = f64::from(settings.entries.max(1)) - 1.0;
-        let (others, others_requests) = match others {
-            Others::Known { alike } => {
-                let since = member.taken_since * alike;
-                (
-                    member.elsewhere.token_layers + since,
-                    member.elsewhere.requests,
-                )
-            }
-            Others::Guessed => (own * further, requests * further),
+        let received = f64::from(member.received);
+        let others = match others {
+            Others::Known { alike } => Elsewhere {
+                token_layers: member.elsewhere.token_layers + member.taken_since * alike,
+                requests: member.elsewhere.requests,
+                received: member.elsewhere.received + member.received_since * alike,
+            },
+            Others::Guessed => Elsewhere {
+                token_layers: own * further,
+                requests: requests * further,
+                received: received * further,
+            },
         };
+        let max_received = f64::from(member.target.max_received.max(1));
         Self {
-            used_share: (own + others) / member.capacity_token_layers.max(1.0),
-            requests: requests + others_requests,
+            used_share: (own + others.token_layers) / member.capacity_token_layers.max(1.0),
+            requests: requests + others.requests,
+            received_share: (received + others.received) / max_received,
         }
     }
 }
--- a/crates/mgw-route/src/chain/evidence.rs
+++ b/crates/mgw-route/src/chain/evidence.rs
@@ -11,6 +11,8 @@
     pub dead_ms: Millis,
     /// How long a target is left out while nothing but a probe can tell whether it is at fault.
     pub suspected_ms: Millis,
+    /// How long a target is left out that other entries have lost, unless it brings tokens here.
+    pub lost_elsewhere_ms: Millis,
     /// Shortest time between two probes of a target.
     pub probe_pause_ms: Millis,
     /// Shortest time between two probes of a target that is only slow, for each entry: all entries
@@ -26,6 +28,7 @@
             blocked_ms: Millis(1_000),
             dead_ms: Millis(6_000),
             suspected_ms: Millis(700),
+            lost_elsewhere_ms: Millis(1_500),
             probe_pause_ms: Millis(1_500),
             inspect_pause_ms: Millis(300),
             slow_ms: Millis(4_000),
@@ -33,6 +36,9 @@
     }
 }
 
+/// How long an entry tells the others of a probe that wasn't answered; it is repeated each second.
+const LOST_WORD_MS: Millis = Millis(1_500);
+
 /// Answer of a target to a probe.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ProbeOutcome {
@@ -50,7 +56,12 @@
 pub(super) struct Standing {
     /// When a token last came through it.
     pub heard_at: Millis,
-    pub blocked_until: Millis,
+    /// End of the time in which it is left out whatever a probe says.
+    blocked_until: Millis,
+    /// End of the time in which it is left out unless a probe or a token clears it.
+    suspected_until: Millis,
+    /// When it didn't answer its last probe; none once a token came through.
+    lost_at: Option<Millis>,
     probed_at: Option<Millis>,
     slowness: f64,
     slow_until: Millis,
@@ -61,6 +72,8 @@
         Self {
             heard_at: now,
             blocked_until: Millis::ZERO,
+            suspected_until: Millis::ZERO,
+            lost_at: None,
             probed_at: None,
             slowness: 1.0,
             slow_until: Millis::ZERO,
@@ -68,7 +81,16 @@
     }
 
     pub fn is_blocked(&self, now: Millis) -> bool {
-        now < self.blocked_until
+        now < self.blocked_until.max(self.suspected_until)
+    }
+
+    pub const fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Whether a probe has shown lately that it is lost.
+    pub fn was_lost_lately(&self, now: Millis) -> bool {
+        self.lost_at.is_some_and(|at| now - at <= LOST_WORD_MS)
     }
 
     /// Factor on the usual time, 1 once the last probe is too old.
@@ -80,16 +102,25 @@
         }
     }
 
-    /// A token came through: whatever was held against it is over, unless it was found at fault
-    /// after that token was due.
+    /// A token came through: that is better evidence than any probe.
     pub fn hear(&mut self, now: Millis) {
         self.heard_at = self.heard_at.max(now);
+        self.clear();
+    }
+
+    const fn clear(&mut self) {
+        self.suspected_until = Millis::ZERO;
+        self.lost_at = None;
     }
 
     pub fn block(&mut self, until: Millis) {
         self.blocked_until = self.blocked_until.max(until);
     }
 
+    pub fn suspect(&mut self, until: Millis) {
+        self.suspected_until = self.suspected_until.max(until);
+    }
+
     /// Whether a probe is due; notes that it is sent.
     pub fn take_probe(&mut self, pause_ms: Millis, now: Millis) -> bool {
         let is_due = self.probed_at.is_none_or(|at| now - at >= pause_ms);
@@ -107,11 +138,14 @@
     ) {
         match outcome {
             ProbeOutcome::Alive { slowness } => {
-                self.blocked_until = Millis::ZERO;
+                self.clear();
                 self.slowness = slowness.max(1.0);
                 self.slow_until = now + settings.slow_ms;
             }
-            ProbeOutcome::Dead => self.block(now + settings.dead_ms),
+            ProbeOutcome::Dead => {
+                self.lost_at = Some(now);
+                self.suspect(now + settings.dead_ms);
+            }
         }
     }
 }
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -26,6 +26,8 @@
     pub accelerator: AcceleratorKind,
     /// Layers held.
     pub layers: LayerRange,
+    /// Requests that it takes at once as the first of their chains.
+    pub max_received: u32,
 }
 
 /// Place of a target in the arena.
@@ -37,6 +39,7 @@
 pub(super) struct Elsewhere {
     pub token_layers: f64,
     pub requests: f64,
+    pub received: f64,
 }
 
 /// A target with what this process knows of its work.
@@ -52,7 +55,12 @@
     pub capacity_token_layers: f64,
     /// Requests of this process that pass through it.
     pub requests: u32,
-    /// What requests have taken there since the other entries' last words, in tokens of one layer.
+    /// Requests of this process of whose chains it is the first.
+    pub received: u32,
+    /// Such requests that came, less those that ended, since the other entries' last words.
+    pub received_since: f64,
+    /// What requests have taken there, less what they gave back, since the other entries' last
+    /// words, in tokens of one layer.
     pub taken_since: f64,
     /// Use of all other entries together, as of their last words.
     pub elsewhere: Elsewhere,
@@ -93,6 +101,8 @@
                         used_token_layers: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
+                        received: 0,
+                        received_since: 0.0,
                         taken_since: 0.0,
                         elsewhere: Elsewhere::default(),
                         standing: Standing::new(now),
@@ -118,6 +128,12 @@
         listed.map(|(at, member)| (MemberKey(at), member))
     }
 
+    /// The listed targets at an address.
+    pub fn at_address(&mut self, address: SocketAddr) -> impl Iterator<Item = &mut Member> {
+        let members = self.members.iter_mut();
+        members.filter(move |member| member.is_listed && member.target.address == address)
+    }
+
     /// The newest incarnation of a target.
     pub fn find(&self, name: &TargetName) -> Option<MemberKey> {
         let named = self.members.iter().enumerate();
@@ -132,10 +148,12 @@
             uses.iter().map(|used| (used.address, used)).collect();
         for member in &mut self.members {
             member.taken_since = 0.0;
+            member.received_since = 0.0;
             let used = by_address.get(&member.target.address);
             member.elsewhere = used.map_or_else(Elsewhere::default, |used| Elsewhere {
                 token_layers: used.token_layers as f64,
                 requests: f64::from(used.requests),
+                received: f64::from(used.received),
             });
         }
     }
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -2,6 +2,7 @@
 
 mod board;
 mod cost;
+mod crossing;
 mod evidence;
 mod fleet;
 mod router;
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -7,6 +7,7 @@
 
 use super::TargetUse;
 use super::cost::{Others, Room, Work};
+use super::crossing::CrossingBudget;
 use super::evidence::{EvidenceSettings, ProbeOutcome};
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::search::{Found, Search};
@@ -140,6 +141,7 @@
     fleet: Fleet,
     holds: SlotMap<ChainHold, Held>,
     others_at: Option<Millis>,
+    crossings: CrossingBudget,
 }
 
 impl ChainRouter {
@@ -153,6 +155,7 @@
             fleet: Fleet::default(),
             holds: SlotMap::with_key(),
             others_at: None,
+            crossings: CrossingBudget::default(),
         }
     }
 
@@ -185,14 +188,29 @@
             address: member.target.address,
             token_layers: member.used_token_layers as u64,
             requests: member.requests,
+            received: member.received,
         })
         .collect()
     }
 
-    /// Takes the use of all other entries together.
-    pub fn set_others(&mut self, uses: &[TargetUse], now: Millis) {
+    /// Targets that didn't answer a probe of this entry lately.
+    #[must_use]
+    pub fn own_lost(&self, now: Millis) -> Vec<SocketAddr> {
+        let listed = self.fleet.iter();
+        let lost = listed.filter(|(_, member)| member.standing.was_lost_lately(now));
+        lost.map(|(_, member)| member.target.address).collect()
+    }
+
+    /// Takes the use of all other entries together, and the targets that they have lost.
+    pub fn set_others(&mut self, uses: &[TargetUse], lost: &[SocketAddr], now: Millis) {
         self.fleet.set_others(uses);
         self.others_at = Some(now);
+        let until = now + self.settings.evidence.lost_elsewhere_ms;
+        for address in lost {
+            for member in self.fleet.at_address(*address) {
+                member.standing.suspect(until);
+            }
+        }
     }
 
     fn others(&self, now: Millis) -> Others {
@@ -225,12 +243,31 @@
             others: self.others(now),
             now,
         };
-        let found = self.search_places(&search);
-        let found = found.or_else(|| search.run(&self.fleet));
-        let Some(found) = found else {
-            return Err(self.explain(&search));
+        if let Some(found) = self.search_places(&search) {
+            return Ok(self.take(&found, work));
+        }
+        let across = search.run(&self.fleet);
+        let no_chain = match &across {
+            Some(_) => NoChain::Full,
+            None => self.explain(&search),
         };
-        Ok(self.take(&found, work))
+        let entries = self.settings.entries;
+        match across {
+            Some(found) if self.crossings.allows(&self.model, work, entries, now) => {
+                self.crossings.take(self.count_crossings(&found));
+                Ok(self.take(&found, work))
+            }
+            _ => Err(no_chain),
+        }
+    }
+
+    fn count_crossings(&self, found: &Found) -> usize {
+        let places = found.parts.iter();
+        let places: Vec<&PlaceName> = places
+            .map(|(key, _)| &self.fleet.get(*key).target.place)
+            .collect();
+        let pairs = places.windows(2);
+        pairs.filter(|pair| pair[0] != pair[1]).count()
     }
 
     fn search_places(&self, search: &Search<'_>) -> Option<Found> {
@@ -282,8 +319,12 @@
 
     fn take(&mut self, found: &Found, work: Work) -> Chain {
         let mut hops = Vec::with_capacity(found.parts.len());
-        for &(key, layers) in &found.parts {
+        for (at, &(key, layers)) in found.parts.iter().enumerate() {
             let member = self.fleet.get_mut(key);
+            if at == 0 {
+                member.received += 1;
+                member.received_since += 1.0;
+            }
             member.requests += 1;
             let taken = work.kv_tokens() * f64::from(layers.count());
             member.used_token_layers += taken;
@@ -310,11 +351,16 @@
         let Some(held) = self.holds.remove(hold) else {
             return;
         };
-        for (key, layers) in held.parts {
+        for (at, (key, layers)) in held.parts.into_iter().enumerate() {
             let member = self.fleet.get_mut(key);
+            if at == 0 {
+                member.received = member.received.saturating_sub(1);
+                member.received_since = (member.received_since - 1.0).max(0.0);
+            }
             member.requests = member.requests.saturating_sub(1);
             let taken = held.kv_tokens * f64::from(layers.count());
             member.used_token_layers = (member.used_token_layers - taken).max(0.0);
+            member.taken_since = (member.taken_since - taken).max(0.0);
         }
     }
 
@@ -344,13 +390,36 @@
             }
             suspicion.silent += 1;
             if member.standing.take_probe(evidence.probe_pause_ms, now) {
-                member.standing.block(now + evidence.suspected_ms);
+                member.standing.suspect(now + evidence.suspected_ms);
                 suspicion.probes.push(to_hop(&member.target, layers));
             }
         }
         suspicion
     }
 
+    /// Whether a target of a chain didn't answer its last probe and has brought nothing since.
+    #[must_use]
+    pub fn has_lost(&self, hold: ChainHold) -> bool {
+        let held = self.holds.get(hold);
+        let mut parts = held.iter().flat_map(|held| &held.parts);
+        parts.any(|(key, _)| self.fleet.get(*key).standing.is_lost())
+    }
+
+    /// Leaves the targets of a chain out for a while that have brought no token to any request for
+    /// `silence_ms`, whatever they answer to a probe: requests are the better evidence.
+    pub fn distrust(&mut self, hold: ChainHold, silence_ms: Millis, now: Millis) {
+        let until = now + self.settings.evidence.blocked_ms;
+        let Some(held) = self.holds.get(hold) else {
+            return;
+        };
+        for (key, _) in &held.parts {
+            let standing = &mut self.fleet.get_mut(*key).standing;
+            if now - standing.heard_at >= silence_ms {
+                standing.block(until);
+            }
+        }
+    }
+
     /// Shortest time between two probes of a slow target by this entry.
     fn inspect_pause_ms(&self) -> Millis {
         let evidence = self.settings.evidence;
@@ -378,7 +447,7 @@
         due
     }
 
-    /// Leaves a target out for a while because it was at fault.
+    /// Leaves a target out for a while because it said that it can't take part.
     pub fn block(&mut self, name: &TargetName, now: Millis) {
         let until = now + self.settings.evidence.blocked_ms;
         if let Some(key) = self.fleet.find(name) {
@@ -386,6 +455,15 @@
         }
     }
 
+    /// Leaves a target out for a while, or until a probe clears it, because a connection to it
+    /// broke.
+    pub fn doubt(&mut self, name: &TargetName, now: Millis) {
+        let until = now + self.settings.evidence.blocked_ms;
+        if let Some(key) = self.fleet.find(name) {
+            self.fleet.get_mut(key).standing.suspect(until);
+        }
+    }
+
     /// The target at an address that may take part in new chains.
     #[must_use]
     pub fn name_at(&self, address: SocketAddr) -> Option<TargetName> {
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -119,7 +119,7 @@
         };
         let ends = points.iter().copied();
         for end in ends.filter(|end| *end > from && *end <= held.end()) {
-            let Some(own_ms) = self.part_ms(candidate, end - from) else {
+            let Some(own_ms) = self.part_ms(candidate, from, end) else {
                 break;
             };
             let step = Step {
@@ -162,13 +162,19 @@
     }
 
     /// Cost of a part; none when the target has no room for it.
-    fn part_ms(&self, candidate: &Candidate<'_>, layers: u16) -> Option<f64> {
+    fn part_ms(&self, candidate: &Candidate<'_>, from: u16, end: u16) -> Option<f64> {
+        let layers = end - from;
         let needed = self.work.kv_tokens() * f64::from(layers);
         let capacity = candidate.member.capacity_token_layers.max(1.0);
         let is_guess = self.others == Others::Guessed && self.settings.entries > 1;
         let is_empty = candidate.member.requests == 0;
         let after = candidate.room.used_share + needed / capacity;
-        let is_full = after > self.settings.full_share;
+        let received = if from == 0 {
+            candidate.room.received_share
+        } else {
+            0.0
+        };
+        let is_full = after > self.settings.full_share || received > self.settings.full_share;
         // A share below one request of this process would otherwise never be used.
         if is_full && !(is_guess && is_empty && needed <= capacity) {
             return None;
@@ -176,7 +182,8 @@
         let batch = 1.0 + candidate.room.requests * BATCH_SHARE;
         let accelerator = &candidate.member.accelerator;
         let own_ms = request_ms(self.model, accelerator, layers, self.work, batch);
-        let crowded_ms = own_ms * candidate.slowness * crowding(after, self.settings.full_share);
+        let crowded_ms =
+            own_ms * candidate.slowness * crowding(after.max(received), self.settings.full_share);
         Some(self.settings.hop_ms + crowded_ms)
     }
 }
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -20,8 +20,8 @@
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
     Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
-    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, StepWindow,
-    StepWindowSettings,
+    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, SendWindow, ServiceSends,
+    StepWindow, StepWindowSettings, grant_retries,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheNews, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- a/crates/mgw-route/src/limit/budget.rs
+++ b/crates/mgw-route/src/limit/budget.rs
@@ -37,7 +37,10 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
+    /// In hundredths of a retry.
     saved: u64,
+    /// Whether retries are granted from a budget that several share, and not earned.
+    is_granted: bool,
     requests: u64,
     retries: u64,
     refused: u64,
@@ -50,6 +53,7 @@
         Self {
             settings,
             saved: u64::from(settings.max_saved) * COST_OF_RETRY,
+            is_granted: false,
             requests: 0,
             retries: 0,
             refused: 0,
@@ -68,16 +72,40 @@
         self.saved = self.saved.min(u64::from(max_saved) * COST_OF_RETRY);
     }
 
+    /// Takes hundredths of a retry that were granted from a budget that several share, in place of
+    /// what is left of the last grant; less than one retry is kept, so that small grants add up.
+    pub fn grant(&mut self, hundredths: u64) {
+        self.is_granted = true;
+        self.saved = self.saved.min(COST_OF_RETRY - 1) + hundredths;
+    }
+
+    /// Retries are earned again; of a grant no more is kept than is saved up at most.
+    pub fn earn(&mut self) {
+        if self.is_granted {
+            self.is_granted = false;
+            self.set_max_saved(self.settings.max_saved);
+        }
+    }
+
     /// Counts a first try and earns its part of a retry.
     pub fn count_request(&mut self) {
         self.requests += 1;
+        if self.is_granted {
+            return;
+        }
         let most = u64::from(self.settings.max_saved) * COST_OF_RETRY;
         self.saved = most.min(self.saved + u64::from(self.settings.retries_per_hundred));
     }
 
+    /// Whether a retry would be allowed now.
+    #[must_use]
+    pub const fn has_retry(&self) -> bool {
+        self.saved >= COST_OF_RETRY
+    }
+
     /// Takes one retry; `false` when the budget is spent and the failure has to be reported.
     pub fn try_retry(&mut self) -> bool {
-        if self.saved < COST_OF_RETRY {
+        if !self.has_retry() {
             self.refused += 1;
             return false;
         }
--- a/crates/mgw-route/src/limit/mod.rs
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -6,10 +6,12 @@
 mod fair_queue;
 mod latency;
 mod request;
+mod shared_budget;
 mod step_window;
 
 pub use admission::Admission;
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use latency::{LatencyLimit, LatencyLimitSettings};
 pub use request::{AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event};
+pub use shared_budget::{SendWindow, ServiceSends, grant_retries};
 pub use step_window::{StepWindow, StepWindowSettings};
--- a/crates/mgw-route/tests/budget.rs
+++ b/crates/mgw-route/tests/budget.rs
@@ -1,6 +1,7 @@
 //! The retry budget: no multiplication over stages and callers.
 
-use mgw_route::{RetryBudget, RetryBudgetSettings};
+use mgw_route::{RetryBudget, RetryBudgetSettings, SendWindow, ServiceSends, grant_retries};
+use mgw_world::Millis;
 use proptest::prelude::*;
 
 proptest! {
@@ -47,3 +48,86 @@
         "{calls} calls for 10,000 requests of 3 stages"
     );
 }
+
+const ENTRIES: usize = 84;
+const HIT: usize = 20;
+const STEP_MS: u64 = 20;
+const WORD_EVERY_MS: u64 = 840;
+const SETTINGS: RetryBudgetSettings = RetryBudgetSettings {
+    retries_per_hundred: 14,
+    max_saved: 246,
+};
+
+/// Each entry takes four requests a second; from the twelfth second on, for five seconds, every
+/// request of some entries wants two further sends. Gives the further sends by step.
+fn play_faults_at_some_entries(is_shared: bool) -> Vec<u64> {
+    let own = RetryBudgetSettings {
+        max_saved: SETTINGS.max_saved / ENTRIES as u32,
+        ..SETTINGS
+    };
+    let mut budgets = vec![RetryBudget::new(own); ENTRIES];
+    let mut window = SendWindow::default();
+    let mut sent = Vec::new();
+    for step in 0..1_000 {
+        let now_ms = step * STEP_MS;
+        let is_faulty = (12_000..17_000).contains(&now_ms);
+        let before: u64 = budgets.iter().map(RetryBudget::retries).sum();
+        for (number, budget) in budgets.iter_mut().enumerate() {
+            let phase_ms = now_ms + number as u64 * 10;
+            if phase_ms % 240 == 0 {
+                budget.count_request();
+                for _ in 0..if is_faulty && number < HIT { 2 } else { 0 } {
+                    budget.try_retry();
+                }
+            }
+            if is_shared && phase_ms % WORD_EVERY_MS < STEP_MS {
+                let counts = ServiceSends {
+                    service: "pool".into(),
+                    first: budget.requests(),
+                    further: budget.retries(),
+                };
+                window.take(&number.to_string(), &[counts], Millis(now_ms));
+                match window.sums(Millis(now_ms)).first() {
+                    Some(all) => budget.grant(grant_retries(&SETTINGS, all, ENTRIES as u32)),
+                    None => budget.earn(),
+                }
+            }
+        }
+        let after: u64 = budgets.iter().map(RetryBudget::retries).sum();
+        sent.push(after - before);
+    }
+    sent
+}
+
+/// Load pattern: faults hit a quarter of many entries at once.
+#[test]
+fn a_shared_budget_serves_the_entries_that_faults_hit() {
+    let alone: u64 = play_faults_at_some_entries(false).iter().sum();
+    let shared = play_faults_at_some_entries(true);
+    let together: u64 = shared.iter().sum();
+    assert!(together >= alone * 2, "{together} beside {alone}");
+    // Requests of ten seconds earn their part, and what may be saved comes on top.
+    let requests = ENTRIES as u64 * 10_000 / 240;
+    let most = requests * u64::from(SETTINGS.retries_per_hundred) / 100;
+    let most = most + u64::from(SETTINGS.max_saved);
+    let window = (10_000 / STEP_MS) as usize;
+    let worst = shared.windows(window).map(|part| part.iter().sum::<u64>());
+    assert!(worst.max() <= Some(most), "at most {most}");
+}
+
+#[test]
+fn a_restarted_entry_and_an_old_window_are_counted_right() {
+    let count = |first, further| ServiceSends {
+        service: "pool".into(),
+        first,
+        further,
+    };
+    let mut window = SendWindow::default();
+    window.take("one", &[count(50, 5)], Millis(0));
+    assert!(window.sums(Millis(9_000)).is_empty(), "not heard for long");
+    window.take("one", &[count(60, 6)], Millis(9_000));
+    window.take("one", &[count(3, 1)], Millis(11_000));
+    assert_eq!(window.sums(Millis(11_000)), [count(13, 2)]);
+    window.take("two", &[], Millis(30_000));
+    assert_eq!(window.sums(Millis(30_000)), [count(0, 0)]);
+}
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -226,6 +226,7 @@
     EntryUse {
         requests: 0,
         uses: router.own_uses(),
+        ..EntryUse::default()
     }
 }
 
@@ -235,7 +236,7 @@
         taken += 1;
     }
     let others = board.exchange(name, word(router), Millis(1_000));
-    router.set_others(&others.uses, Millis(1_000));
+    router.set_others(&others.uses, &others.lost, Millis(1_000));
     taken
 }
 
@@ -249,7 +250,7 @@
     busy.set_entries(2);
     idle.set_entries(2);
     let others = board.exchange("idle", word(&idle), Millis(1_000));
-    idle.set_others(&others.uses, Millis(1_000));
+    idle.set_others(&others.uses, &others.lost, Millis(1_000));
     let guessed = count_choices(&mut busy, &mut board, "busy");
     // Between words it takes the idle one to choose as it does, so it fills the rest step by step.
     let rounds = (0..8).map(|_| count_choices(&mut busy, &mut board, "busy"));
@@ -261,7 +262,7 @@
     );
     assert!(guessed + known >= all - 1, "{guessed} and {known} of {all}");
     let others = board.exchange("idle", word(&idle), Millis(1_100));
-    idle.set_others(&others.uses, Millis(1_100));
+    idle.set_others(&others.uses, &others.lost, Millis(1_100));
     assert_eq!(
         idle.choose(&REQUEST, Millis(1_100)).unwrap_err(),
         NoChain::Full
@@ -281,6 +282,100 @@
     assert_eq!(others, OthersUse::default());
 }
 
+/// Load pattern: a target dies while each of many entries has few streams. Each of them would lose a
+/// stream to it to find out by itself.
+#[test]
+fn a_target_that_two_entries_have_lost_is_left_out_by_the_others() {
+    let mut board = UseBoard::default();
+    let lost = |count: usize| EntryUse {
+        lost: vec![two_zones()[0].address; count],
+        ..EntryUse::default()
+    };
+    let mut router = router(two_zones());
+    for (entry, is_left_out) in [("one", false), ("two", true)] {
+        board.exchange(entry, lost(1), Millis(100));
+        let others = board.exchange("here", EntryUse::default(), Millis(200));
+        router.set_others(&others.uses, &others.lost, Millis(200));
+        let chain = router.choose(&REQUEST, Millis(200)).unwrap();
+        let uses_it = names(&chain).contains(&"h1");
+        assert_eq!(uses_it, !is_left_out, "after {entry}");
+    }
+    let chain = router.choose(&REQUEST, Millis(3_000)).unwrap();
+    assert!(names(&chain).contains(&"h1"), "it is tried again");
+}
+
+#[test]
+fn a_token_is_better_evidence_than_a_probe() {
+    let mut router = router(two_zones());
+    let chain = router.choose(&REQUEST, Millis(0)).unwrap();
+    router.take_probe(&"h1".into(), ProbeOutcome::Dead, Millis(10));
+    assert!(router.has_lost(chain.hold));
+    assert_eq!(router.own_lost(Millis(10)).len(), 1);
+    router.hear(chain.hold, Millis(20));
+    assert!(!router.has_lost(chain.hold));
+    assert!(router.own_lost(Millis(20)).is_empty());
+    // Silence under requests goes before an answered probe as well.
+    router.distrust(chain.hold, Millis(1_000), Millis(2_000));
+    let alive = ProbeOutcome::Alive { slowness: 1.0 };
+    router.take_probe(&"h1".into(), alive, Millis(2_010));
+    let other = router.choose(&REQUEST, Millis(2_020)).unwrap();
+    assert!(!names(&other).contains(&"h1"));
+}
+
+/// Load pattern: the fast first targets of a zone are gone, and one that holds few layers has memory
+/// for many more requests than it takes at once. What it can't take waits there for seconds.
+#[test]
+fn a_first_target_gets_no_more_requests_than_it_takes_at_once() {
+    let few_layers = |name: &str| ChainTarget {
+        max_received: 20,
+        ..target(name, "home", "fast", 0, 10)
+    };
+    let rest = [
+        target("r1", "home", "fast", 10, 45),
+        target("r2", "home", "fast", 45, 80),
+    ];
+    let targets = [few_layers("f1"), few_layers("f2")].into_iter().chain(rest);
+    let mut router = router(targets.collect());
+    let mut chains = Vec::new();
+    while let Ok(chain) = router.choose(&REQUEST, Millis(0)) {
+        chains.push(chain);
+    }
+    let count = |name: &str| chains.iter().filter(|it| names(it)[0] == name).count();
+    assert!(count("f1") <= 20 && count("f2") <= 20);
+    assert!(chains.len() >= 36, "{} chains", chains.len());
+    let freed = chains.pop().unwrap();
+    router.release(freed.hold);
+    assert!(router.choose(&REQUEST, Millis(0)).is_ok());
+}
+
+/// Load pattern: no zone covers all layers any more, and many entries look for chains at once. Half
+/// of what the link between zones carries goes over it, not all that is asked for.
+#[test]
+fn chains_across_zones_keep_to_what_the_link_carries() {
+    let entries = 84;
+    let mut targets = two_zones();
+    targets.retain(|target| target.name != "h2".into() && target.name != "f1".into());
+    let mut routers: Vec<ChainRouter> = (0..entries).map(|_| router(targets.clone())).collect();
+    let model = routers[0].model().clone();
+    let mut taken = 0;
+    for step in 0..1_000 {
+        for (number, router) in routers.iter_mut().enumerate() {
+            router.set_entries(entries);
+            let now = Millis(step * 10 + number as u64 * 37);
+            router.set_others(&[], &[], now);
+            if let Ok(chain) = router.choose(&REQUEST, now) {
+                router.release(chain.hold);
+                taken += 1;
+            }
+        }
+    }
+    let tokens = f64::from(REQUEST.prompt_tokens + REQUEST.answer_tokens);
+    let carried = model.place_link_bytes_per_ms * 10_000.0 / (tokens * model.activation_bytes);
+    let taken = f64::from(taken);
+    assert!(taken <= carried * 0.5 + 20.0, "{taken} of {carried}");
+    assert!(taken >= carried * 0.4, "{taken} of {carried}");
+}
+
 /// Load pattern: many entries see the same slow targets at once.
 #[test]
 fn the_more_entries_the_more_seldom_each_asks_a_slow_target() {
--- a/crates/mgw-route/tests/chain_support/mod.rs
+++ b/crates/mgw-route/tests/chain_support/mod.rs
@@ -50,6 +50,7 @@
         place: place.into(),
         accelerator: kind.into(),
         layers: LayerRange::new(first, end).unwrap(),
+        max_received: 10_000,
     }
 }
 
