--- a/crates/mgw-serve/src/lib.rs
+++ b/crates/mgw-serve/src/lib.rs
@@ -1,10 +1,12 @@
 //! HTTP, logging, metrics and shutdown plumbing shared by the processes.
 
 pub mod http;
+mod line_budget;
 mod logging;
 mod metrics;
 mod shutdown;
 
-pub use logging::{DecisionLog, start_decision_log, start_logging};
+pub use line_budget::{BudgetFilter, FAILURE_FIELD, LeftOut, LineBudget};
+pub use logging::{DecisionLog, UnwrittenLines, start_decision_log, start_logging};
 pub use metrics::render_metrics;
 pub use shutdown::Shutdown;
--- a/crates/mgw-serve/src/logging.rs
+++ b/crates/mgw-serve/src/logging.rs
@@ -1,11 +1,35 @@
 //! Set-up of the log: lines on standard error, or decisions on standard output that never block.
 
+use std::sync::{Arc, LazyLock};
+
 use mgw_settings::{LogFormat, LogSettings};
+use mgw_world::{Clock, Millis};
+use prometheus::{IntCounterVec, Opts};
+use tokio::time::sleep;
+use tracing::warn;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+
+use crate::line_budget::{BudgetFilter, LineBudget};
 
 /// Lines that wait for a standard output that is slow or stuck; more are dropped and counted.
 const QUEUED_LINES: usize = 4_096;
+/// Lines of one kind in a second; more are left out and counted.
+const LINES_PER_SECOND: u32 = 100;
+/// Time between two reports of lines that weren't written.
+const REPORT_MS: Millis = Millis(5_000);
+
+/// Log lines that weren't written, by cause.
+static UNWRITTEN: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let options = Opts::new(
+        "mgw_log_lines_unwritten_total",
+        "Log lines that weren't written, by cause.",
+    );
+    prometheus::register_int_counter_vec!(options, &["cause"])
+        .unwrap_or_else(|error| panic!("a metric of the log: {error}"))
+});
 
 /// Starts logging to standard error. Later calls change nothing.
 pub fn start_logging(settings: &LogSettings) {
@@ -20,16 +44,51 @@
 
 /// The log of decisions; what waits is written when it is dropped.
 pub struct DecisionLog {
-    dropped: ErrorCounter,
+    /// What wasn't written.
+    pub unwritten: UnwrittenLines,
     _writer: WorkerGuard,
 }
 
-impl DecisionLog {
+/// Counts the lines that weren't written.
+#[derive(Clone)]
+pub struct UnwrittenLines {
+    dropped: ErrorCounter,
+    budget: Arc<LineBudget>,
+}
+
+impl UnwrittenLines {
     /// Lines that were dropped because standard output was too slow.
     #[must_use]
     pub fn dropped_lines(&self) -> usize {
         self.dropped.dropped_lines()
     }
+
+    /// Writes a line and counts in the metrics, every few seconds, what wasn't written.
+    pub async fn report_on(self) {
+        let mut dropped_before = 0;
+        loop {
+            sleep(REPORT_MS.to_duration()).await;
+            for left_out in self.budget.take_left_out() {
+                warn!(
+                    kind = left_out.kind,
+                    lines = left_out.lines,
+                    "log lines left out"
+                );
+                count_unwritten("over the bound of a kind", left_out.lines);
+            }
+            let dropped = self.dropped_lines();
+            let newly = dropped - dropped_before;
+            dropped_before = dropped;
+            if newly > 0 {
+                warn!(lines = newly, "log lines dropped; standard output is slow");
+                count_unwritten("standard output is slow", newly as u64);
+            }
+        }
+    }
+}
+
+fn count_unwritten(cause: &str, lines: u64) {
+    UNWRITTEN.with_label_values(&[cause]).inc_by(lines);
 }
 
 /// Starts logging one JSON object a line to standard output. A writer of its own takes the lines
@@ -40,17 +99,24 @@
         .lossy(true)
         .buffered_lines_limit(QUEUED_LINES)
         .finish(std::io::stdout());
-    let dropped = writer.error_counter();
-    let _ = tracing_subscriber::fmt()
+    let unwritten = UnwrittenLines {
+        dropped: writer.error_counter(),
+        budget: Arc::new(LineBudget::new(LINES_PER_SECOND, Clock::monotonic())),
+    };
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(writer)
-        .with_env_filter(read_filter(settings))
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
+        .with_filter(BudgetFilter::from(Arc::clone(&unwritten.budget)));
+    // A process has one log: a second call in it changes nothing.
+    let _ = tracing_subscriber::registry()
+        .with(read_filter(settings))
+        .with(lines)
         .try_init();
     DecisionLog {
-        dropped,
+        unwritten,
         _writer: guard,
     }
 }
--- a/crates/mgw-serve/src/metrics.rs
+++ b/crates/mgw-serve/src/metrics.rs
@@ -5,11 +5,12 @@
 
 use crate::http::{Body, full_response};
 
-/// Answers a request for the metrics page with all metrics of a registry.
+/// Answers a request for the metrics page with all metrics of a registry and those of the log.
 #[must_use]
 pub fn render_metrics(registry: &Registry) -> Response<Body> {
+    let families = [registry.gather(), prometheus::gather()].concat();
     let text = TextEncoder::new()
-        .encode_to_string(&registry.gather())
-        .unwrap_or_default();
+        .encode_to_string(&families)
+        .unwrap_or_else(|error| format!("# metrics can't be written: {error}\n"));
     full_response(hyper::StatusCode::OK, "text/plain; version=0.0.4", text)
 }
--- /dev/null
+++ b/crates/mgw-serve/tests/line_budget.rs
@@ -0,0 +1,75 @@
+//! Lines of a kind are bounded by the second, those of failed requests are not, and what was left
+//! out is counted.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+
+use mgw_serve::{BudgetFilter, LineBudget};
+use mgw_world::{Clock, Millis};
+use parking_lot::Mutex;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber, info, warn};
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
+
+const PER_SECOND: u32 = 5;
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+struct Message(String);
+
+impl Visit for Message {
+    fn record_debug(&mut self, field: &Field, value: &dyn std::fmt::Debug) {
+        if field.name() == "message" {
+            self.0 = format!("{value:?}");
+        }
+    }
+}
+
+impl<S: Subscriber> Layer<S> for Lines {
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let mut message = Message(String::new());
+        event.record(&mut message);
+        self.0.lock().push(message.0);
+    }
+}
+
+impl Lines {
+    fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock();
+        lines.iter().filter(|line| *line == message).count()
+    }
+}
+
+fn say_all(times: u32) {
+    for _ in 0..times {
+        info!("frequent");
+        warn!(failure = "caller left", "failed");
+    }
+    info!("seldom");
+}
+
+#[test]
+fn each_kind_is_bounded_by_the_second_and_ends_of_failed_requests_are_not() {
+    let (clock, hand) = Clock::manual();
+    let budget = Arc::new(LineBudget::new(PER_SECOND, clock));
+    let lines = Lines::default();
+    let filtered = lines
+        .clone()
+        .with_filter(BudgetFilter::from(Arc::clone(&budget)));
+    let subscriber = tracing_subscriber::registry().with(filtered);
+    tracing::subscriber::with_default(subscriber, || {
+        say_all(20);
+        assert_eq!(lines.count("frequent"), 5);
+        assert_eq!(lines.count("failed"), 20);
+        assert_eq!(lines.count("seldom"), 1, "another kind isn't pushed out");
+        let left_out = budget.take_left_out();
+        let counts: Vec<u64> = left_out.iter().map(|it| it.lines).collect();
+        assert_eq!(counts, [15]);
+        assert!(budget.take_left_out().is_empty(), "told once");
+        hand.advance(Millis(1_000));
+        say_all(3);
+        assert_eq!(lines.count("frequent"), 8);
+    });
+}
--- a/crates/mgw-testkit/src/lib.rs
+++ b/crates/mgw-testkit/src/lib.rs
@@ -1,5 +1,7 @@
 //! Helpers that the tests of several crates share.
 
 mod loopback;
+mod programs;
 
 pub use loopback::{free_address, own_ip};
+pub use programs::build_programs;
