--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -19,7 +19,7 @@
 pub use spread::{Spread, run_spread};
 pub use tls::{GROUP_NAME, GroupError, GroupFiles, GroupIdentity, PeerStream};
 pub use view_server::ViewServer;
-pub use watch::{Watch, watch_control};
+pub use watch::{HeardControls, Watch, watch_control};
 
 /// Used by [`answer_peers`].
 #[doc(hidden)]
--- a/crates/mgw-peer/src/watch.rs
+++ b/crates/mgw-peer/src/watch.rs
@@ -20,6 +20,9 @@
 /// Pause after a watch that failed.
 const RETRY_MS: Millis = Millis(250);
 
+/// Takes the addresses of controls that a control has named.
+pub type HeardControls = Arc<dyn Fn(&[SocketAddr]) + Send + Sync>;
+
 /// What following a control needs.
 #[derive(Clone)]
 pub struct Watch {
@@ -32,7 +35,7 @@
     /// Notified with each piece of news.
     pub changed: Arc<Notify>,
     /// Told which other controls a control knows.
-    pub heard_controls: Arc<dyn Fn(&[SocketAddr]) + Send + Sync>,
+    pub heard_controls: HeardControls,
     /// Told the version of the routing document that a control holds.
     pub heard_routing: Arc<dyn Fn(SocketAddr, RoutingVersion) + Send + Sync>,
 }
--- a/crates/mgw-route/tests/budget.rs
+++ b/crates/mgw-route/tests/budget.rs
@@ -74,7 +74,7 @@
         let before: u64 = budgets.iter().map(RetryBudget::retries).sum();
         for (number, budget) in budgets.iter_mut().enumerate() {
             let phase_ms = now_ms + number as u64 * 10;
-            if phase_ms % 240 == 0 {
+            if phase_ms.is_multiple_of(240) {
                 budget.count_request();
                 for _ in 0..if is_faulty && number < HIT { 2 } else { 0 } {
                     budget.try_retry();
