--- a/crates/mgw-route/src/chain/crossing.rs
+++ b/crates/mgw-route/src/chain/crossing.rs
@@ -9,7 +9,7 @@
 use super::cost::Work;
 
 /// Part of the link between zones that chains may load.
-const LINK_PART: f64 = 0.5;
+const LINK_PART: f64 = 0.75;
 /// Time without a chain across zones after which an entry begins anew.
 const IDLE_MS: Millis = Millis(5_000);
 /// Crossings of all entries at once after a time without any.
