A stuck standard output no longer keeps a process from ending

Ruled out: requests that wait for the log (all were answered), the runtime's end.

The guard is dropped on a thread of its own, and the process waits 1.5 s for it.

--- a/crates/mgw-serve/src/logging.rs
+++ b/crates/mgw-serve/src/logging.rs
@@ -1,6 +1,7 @@
 //! Set-up of the log: lines on standard error, or decisions on standard output that never block.
 
-use std::sync::{Arc, LazyLock};
+use std::sync::{Arc, LazyLock, mpsc};
+use std::thread;
 
 use mgw_settings::{LogFormat, LogSettings};
 use mgw_world::{Clock, Millis};
@@ -18,6 +19,8 @@
 const QUEUED_LINES: usize = 4_096;
 /// Lines of one kind in a second; more are left out and counted.
 const LINES_PER_SECOND: u32 = 100;
+/// Time in which the lines that wait are written at the end of a process.
+const FLUSH_LIMIT_MS: Millis = Millis(1_500);
 /// Time between two reports of lines that weren't written.
 const REPORT_MS: Millis = Millis(5_000);
 
@@ -42,11 +45,26 @@
     };
 }
 
-/// The log of decisions; what waits is written when it is dropped.
+/// The log of decisions; what waits is written when it is dropped, if standard output takes it.
 pub struct DecisionLog {
     /// What wasn't written.
     pub unwritten: UnwrittenLines,
-    _writer: WorkerGuard,
+    writer: Option<WorkerGuard>,
+}
+
+impl Drop for DecisionLog {
+    fn drop(&mut self) {
+        let writer = self.writer.take();
+        let (flushed, waiting) = mpsc::channel();
+        // With a full queue the guard itself writes to standard output, which may be stuck.
+        thread::spawn(move || {
+            drop(writer);
+            // Nobody waits for it any more once the time is over.
+            let _ = flushed.send(());
+        });
+        // The process ends either way; a stuck output mustn't keep it.
+        let _ = waiting.recv_timeout(FLUSH_LIMIT_MS.to_duration());
+    }
 }
 
 /// Counts the lines that weren't written.
@@ -117,7 +135,7 @@
         .try_init();
     DecisionLog {
         unwritten,
-        _writer: guard,
+        writer: Some(guard),
     }
 }
 
