Locks of the retry budgets and of the number of entries are taken in one order

Found in the last reading: a new budget took the budgets first and the number of entries second, and a new number of entries the other way round. On the platform's programs, which run on one thread, that can't block; a relay on several threads could. A comment was split by constants put into it. No other change of behaviour.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -26,12 +26,12 @@
 use crate::waiting::Waiting;
 
 /// Entries that a process takes to share a retry budget until it has heard of them: all that restart
+/// together begin with a new budget.
+const STARTING_ENTRIES: u32 = 32;
 /// Part of the entries whose words must be known for a grant; the rest may have restarted.
 const HEARD_PART: f64 = 0.9;
 /// Age beyond which the others' words on their sends grant no more retries.
 const BUDGET_WORD_MS: Millis = Millis(2_500);
-/// together begin with a new budget.
-const STARTING_ENTRIES: u32 = 32;
 
 /// What the parts of a relay share.
 pub struct App {
@@ -278,12 +278,13 @@
         service: &ServiceName,
         work: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
+        // Taken before the budgets, as by whoever sets it.
+        let entries = self.entries().max(STARTING_ENTRIES);
         let mut budgets = self.retries.lock();
         if let Some(budget) = budgets.get_mut(service) {
             return work(budget);
         }
         let shared = self.settings.retries;
-        let entries = (*self.entries.lock()).max(STARTING_ENTRIES);
         let settings = RetryBudgetSettings {
             max_saved: shared.max_saved / entries,
             ..shared
