Read the whole change again: one copy of what stood twice, judgement of targets apart

Found and mended, no change of behaviour meant: - chain/router.rs did two jobs: what is held against targets has its own module (judgement.rs); one lookup of a target's standing and one way to a hop in place of three and two. - Each request had its head read a second time, and its host and path copied, for a line that only a refused one writes. Cargo starts tests in their crate's folder, so no path is needed.

Seen and left: Suspicion::silent is read by tests only, and their assertions stay; list_controls and know_controls of a control; the stub of a trait in mgw-peer's tests.

--- a/crates/mgw-control/src/gateway/mod.rs
+++ b/crates/mgw-control/src/gateway/mod.rs
@@ -6,4 +6,3 @@
 mod targets;
 
 pub use handle::Gateway;
-pub use routing::RoutingCalls;
--- a/crates/mgw-control/src/gateway/routing.rs
+++ b/crates/mgw-control/src/gateway/routing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use mgw_peer::{CallFailure, PeerError, RoutingQuestion};
-use mgw_routing::{Routing, RoutingDocument};
+use mgw_routing::RoutingDocument;
 use mgw_state::{Action, Command, Reply};
 use mgw_world::{Clock, NodeName, RoutingVersion};
 use tracing::{info, warn};
@@ -11,13 +11,6 @@
 use super::Gateway;
 use crate::app::App;
 
-/// How routing documents are read.
-#[derive(Debug, Clone, Copy)]
-pub struct RoutingCalls {
-    /// Reads a document that was checked when it was accepted; the error says what is wrong.
-    pub decode: fn(&[u8]) -> Result<Routing, String>,
-}
-
 impl Gateway {
     /// Commits a document. One whose version isn't higher than that held changes nothing. Gives
     /// the version held then.
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -15,7 +15,7 @@
 mod settings;
 mod watches;
 
-pub use gateway::{Gateway, RoutingCalls};
+pub use gateway::Gateway;
 pub use placement::{OrderCall, PlacementCalls};
 pub use run::{Control, Founding, RunError, run_control, start_control};
 pub use settings::{ControlSettings, Peer, QuorumSettings};
--- a/crates/mgw-control/src/placement/duty.rs
+++ b/crates/mgw-control/src/placement/duty.rs
@@ -6,6 +6,7 @@
 use mgw_contract::target::Readiness;
 use mgw_member::VouchState;
 use mgw_place::{EngineView, PlaceOrder, Placer, PlacerSettings};
+use mgw_routing::DecodeRouting;
 use mgw_serve::http::{HttpClient, unpooled_client};
 use mgw_world::{Millis, PipelineModel, RoutingVersion, ServiceName, TargetName};
 use tokio::time::sleep;
@@ -13,7 +14,7 @@
 
 use super::PlacementCalls;
 use crate::app::App;
-use crate::gateway::{Gateway, RoutingCalls};
+use crate::gateway::Gateway;
 
 /// Time between two rounds.
 const ROUND_MS: Millis = Millis(250);
@@ -27,7 +28,7 @@
 struct PlacementDuty {
     app: Arc<App>,
     http: HttpClient,
-    routing: RoutingCalls,
+    decode_routing: DecodeRouting,
     calls: PlacementCalls,
     version: RoutingVersion,
     services: Vec<PlacedService>,
@@ -36,13 +37,13 @@
 
 impl Gateway {
     /// Places layers whenever this control leads, until it ends.
-    pub async fn run_placement(self, routing: RoutingCalls, calls: PlacementCalls) {
+    pub async fn run_placement(self, decode_routing: DecodeRouting, calls: PlacementCalls) {
         let graceful = self.app.shutdown.graceful.clone();
         let mut duty = PlacementDuty {
             app: self.app,
             // An order never waits in a connection that another term opened.
             http: unpooled_client(),
-            routing,
+            decode_routing,
             calls,
             version: RoutingVersion::default(),
             services: Vec::new(),
@@ -80,7 +81,7 @@
             state.routing().clone()
         };
         self.version = document.version;
-        match (self.routing.decode)(&document.source) {
+        match (self.decode_routing)(&document.source) {
             Ok(routing) => {
                 let services = routing.services.into_iter();
                 let placed = services.filter_map(|service| {
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -30,8 +30,6 @@
 const STARTING_ENTRIES: u32 = 32;
 /// Part of the entries whose words must be known for a grant; the rest may have restarted.
 const HEARD_PART: f64 = 0.9;
-/// Age beyond which the others' words on their sends grant no more retries.
-const BUDGET_WORD_MS: Millis = Millis(2_500);
 
 /// What the parts of a relay share.
 pub struct App {
@@ -205,8 +203,7 @@
     /// The others' words didn't come: once the last ones are too old, retries are earned again.
     pub fn miss_others(&self) {
         let now = self.clock.now();
-        let is_old = |others: &EntriesLoad| now - others.heard_at > BUDGET_WORD_MS;
-        if self.others.lock().as_ref().is_none_or(is_old) {
+        if self.others.lock().is_none_or(|others| others.is_old(now)) {
             for budget in self.retries.lock().values_mut() {
                 budget.earn();
             }
--- a/crates/mgw-relay/src/balance.rs
+++ b/crates/mgw-relay/src/balance.rs
@@ -9,7 +9,7 @@
 const MOST_FACTOR: f64 = 1.3;
 /// Requests beyond that which are no sign of an imbalance.
 const SLACK_REQUESTS: f64 = 4.0;
-/// Age from which the others' word counts no more.
+/// Age beyond which the others' words count no more.
 const WORD_MS: Millis = Millis(2_500);
 
 /// Work of all other entries together.
@@ -24,10 +24,16 @@
 }
 
 impl EntriesLoad {
+    /// Whether it counts no more.
+    #[must_use]
+    pub fn is_old(&self, now: Millis) -> bool {
+        now - self.heard_at > WORD_MS
+    }
+
     /// Whether an entry with some requests in flight has far more than its share.
     #[must_use]
     pub fn is_exceeded_by(&self, requests: u32, now: Millis) -> bool {
-        if self.entries == 0 || now - self.heard_at > WORD_MS {
+        if self.entries == 0 || self.is_old(now) {
             return false;
         }
         let mean = f64::from(self.requests) / f64::from(self.entries);
--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -4,10 +4,12 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap};
+use hyper::http::request::Parts;
 use hyper::{Method, Request};
-use mgw_routing::{NoRoute, Route, Split};
+use mgw_routing::{KeyedWorkspace, NoRoute, Route, RouteTable, Split};
 use mgw_world::{Millis, RoutingVersion, ServiceName, WorkspaceName};
 use rand::Rng;
+use tracing::info;
 
 use super::Refusal;
 use crate::app::App;
@@ -57,19 +59,12 @@
         let routing = app
             .wait_for_routing(head.deadline_ms.unwrap_or_default())
             .await;
-        if routing.version() == RoutingVersion(0) {
-            return Err(Refusal::no_routing());
-        }
-        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-        let not_found = |error: NoRoute| match error {
-            NoRoute::NotFound => Refusal::not_found(),
-            NoRoute::UnknownKey => Refusal::unknown_key(),
-        };
-        let route = routing.find(host, parts.uri.path()).map_err(not_found)?;
-        let workspace = routing.find_workspace(route, head.key.as_deref());
-        let workspace = workspace.map_err(not_found)?;
-        let body = read_body(body, routing.limits().max_body_bytes).await?;
+        let admitted = admit(&routing, &parts, &head, body).await;
+        let Admitted {
+            route,
+            workspace,
+            body,
+        } = admitted.inspect_err(|refusal| log_refusal(&parts, &head, &routing, *refusal))?;
         let timeout_ms = route.timeout_ms;
         let time_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
         let path = parts.uri.path_and_query();
@@ -91,6 +86,52 @@
     }
 }
 
+/// What a request needs to become a call.
+struct Admitted<'a> {
+    route: &'a Route,
+    workspace: Option<&'a KeyedWorkspace>,
+    body: Bytes,
+}
+
+async fn admit<'a>(
+    routing: &'a RouteTable,
+    parts: &Parts,
+    head: &CallerHead,
+    body: Incoming,
+) -> Result<Admitted<'a>, Refusal> {
+    if routing.version() == RoutingVersion(0) {
+        return Err(Refusal::no_routing());
+    }
+    let not_found = |error: NoRoute| match error {
+        NoRoute::NotFound => Refusal::not_found(),
+        NoRoute::UnknownKey => Refusal::unknown_key(),
+    };
+    let found = routing.find(host_of(parts), parts.uri.path());
+    let route = found.map_err(not_found)?;
+    let workspace = routing.find_workspace(route, head.key.as_deref());
+    Ok(Admitted {
+        route,
+        workspace: workspace.map_err(not_found)?,
+        body: read_body(body, routing.limits().max_body_bytes).await?,
+    })
+}
+
+fn host_of(parts: &Parts) -> &str {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
+fn log_refusal(parts: &Parts, head: &CallerHead, routing: &RouteTable, refusal: Refusal) {
+    info!(
+        id = %head.id,
+        place = %format_args!("{}{}", host_of(parts), parts.uri.path()),
+        routing = %routing.version(),
+        status = refusal.status.as_u16(),
+        failure = refusal.reason,
+        "request refused"
+    );
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     let collected = Limited::new(body, max_bytes).collect().await;
     collected
--- a/crates/mgw-relay/src/callers/handle.rs
+++ b/crates/mgw-relay/src/callers/handle.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 use mgw_routing::CallKind;
-use tracing::info;
 
 use super::{Call, Refusal, RelayBody};
 use crate::app::App;
@@ -15,8 +14,6 @@
 
 /// Answers one request.
 pub async fn take_request(app: Arc<App>, request: Request<Incoming>) -> Response<RelayBody> {
-    let id = (app.calls.dialect.read_request)(request.headers()).id;
-    let place = place_of(&request);
     let mut response = match Call::read(&app, request).await {
         Ok(call) => answer_call(&app, call).await,
         Err(refusal) => {
@@ -24,14 +21,6 @@
                 .requests
                 .with_label_values(&["none", refusal.status.as_str()])
                 .inc();
-            info!(
-                %id,
-                %place,
-                routing = %app.routing().version(),
-                status = refusal.status.as_u16(),
-                failure = refusal.reason,
-                "request refused"
-            );
             refusal.to_response()
         }
     };
@@ -55,10 +44,3 @@
         StreamStart::Refused(refusal) => Refusal::to_response(refusal),
     }
 }
-
-/// Host and path of a request.
-fn place_of(request: &Request<Incoming>) -> String {
-    let host = request.headers().get(HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    format!("{host}{}", request.uri().path())
-}
--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use mgw_contract::target::ReportCall;
 use mgw_route::Hop;
-use mgw_routing::Routing;
+use mgw_routing::DecodeRouting;
 use mgw_world::{Millis, TargetName, WorkspaceName};
 
 /// What a caller's request says of itself beside method, path and body.
@@ -74,6 +74,6 @@
     pub dialect: Dialect,
     /// Questions to forwarding engines.
     pub report: ReportCall,
-    /// Reads a routing document; the error says what is wrong with it.
-    pub decode_routing: fn(&[u8]) -> Result<Routing, String>,
+    /// Reads a routing document.
+    pub decode_routing: DecodeRouting,
 }
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -10,6 +10,7 @@
 
 use super::TargetUse;
 use super::evidence::Standing;
+use super::router::Hop;
 
 /// A target that holds layers and may take part in new chains.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,6 +31,17 @@
     pub max_received: u32,
 }
 
+impl ChainTarget {
+    /// The target as a part of a chain.
+    pub(super) fn to_hop(&self, layers: LayerRange) -> Hop {
+        Hop {
+            target: self.name.clone(),
+            address: self.address,
+            layers,
+        }
+    }
+}
+
 /// Place of a target in the arena.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct MemberKey(pub usize);
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -8,7 +8,7 @@
 use super::TargetUse;
 use super::cost::{Others, Room, Work};
 use super::crossing::CrossingBudget;
-use super::evidence::{EvidenceSettings, ProbeOutcome};
+use super::evidence::EvidenceSettings;
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::search::{Found, Search};
 
@@ -85,15 +85,6 @@
     pub hold: ChainHold,
 }
 
-/// Targets of a chain that may be at fault.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Suspicion {
-    /// Targets that brought no token to any request.
-    pub silent: usize,
-    /// Those of them to probe now.
-    pub probes: Vec<Hop>,
-}
-
 /// Why there is no chain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, derive_more::Error)]
 pub enum NoChain {
@@ -123,8 +114,8 @@
 }
 
 #[derive(Debug, Clone)]
-struct Held {
-    parts: Vec<(MemberKey, LayerRange)>,
+pub(super) struct Held {
+    pub parts: Vec<(MemberKey, LayerRange)>,
     kv_tokens: f64,
 }
 
@@ -135,11 +126,11 @@
 /// activations load the links between zones far more than an answer does.
 #[derive(Debug)]
 pub struct ChainRouter {
-    settings: ChainSettings,
+    pub(super) settings: ChainSettings,
     model: PipelineModel,
     home: PlaceName,
-    fleet: Fleet,
-    holds: SlotMap<ChainHold, Held>,
+    pub(super) fleet: Fleet,
+    pub(super) holds: SlotMap<ChainHold, Held>,
     others_at: Option<Millis>,
     crossings: CrossingBudget,
 }
@@ -329,11 +320,7 @@
             let taken = work.kv_tokens() * f64::from(layers.count());
             member.used_token_layers += taken;
             member.taken_since += taken;
-            hops.push(Hop {
-                target: member.target.name.clone(),
-                address: member.target.address,
-                layers,
-            });
+            hops.push(member.target.to_hop(layers));
         }
         let hold = self.holds.insert(Held {
             parts: found.parts.clone(),
@@ -364,106 +351,6 @@
         }
     }
 
-    /// Notes that a token came through a chain.
-    pub fn hear(&mut self, hold: ChainHold, now: Millis) {
-        let Some(held) = self.holds.get(hold) else {
-            return;
-        };
-        for (key, _) in &held.parts {
-            self.fleet.get_mut(*key).standing.hear(now);
-        }
-    }
-
-    /// Notes that a request on a chain waits: its targets that have brought no token to any request
-    /// for `silence_ms` are left out until a probe clears them; one that answered a probe a moment
-    /// ago isn't.
-    pub fn suspect(&mut self, hold: ChainHold, silence_ms: Millis, now: Millis) -> Suspicion {
-        let evidence = self.settings.evidence;
-        let mut suspicion = Suspicion::default();
-        let Some(held) = self.holds.get(hold) else {
-            return suspicion;
-        };
-        for &(key, layers) in &held.parts {
-            let member = self.fleet.get_mut(key);
-            if now - member.standing.heard_at < silence_ms {
-                continue;
-            }
-            suspicion.silent += 1;
-            if member.standing.take_probe(evidence.probe_pause_ms, now) {
-                member.standing.suspect(now + evidence.suspected_ms);
-                suspicion.probes.push(to_hop(&member.target, layers));
-            }
-        }
-        suspicion
-    }
-
-    /// Whether a target of a chain didn't answer its last probe and has brought nothing since.
-    #[must_use]
-    pub fn has_lost(&self, hold: ChainHold) -> bool {
-        let held = self.holds.get(hold);
-        let mut parts = held.iter().flat_map(|held| &held.parts);
-        parts.any(|(key, _)| self.fleet.get(*key).standing.is_lost())
-    }
-
-    /// Leaves the targets of a chain out for a while that have brought no token to any request for
-    /// `silence_ms`, whatever they answer to a probe: requests are the better evidence.
-    pub fn distrust(&mut self, hold: ChainHold, silence_ms: Millis, now: Millis) {
-        let until = now + self.settings.evidence.blocked_ms;
-        let Some(held) = self.holds.get(hold) else {
-            return;
-        };
-        for (key, _) in &held.parts {
-            let standing = &mut self.fleet.get_mut(*key).standing;
-            if now - standing.heard_at >= silence_ms {
-                standing.block(until);
-            }
-        }
-    }
-
-    /// Shortest time between two probes of a slow target by this entry.
-    fn inspect_pause_ms(&self) -> Millis {
-        let evidence = self.settings.evidence;
-        let entries = u64::from(self.settings.entries);
-        evidence
-            .inspect_pause_ms
-            .times(entries)
-            .max(evidence.probe_pause_ms)
-    }
-
-    /// Targets of a chain to probe because a request on it goes slowly; nothing is held against
-    /// them yet.
-    pub fn inspect(&mut self, hold: ChainHold, now: Millis) -> Vec<Hop> {
-        let pause_ms = self.inspect_pause_ms();
-        let Some(held) = self.holds.get(hold) else {
-            return Vec::new();
-        };
-        let mut due = Vec::new();
-        for &(key, layers) in &held.parts {
-            let member = self.fleet.get_mut(key);
-            if member.standing.take_probe(pause_ms, now) {
-                due.push(to_hop(&member.target, layers));
-            }
-        }
-        due
-    }
-
-    /// Leaves a target out for a while because it said that it can't take part.
-    pub fn block(&mut self, name: &TargetName, now: Millis) {
-        let until = now + self.settings.evidence.blocked_ms;
-        if let Some(key) = self.fleet.find(name) {
-            self.fleet.get_mut(key).standing.block(until);
-        }
-    }
-
-    /// Leaves a target out for a while, or until a probe clears it, because a connection to it
-    /// broke.
-    pub fn doubt(&mut self, name: &TargetName, now: Millis) {
-        let until = now + self.settings.evidence.blocked_ms;
-        if let Some(key) = self.fleet.find(name) {
-            self.fleet.get_mut(key).standing.suspect(until);
-        }
-    }
-
     /// The target at an address that may take part in new chains.
     #[must_use]
     pub fn name_at(&self, address: SocketAddr) -> Option<TargetName> {
@@ -472,20 +359,6 @@
         found.map(|(_, member)| member.target.name.clone())
     }
 
-    /// Takes the answer to a probe.
-    pub fn take_probe(&mut self, name: &TargetName, outcome: ProbeOutcome, now: Millis) {
-        // What a probe showed is believed at least until the next one may be sent.
-        let believed_ms = self.settings.evidence.slow_ms.max(self.inspect_pause_ms());
-        let evidence = EvidenceSettings {
-            slow_ms: believed_ms,
-            ..self.settings.evidence
-        };
-        if let Some(key) = self.fleet.find(name) {
-            let standing = &mut self.fleet.get_mut(key).standing;
-            standing.take_outcome(outcome, &evidence, now);
-        }
-    }
-
     /// Requests that hold a chain.
     #[must_use]
     pub fn requests(&self) -> usize {
@@ -516,11 +389,3 @@
         }
     }
 }
-
-fn to_hop(target: &ChainTarget, layers: LayerRange) -> Hop {
-    Hop {
-        target: target.name.clone(),
-        address: target.address,
-        layers,
-    }
-}
--- a/crates/mgw-routing/src/lib.rs
+++ b/crates/mgw-routing/src/lib.rs
@@ -7,6 +7,6 @@
 mod table;
 
 pub use check::{RoutingFinding, check_routing};
-pub use document::RoutingDocument;
+pub use document::{DecodeRouting, RoutingDocument};
 pub use objects::{CallKind, CallerLimits, KeyedWorkspace, Route, RoutedService, Routing, Split};
 pub use table::{NoRoute, RouteTable};
--- a/crates/mgw-testkit/src/programs.rs
+++ b/crates/mgw-testkit/src/programs.rs
@@ -4,8 +4,6 @@
 use std::process::Command;
 use std::sync::OnceLock;
 
-const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
-
 /// The folder of all programs of the workspace, built if need be. `own` is a program of the test's
 /// own crate, which cargo has built already.
 ///
@@ -26,7 +24,8 @@
     if let Some(target) = folder.parent() {
         cargo.arg("--target-dir").arg(target);
     }
-    let status = cargo.current_dir(ROOT).status();
+    // Tests run in the folder of their crate, from which cargo finds the workspace.
+    let status = cargo.status();
     assert!(
         status.is_ok_and(|status| status.success()),
         "can't build the programs"
