Targets that say they are leaving, or ask for a pause, get no requests

Cause: an answer's Server-Leaving and a 503's Retry-After were not read, so an entry went on sending to a target that had told it to stop, until a view showed the leave or a block of 1 s was over. Ruled out: relying on the membership views alone (a leave can take longer than the bound, and the rule holds for entries out of touch as well); keeping the state in the members of the chain router (they are dropped and listed anew when the home node of a target restarts).

Change: mgw_route::Exclusions holds, by run of a target, who is leaving (for the rest of the run) and who pauses until when (120 s at most). mgw-relay records both from every answer and probe, applies them to chains and plain services at once, doesn't probe what is excluded, and reports leaving targets with its load, so that the other entries need not learn it one by one. Retry budgets move from App into a file of their own.

The load report has a new field, so entries and controls of different builds don't exchange loads.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -5,13 +5,10 @@
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
-use mgw_route::{
-    ChainRouter, ChainTarget, EntryLoad, OtherEntriesLoad, RetryBudget, RetryBudgetSettings,
-    ServiceSends, compute_retry_grant,
-};
+use mgw_route::{ChainRouter, ChainTarget, EntryLoad, Exclusions, OtherEntriesLoad, TargetRun};
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
-use mgw_world::{Clock, Millis, RoutingVersion, ServiceName};
+use mgw_world::{Clock, Millis, RoutingVersion, ServiceName, Target};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -20,19 +17,12 @@
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
 use crate::metrics::Metrics;
+use crate::retries::ServiceRetries;
 use crate::settings::RelaySettings;
 use crate::stream::PauseLimits;
 use crate::targets::{ConnectionPool, PlainBalancer, UsableTargets};
 use crate::wait_limits::WaitLimits;
 
-/// Least number of entries among which a new retry budget is divided. A process that has just
-/// started doesn't know the other entries yet, and all entries that restart together begin with a
-/// new budget.
-const STARTING_ENTRIES: u32 = 32;
-/// Least fraction of the entries whose load reports must be known for a grant of retries; the rest
-/// may have restarted.
-const MIN_REPORTED_FRACTION: f64 = 0.9;
-
 /// State shared by all request handlers and background tasks of a relay. [`crate::Relay`] is the
 /// handle of a running relay and starts these tasks.
 pub struct App {
@@ -62,11 +52,14 @@
     pub targets_changed: Arc<Notify>,
     /// Metrics of the relay.
     pub metrics: Metrics,
+    /// Targets that asked for no requests.
+    pub exclusions: Mutex<Exclusions>,
+    /// Retry budgets of the services.
+    pub retries: Mutex<ServiceRetries>,
     routing: RwLock<Arc<RouteTable>>,
     usable_targets: Mutex<UsableTargets>,
     chains: Mutex<HashMap<ServiceName, ChainRouter>>,
     plain_balancer: Mutex<PlainBalancer>,
-    retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     entry_count: Mutex<u32>,
     other_entries_requests: Mutex<Option<OtherEntriesRequests>>,
 }
@@ -93,7 +86,8 @@
             usable_targets: Mutex::default(),
             chains: Mutex::default(),
             plain_balancer: Mutex::default(),
-            retry_budgets: Mutex::default(),
+            exclusions: Mutex::default(),
+            retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
             other_entries_requests: Mutex::default(),
             settings,
@@ -177,28 +171,21 @@
             lost: routers
                 .flat_map(|router| router.own_lost_targets(now))
                 .collect(),
-            sends: self.own_sends(),
+            leaving: self.exclusions.lock().leaving_to_report(now),
+            sends: self.retries.lock().own_sends(),
         }
     }
 
-    /// First sends and retries of this entry, by service.
-    fn own_sends(&self) -> Vec<ServiceSends> {
-        let budgets = self.retry_budgets.lock();
-        let sends = budgets.iter().map(|(service, budget)| ServiceSends {
-            service: service.clone(),
-            first: budget.requests(),
-            further: budget.retries(),
-        });
-        sends.collect()
-    }
-
     /// Sets the summed load of all other entries and grants retries by it.
     pub fn set_other_entries_load(&self, other_entries: &OtherEntriesLoad) {
         let now = self.clock.now();
         for router in self.chains.lock().values_mut() {
             router.set_other_entries_load(&other_entries.uses, &other_entries.lost, now);
         }
-        self.grant_retries(other_entries);
+        self.retries.lock().grant(other_entries);
+        for target in &other_entries.leaving {
+            self.record_leaving(target, "another entry");
+        }
         *self.other_entries_requests.lock() = Some(OtherEntriesRequests {
             received_at: now,
             entries: other_entries.entries,
@@ -215,28 +202,7 @@
             .lock()
             .is_none_or(|others| others.is_stale(now))
         {
-            for budget in self.retry_budgets.lock().values_mut() {
-                budget.resume_earning();
-            }
-        }
-    }
-
-    /// Grants retries by what all entries have sent, if nearly all entries have reported.
-    fn grant_retries(&self, other_entries: &OtherEntriesLoad) {
-        let entries = self.entries();
-        let reported = f64::from(other_entries.entries + 1);
-        let has_enough_reports = reported >= f64::from(entries) * MIN_REPORTED_FRACTION;
-        for (service, budget) in self.retry_budgets.lock().iter_mut() {
-            let all_sends = other_entries
-                .sends
-                .iter()
-                .find(|sends| sends.service == *service);
-            match all_sends {
-                Some(sends) if has_enough_reports => {
-                    budget.grant(compute_retry_grant(&self.settings.retries, sends, entries));
-                }
-                _ => budget.resume_earning(),
-            }
+            self.retries.lock().resume_earning();
         }
     }
 
@@ -273,41 +239,24 @@
 
     /// Counts the first send of a request in the retry budget of its service.
     pub fn count_first_send(&self, service: &ServiceName) {
-        self.with_retry_budget(service, RetryBudget::count_request);
+        self.retries.lock().count_first_send(service);
     }
 
     /// Whether the budget of a service allows a retry now.
     pub fn has_retry(&self, service: &ServiceName) -> bool {
-        self.with_retry_budget(service, |budget| budget.has_retry())
+        self.retries.lock().has_retry(service)
     }
 
     /// Takes a retry from the budget of a service; `false` if the budget is spent.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
-        self.with_retry_budget(service, RetryBudget::try_retry)
+        self.retries.lock().try_retry(service)
     }
 
-    /// Runs `work` on the retry budget of a service, which is created at its first use.
-    fn with_retry_budget<T>(
-        &self,
-        service: &ServiceName,
-        work: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        // Locked before the budgets, in the same order as in `set_entries`.
-        let entries = self.entries().max(STARTING_ENTRIES);
-        let mut budgets = self.retry_budgets.lock();
-        if let Some(budget) = budgets.get_mut(service) {
-            return work(budget);
+    /// Leaves a target out of new chains until then.
+    pub fn pause_in_chains(&self, target: &TargetRun, until: Millis) {
+        for router in self.chains.lock().values_mut() {
+            router.pause(target, until);
         }
-        let shared = self.settings.retries;
-        let settings = RetryBudgetSettings {
-            max_saved: shared.max_saved / entries,
-            ..shared
-        };
-        work(
-            budgets
-                .entry(service.clone())
-                .or_insert_with(|| RetryBudget::new(settings)),
-        )
     }
 
     /// Updates the chain routers and the plain balancer from the view.
@@ -319,10 +268,10 @@
             count_entries(&view, now)
         };
         self.set_entries(entries);
-        let usable_targets = self.usable_targets.lock();
+        let targets = self.list_targets(now);
         let mut chains = self.chains.lock();
         for (service, router) in chains.iter_mut() {
-            let targets = usable_targets.iter().filter_map(|target| {
+            let targets = targets.iter().filter_map(|target| {
                 let engine = target.forwarding()?;
                 let layers = engine.layers.filter(|_| engine.service == *service)?;
                 Some(ChainTarget {
@@ -338,15 +287,26 @@
             router.set_entries(entries);
             router.set_targets(targets.collect(), now);
         }
-        let plain = usable_targets
+        drop(chains);
+        let plain = targets
             .iter()
             .filter(|target| target.forwarding().is_none());
         self.plain_balancer
             .lock()
             .set_targets(plain, &self.settings.place);
-        self.metrics
-            .targets
-            .set(to_gauge(usable_targets.iter().count() as u64));
+        self.metrics.targets.set(to_gauge(targets.len() as u64));
+        self.apply_pauses();
+    }
+
+    /// The targets that may get new work, without those that said that they are leaving.
+    fn list_targets(&self, now: Millis) -> Vec<Target> {
+        let usable_targets = self.usable_targets.lock();
+        let runs: Vec<TargetRun> = usable_targets.iter().map(to_run).collect();
+        let mut exclusions = self.exclusions.lock();
+        exclusions.expire(runs.iter(), now);
+        let targets = usable_targets.iter().zip(&runs);
+        let staying = targets.filter(|(_, run)| !exclusions.is_leaving(run));
+        staying.map(|(target, _)| target.clone()).collect()
     }
 
     /// Sets the number of entries and divides the limit on saved retries among them.
@@ -359,10 +319,7 @@
                 "number of entries that share the targets has changed"
             );
             *current = entries;
-            let share = self.settings.retries.max_saved / entries.max(1);
-            for budget in self.retry_budgets.lock().values_mut() {
-                budget.set_max_saved(share);
-            }
+            self.retries.lock().set_entries(entries);
         }
     }
 
@@ -386,6 +343,13 @@
     }
 }
 
+fn to_run(target: &Target) -> TargetRun {
+    TargetRun {
+        name: target.name.clone(),
+        incarnation: target.incarnation,
+    }
+}
+
 /// Number of live entries that aren't leaving, including this one.
 fn count_entries(view: &View, now: Millis) -> u32 {
     let nodes = view.nodes(now);
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -91,6 +91,13 @@
         Self::retry_later("no targets cover all layers", UNCOVERED_RETRY_MS)
     }
 
+    /// All targets that could serve the request asked for a pause, the first of which ends after
+    /// `pause_ms`.
+    #[must_use]
+    pub const fn paused(pause_ms: Millis) -> Self {
+        Self::retry_later("all targets asked for a pause", pause_ms)
+    }
+
     /// All targets are full.
     #[must_use]
     pub const fn full() -> Self {
--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -53,6 +53,22 @@
     pub not_run: bool,
     /// Address of the target on the chain that caused a failure.
     pub at_fault: Option<SocketAddr>,
+    /// Whether the target that answered states that it is leaving.
+    pub is_leaving: bool,
+    /// How long the target that answered wants no further requests from this process.
+    pub pause: RequestedPause,
+}
+
+/// How long a target that refused a request wants no further ones.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RequestedPause {
+    /// It asks for no pause.
+    #[default]
+    None,
+    /// It asks for a pause of this length.
+    For(Millis),
+    /// It asks for a pause whose length can't be read.
+    Unreadable,
 }
 
 /// Functions that read and write the header fields of one wire format.
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -10,13 +10,14 @@
 mod plain;
 mod relay;
 mod request_sends;
+mod retries;
 mod settings;
 mod stream;
 mod targets;
 mod wait_limits;
 
 pub use balance::OtherEntriesRequests;
-pub use dialect::{AnswerHead, CallerHead, Dialect, RelayAdapter, TargetHead};
+pub use dialect::{AnswerHead, CallerHead, Dialect, RelayAdapter, RequestedPause, TargetHead};
 pub use follow::{ReloadControls, RoutingSource, RoutingSources};
 pub use relay::{Relay, RunError};
 pub use request_sends::{RequestSends, SendOutcome};
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -20,6 +20,8 @@
     pub first_event: Histogram,
     /// Time from the arrival of a request to the end of its answer.
     pub whole_answer: Histogram,
+    /// Targets that asked for no requests, by cause.
+    pub exclusions: IntCounterVec,
     /// Targets that may get new work.
     pub targets: IntGauge,
     /// Version of the routing document in force.
@@ -61,6 +63,13 @@
                 "mgw_relay_answer_seconds",
                 "Time from a request to the end of its answer.",
             )?,
+            exclusions: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_exclusions_total",
+                    "Targets left out because they asked for it, by cause.",
+                ),
+                &["cause"],
+            )?,
             targets: IntGauge::new("mgw_relay_targets", "Targets that may get new work.")?,
             routing_version: IntGauge::new(
                 "mgw_relay_routing_version",
@@ -73,6 +82,7 @@
         registry.register(Box::new(metrics.moves.clone()))?;
         registry.register(Box::new(metrics.first_event.clone()))?;
         registry.register(Box::new(metrics.whole_answer.clone()))?;
+        registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         Ok(metrics)
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -15,7 +15,7 @@
 use crate::callers::{Call, Refusal, RelayBody, full_body};
 use crate::dialect::TargetHead;
 use crate::request_sends::{RequestSends, SendOutcome, says_not_run};
-use crate::targets::{OutboundRequest, PlainReservation, SendFailure, send};
+use crate::targets::{NoTarget, OutboundRequest, PlainReservation, SendFailure, send};
 
 /// Least time that a target gets to answer an idempotent call before another one is tried.
 const MIN_SEND_TIMEOUT_MS: Millis = Millis(250);
@@ -125,13 +125,17 @@
         if left <= MIN_SEND_TIME_MS || (sends.sent() > 0 && !app.try_retry(&call.service)) {
             break;
         }
-        let Some(mut target) = choose_with_wait(app, call, &avoid).await else {
-            break;
+        let mut target = match choose_with_wait(app, call, &avoid).await {
+            Ok(target) => target,
+            Err(NoTarget::Paused { until }) if failed.is_none() && !sends.may_have_run() => {
+                return Err(Refusal::paused(until - app.clock.now()));
+            }
+            Err(_) => break,
         };
         if sends.sent() == 0 {
             app.count_first_send(&call.service);
         }
-        avoid.push(target.reservation.target.clone());
+        avoid.push(target.reservation.run.name.clone());
         match send_once(app, call, &target.reservation, sends).await {
             SendResult::Answered(full) => return Ok(full),
             SendResult::Failed(full) => {
@@ -147,7 +151,7 @@
                     .inc();
                 warn!(
                     id = %call.head.id,
-                    target_name = %target.reservation.target,
+                    target_name = %target.reservation.run.name,
                     end = %outcome,
                     cause,
                     "target gave no answer to a call"
@@ -163,7 +167,7 @@
     app: &Arc<App>,
     call: &Call,
     avoid: &[TargetName],
-) -> Option<ReservedTarget> {
+) -> Result<ReservedTarget, NoTarget> {
     let started_at = app.clock.now();
     let limit_ms = app
         .wait_limits
@@ -171,18 +175,20 @@
     loop {
         let target = choose(app, call, avoid);
         let has_timed_out = app.clock.now() - started_at >= limit_ms;
-        if target.is_some() || has_timed_out || !avoid.is_empty() {
-            return target;
+        let may_wait = avoid.is_empty() && !has_timed_out;
+        if may_wait && matches!(target, Err(NoTarget::Unknown)) {
+            sleep(CHECK_INTERVAL_MS.to_duration()).await;
+            continue;
         }
-        sleep(CHECK_INTERVAL_MS.to_duration()).await;
+        return target;
     }
 }
 
-fn choose(app: &Arc<App>, call: &Call, avoid: &[TargetName]) -> Option<ReservedTarget> {
+fn choose(app: &Arc<App>, call: &Call, avoid: &[TargetName]) -> Result<ReservedTarget, NoTarget> {
     let now = app.clock.now();
     let reservation =
         app.with_plain_balancer(|balancer| balancer.choose(&call.service, avoid, now))?;
-    Some(ReservedTarget {
+    Ok(ReservedTarget {
         app: Arc::clone(app),
         reservation,
         failed: false,
@@ -216,9 +222,10 @@
         headers: &call.headers,
         body: &call.body,
         address: reservation.address,
+        incarnation: reservation.run.incarnation,
         head: TargetHead {
             time_left_ms: left,
-            target: &reservation.target,
+            target: &reservation.run.name,
             workspace: call.workspace.as_ref(),
             chain: &[],
             urgency: call.urgency,
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -113,6 +113,7 @@
             headers: &self.call.headers,
             body: &self.call.body,
             address: first.address,
+            incarnation: first.incarnation,
             head: TargetHead {
                 time_left_ms: self.time_left(),
                 target: &first.target,
@@ -141,6 +142,7 @@
             let limit_ms = match no_chain {
                 _ if self.has_begun => Millis::ZERO,
                 NoChain::Full | NoChain::Suspected => wait_limits.capacity_wait_ms(left_ms),
+                NoChain::Paused { until } => wait_limits.pause_wait_ms(left_ms, until - started_at),
                 NoChain::Uncovered => wait_limits.startup_wait_ms(left_ms, started_at),
             };
             let waited_ms = self.app.clock.now() - started_at;
@@ -171,7 +173,9 @@
             };
             let chosen = chains.choose(&request, now);
             match chosen {
-                Err(NoChain::Uncovered | NoChain::Suspected) if !self.avoid.is_empty() => {
+                Err(NoChain::Uncovered | NoChain::Suspected | NoChain::Paused { .. })
+                    if !self.avoid.is_empty() =>
+                {
                     let without_avoided = ChainRequest {
                         avoid: &[],
                         ..request
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -175,6 +175,7 @@
             _ if self.sends.may_have_run() => self.refusal_without_answer(),
             NoChain::Full => Refusal::full(),
             NoChain::Uncovered | NoChain::Suspected => Refusal::uncovered(),
+            NoChain::Paused { until } => Refusal::paused(until - self.app.clock.now()),
         }
     }
 
--- a/crates/mgw-relay/src/targets/mod.rs
+++ b/crates/mgw-relay/src/targets/mod.rs
@@ -1,13 +1,14 @@
 //! Targets: which ones are usable, connections to them, sends and probes.
 
 mod connection_pool;
+mod notices;
 mod plain_balancer;
 mod probe;
 mod send;
 mod usable;
 
 pub use connection_pool::{ConnectionPool, PooledConnection};
-pub use plain_balancer::{PlainBalancer, PlainReservation};
+pub use plain_balancer::{NoTarget, PlainBalancer, PlainReservation};
 pub use probe::probe_hops;
 pub use send::{Answer, OutboundRequest, SendFailure, send};
 pub use usable::{UsableTarget, UsableTargets};
--- a/crates/mgw-relay/src/targets/plain_balancer.rs
+++ b/crates/mgw-relay/src/targets/plain_balancer.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use mgw_route::TargetRun;
 use mgw_world::{Millis, PlaceName, ServiceName, Target, TargetName};
 
 /// Time for which a failure of a target counts in the choice.
@@ -12,11 +13,13 @@
 
 #[derive(Debug, Clone)]
 struct PlainTarget {
-    name: TargetName,
+    run: TargetRun,
     address: SocketAddr,
     is_same_zone: bool,
     in_flight: u32,
     failures: Vec<Millis>,
+    /// The target asked for no requests until then.
+    paused_until: Millis,
 }
 
 /// The targets of plain services with this process's in-flight calls and recent failures.
@@ -35,12 +38,24 @@
 pub struct PlainReservation {
     /// Service of the target.
     pub service: ServiceName,
-    /// Target that runs the call.
-    pub target: TargetName,
+    /// Target that runs the call, in its incarnation when it was chosen.
+    pub run: TargetRun,
     /// Address where the target takes calls.
     pub address: SocketAddr,
 }
 
+/// Why no target was found for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display, derive_more::Error)]
+pub enum NoTarget {
+    /// no target of the service is known that wasn't tried
+    Unknown,
+    /// all targets of the service asked for a pause, the first of them until {until}
+    Paused {
+        /// When the first of the pauses ends.
+        until: Millis,
+    },
+}
+
 impl PlainBalancer {
     /// Replaces the targets that may get new work. Targets that stay keep their counts of in-flight
     /// calls and failures.
@@ -55,13 +70,19 @@
                 continue;
             };
             let previous = previous_services.get(service).into_iter().flatten();
-            let previous = previous.into_iter().find(|it| it.name == target.name);
-            let target = PlainTarget {
+            let previous = previous.into_iter().find(|it| it.run.name == target.name);
+            let run = TargetRun {
                 name: target.name.clone(),
+                incarnation: target.incarnation,
+            };
+            let target = PlainTarget {
+                run,
                 address: target.address,
                 is_same_zone: target.place == *own_place,
                 in_flight: previous.map_or(0, |it| it.in_flight),
                 failures: previous.map(|it| it.failures.clone()).unwrap_or_default(),
+                // Pauses in force are applied again after the list was replaced.
+                paused_until: Millis::ZERO,
             };
             self.services
                 .entry(service.clone())
@@ -70,22 +91,34 @@
         }
     }
 
+    /// Leaves a target out of the choice until then because it asked for a pause.
+    pub fn pause(&mut self, target: &TargetRun, until: Millis) {
+        let mut targets = self.services.values_mut().flatten();
+        if let Some(paused) = targets.find(|it| it.run == *target) {
+            paused.paused_until = paused.paused_until.max(until);
+        }
+    }
+
     /// Chooses a target that isn't among those to avoid and counts a call in flight there.
+    ///
+    /// # Errors
+    /// When no target is left, or all that are left asked for a pause.
     pub fn choose(
         &mut self,
         service: &ServiceName,
         avoid: &[TargetName],
         now: Millis,
-    ) -> Option<PlainReservation> {
+    ) -> Result<PlainReservation, NoTarget> {
         self.rotation = self.rotation.wrapping_add(1);
         let rotation = self.rotation;
-        let targets = self.services.get_mut(service)?;
+        let targets = self.services.get_mut(service).ok_or(NoTarget::Unknown)?;
         let count = targets.len().max(1);
+        let no_target = explain(targets, avoid);
         let candidates = targets
             .iter_mut()
             .enumerate()
-            .filter(|(_, target)| !avoid.contains(&target.name));
-        let (_, best) = candidates.min_by_key(|(at, target)| {
+            .filter(|(_, target)| !avoid.contains(&target.run.name) && now >= target.paused_until);
+        let best = candidates.min_by_key(|(at, target)| {
             let failures = target.failures.iter();
             let failures = failures
                 .filter(|failed_at| now - **failed_at < FAILURE_WINDOW_MS)
@@ -95,11 +128,12 @@
                 .in_flight
                 .saturating_add(failures.saturating_mul(FAILURE_WEIGHT));
             (load, !target.is_same_zone, (at + rotation) % count)
-        })?;
+        });
+        let (_, best) = best.ok_or(no_target)?;
         best.in_flight += 1;
-        Some(PlainReservation {
+        Ok(PlainReservation {
             service: service.clone(),
-            target: best.name.clone(),
+            run: best.run.clone(),
             address: best.address,
         })
     }
@@ -108,7 +142,7 @@
     pub fn release(&mut self, reservation: &PlainReservation, failed: bool, now: Millis) {
         let targets = self.services.get_mut(&reservation.service);
         let mut targets = targets.into_iter().flatten();
-        if let Some(target) = targets.find(|target| target.name == reservation.target) {
+        if let Some(target) = targets.find(|target| target.run.name == reservation.run.name) {
             target.in_flight = target.in_flight.saturating_sub(1);
             target
                 .failures
@@ -119,3 +153,10 @@
         }
     }
 }
+
+/// Why none of the targets can be chosen, if none can.
+fn explain(targets: &[PlainTarget], avoid: &[TargetName]) -> NoTarget {
+    let left = targets.iter().filter(|it| !avoid.contains(&it.run.name));
+    let first_end = left.map(|it| it.paused_until).min();
+    first_end.map_or(NoTarget::Unknown, |until| NoTarget::Paused { until })
+}
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -32,6 +32,9 @@
 
 async fn probe_until_answered(app: &App, service: &ServiceName, hop: &Hop, cause: &'static str) {
     for repeat in 0..=MAX_RETRIES {
+        if app.is_excluded(&hop.run()) {
+            return;
+        }
         let outcome = probe(app, hop).await;
         let now = app.clock.now();
         app.with_chains(service, |chains| {
@@ -67,6 +70,9 @@
         .body(Full::<Bytes>::default())
         .ok()?;
     let response = connection.sender.try_send_request(request).await.ok()?;
+    let read_head = app.adapter.dialect.read_answer;
+    let head = read_head(response.status().as_u16(), response.headers());
+    app.record_notices(&hop.run(), &head);
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     app.connection_pool.put_back(connection);
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -10,7 +10,8 @@
 };
 use hyper::http::response::Parts;
 use hyper::{Method, Request};
-use mgw_world::Millis;
+use mgw_route::TargetRun;
+use mgw_world::{Incarnation, Millis};
 use tokio::time::timeout;
 
 use super::PooledConnection;
@@ -45,6 +46,8 @@
     pub address: SocketAddr,
     /// Values that the adapter writes into the header fields.
     pub head: TargetHead<'a>,
+    /// Incarnation of the target.
+    pub incarnation: Incarnation,
     /// Whether the connection must be new, so that it can't hold an answer to an earlier request.
     pub needs_new_connection: bool,
     /// Longest wait for the head of the answer.
@@ -123,6 +126,11 @@
     if head.id.as_deref().is_some_and(|id| id != outbound.id) {
         return Err(SendFailure::Foreign);
     }
+    let target = TargetRun {
+        name: outbound.head.target.clone(),
+        incarnation: outbound.incarnation,
+    };
+    app.record_notices(&target, &head);
     strip_connection_fields(&mut parts.headers);
     // The server side frames the body for the caller again.
     parts.headers.remove(CONTENT_LENGTH);
--- a/crates/mgw-relay/src/wait_limits.rs
+++ b/crates/mgw-relay/src/wait_limits.rs
@@ -43,6 +43,18 @@
         fraction_of(left_ms, self.capacity_fraction).min(self.max_capacity_wait_ms)
     }
 
+    /// How long a request with `left_ms` before its deadline may wait for targets that asked for a
+    /// pause, the first of which ends after `pause_ms`: not at all if the pause is longer than any
+    /// wait for capacity.
+    #[must_use]
+    pub fn pause_wait_ms(&self, left_ms: Millis, pause_ms: Millis) -> Millis {
+        let limit_ms = self.capacity_wait_ms(left_ms);
+        if pause_ms > limit_ms {
+            return Millis::ZERO;
+        }
+        limit_ms
+    }
+
     /// How long a request with `left_ms` before its deadline may wait for routes and targets, in a
     /// process that started `age_ms` ago.
     #[must_use]
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -16,7 +16,9 @@
 use hyper_util::rt::TokioIo;
 use mgw_contract::target::{Announcement, EngineReport, LoadReport, Readiness, ReportCall};
 use mgw_control::{Control, ControlHandle, ControlSettings, Founding, Peer, start_control};
-use mgw_relay::{AnswerHead, CallerHead, Dialect, Relay, RelayAdapter, RelaySettings, TargetHead};
+use mgw_relay::{
+    AnswerHead, CallerHead, Dialect, Relay, RelayAdapter, RelaySettings, RequestedPause, TargetHead,
+};
 use mgw_route::RetryBudgetSettings;
 use mgw_routing::{
     CallKind, KeyedWorkspace, Route, RoutedService, Routing, RoutingDocument, Split,
@@ -49,6 +51,8 @@
     pub const NOT_RUN: &str = "x-not-run";
     pub const AT_FAULT: &str = "x-at-fault";
     pub const SEAL: &str = "x-seal";
+    pub const LEAVING: &str = "x-leaving";
+    pub const PAUSE: &str = "x-pause";
 }
 
 /// A running relay with its control.
@@ -345,6 +349,12 @@
         id: text(headers, names::ID).map(ToOwned::to_owned),
         not_run: headers.contains_key(names::NOT_RUN),
         at_fault: text(headers, names::AT_FAULT).and_then(|at| at.parse().ok()),
+        is_leaving: headers.contains_key(names::LEAVING),
+        pause: match text(headers, names::PAUSE).map(str::parse) {
+            None => RequestedPause::None,
+            Some(Ok(pause_ms)) => RequestedPause::For(Millis(pause_ms)),
+            Some(Err(_)) => RequestedPause::Unreadable,
+        },
     }
 }
 
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -51,6 +51,10 @@
     Fail,
     /// Answers with the id of another request.
     Foreign,
+    /// Answers normally and states that it is leaving.
+    Leaving,
+    /// States that it didn't run the request and asks for a pause of this length.
+    Shed(&'static str),
 }
 
 /// A request that the target received.
@@ -164,6 +168,13 @@
                 let not_run = HeaderValue::from_static("1");
                 response.headers_mut().insert(names::NOT_RUN, not_run);
             }
+            Behaviour::Shed(pause) => {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                let not_run = HeaderValue::from_static("1");
+                response.headers_mut().insert(names::NOT_RUN, not_run);
+                let pause = HeaderValue::from_static(pause);
+                response.headers_mut().insert(names::PAUSE, pause);
+            }
             Behaviour::Fail => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
             _ if self.is_engine => {
                 *response.body_mut() = self.stream(last_event.unwrap_or(0), behaviour);
@@ -176,6 +187,9 @@
             id.as_str()
         };
         let headers = response.headers_mut();
+        if behaviour == Behaviour::Leaving {
+            headers.insert(names::LEAVING, HeaderValue::from_static("1"));
+        }
         headers.insert(names::ID, HeaderValue::from_str(answered_id).unwrap());
         let seal = HeaderValue::from_str(&self.name).unwrap();
         headers.insert(names::SEAL, seal);
--- a/crates/mgw-route/src/chain/entry_load.rs
+++ b/crates/mgw-route/src/chain/entry_load.rs
@@ -1,11 +1,12 @@
 //! Exchange of the load that each entry puts on targets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use mgw_world::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::exclusions::TargetRun;
 use crate::limit::{SendWindow, ServiceSends};
 
 /// Age beyond which an entry's report is dropped; entries send one about twice a second.
@@ -37,6 +38,8 @@
     pub uses: Vec<TargetLoad>,
     /// Targets that didn't answer the entry's last probe.
     pub lost: Vec<SocketAddr>,
+    /// Targets that told the entry recently that they are leaving.
+    pub leaving: Vec<TargetRun>,
     /// Sends by service since the entry started.
     pub sends: Vec<ServiceSends>,
 }
@@ -52,6 +55,8 @@
     pub uses: Vec<TargetLoad>,
     /// Targets that didn't answer the last probe of several entries.
     pub lost: Vec<SocketAddr>,
+    /// Targets that told any of the entries recently that they are leaving.
+    pub leaving: Vec<TargetRun>,
     /// Sends of all entries, including the receiving one, in the last seconds; empty until a whole
     /// window was observed.
     pub sends: Vec<ServiceSends>,
@@ -101,11 +106,20 @@
             requests: loads.iter().map(|load| load.requests).sum(),
             uses: sums.into_values().collect(),
             lost: find_lost(&loads),
+            leaving: collect_leaving(&loads),
             sends: self.sends.totals(now),
         }
     }
 }
 
+/// Targets that any entry reports as leaving. One report suffices, as it repeats the target's own
+/// word.
+fn collect_leaving(loads: &[&EntryLoad]) -> Vec<TargetRun> {
+    let leaving = loads.iter().flat_map(|load| &load.leaving);
+    let leaving: BTreeSet<&TargetRun> = leaving.collect();
+    leaving.into_iter().cloned().collect()
+}
+
 /// Targets that at least [`MIN_LOST_REPORTS`] entries report as lost.
 fn find_lost(loads: &[&EntryLoad]) -> Vec<SocketAddr> {
     let mut counts: BTreeMap<SocketAddr, usize> = BTreeMap::new();
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -11,6 +11,7 @@
 use super::TargetLoad;
 use super::health::TargetHealth;
 use super::router::Hop;
+use crate::exclusions::TargetRun;
 
 /// A target that holds layers and may be used in new chains.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +37,7 @@
     pub(super) fn to_hop(&self, layers: LayerRange) -> Hop {
         Hop {
             target: self.name.clone(),
+            incarnation: self.incarnation,
             address: self.address,
             layers,
         }
@@ -154,6 +156,14 @@
         newest.map(|(at, _)| MemberKey(at))
     }
 
+    /// One incarnation of a target.
+    pub fn find_run(&mut self, run: &TargetRun) -> Option<&mut Member> {
+        let mut members = self.members.iter_mut();
+        members.find(|member| {
+            member.target.name == run.name && member.target.incarnation == run.incarnation
+        })
+    }
+
     /// Stores the load of all other entries together; targets that aren't in `loads` have none.
     pub fn set_other_entries_load(&mut self, loads: &[TargetLoad]) {
         let by_address: HashMap<SocketAddr, &TargetLoad> =
--- a/crates/mgw-route/src/chain/health.rs
+++ b/crates/mgw-route/src/chain/health.rs
@@ -63,6 +63,8 @@
     blocked_until: Millis,
     /// The target is suspected until then, unless a probe or a token clears it.
     suspected_until: Millis,
+    /// The target asked for no requests until then; nothing clears this earlier.
+    paused_until: Millis,
     /// When the last probe failed; `None` once a token arrived or a later probe was answered.
     lost_at: Option<Millis>,
     probed_at: Option<Millis>,
@@ -76,6 +78,7 @@
             last_token_at: now,
             blocked_until: Millis::ZERO,
             suspected_until: Millis::ZERO,
+            paused_until: Millis::ZERO,
             lost_at: None,
             probed_at: None,
             slowness: 1.0,
@@ -88,6 +91,15 @@
         now < self.blocked_until.max(self.suspected_until)
     }
 
+    /// When the pause that the target asked for ends, if one is in force.
+    pub fn pause_end(&self, now: Millis) -> Option<Millis> {
+        (now < self.paused_until).then_some(self.paused_until)
+    }
+
+    pub fn pause(&mut self, until: Millis) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
     pub const fn is_lost(&self) -> bool {
         self.lost_at.is_some()
     }
--- a/crates/mgw-route/src/chain/health_checks.rs
+++ b/crates/mgw-route/src/chain/health_checks.rs
@@ -4,6 +4,7 @@
 
 use super::health::{HealthSettings, ProbeOutcome, TargetHealth};
 use super::router::{ChainReservation, ChainRouter, Hop};
+use crate::exclusions::TargetRun;
 
 /// Targets of a chain that may be at fault.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -123,6 +124,13 @@
         }
     }
 
+    /// Leaves a target out of new chains until then because it asked for a pause.
+    pub fn pause(&mut self, target: &TargetRun, until: Millis) {
+        if let Some(member) = self.fleet.find_run(target) {
+            member.health.pause(until);
+        }
+    }
+
     /// Suspects a target for a while, or until a probe clears it, because a connection to it broke.
     pub fn record_disconnect(&mut self, name: &TargetName, now: Millis) {
         let until = now + self.settings.health.blocked_ms;
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mgw_world::{LayerRange, Millis, PipelineModel, PlaceName, TargetName};
+use mgw_world::{Incarnation, LayerRange, Millis, PipelineModel, PlaceName, TargetName};
 use slotmap::{SlotMap, new_key_type};
 
 use super::TargetLoad;
@@ -11,6 +11,7 @@
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::health::HealthSettings;
 use super::search::{FoundChain, Search};
+use crate::exclusions::TargetRun;
 
 new_key_type! {
     /// Identifies the capacity that a request has reserved on the targets of its chain, until
@@ -72,12 +73,25 @@
 pub struct Hop {
     /// Name of the target.
     pub target: TargetName,
+    /// Incarnation of the target that the chain was chosen for.
+    pub incarnation: Incarnation,
     /// Address at which the target accepts calls.
     pub address: SocketAddr,
     /// Layers that it runs for the request.
     pub layers: LayerRange,
 }
 
+impl Hop {
+    /// The run of the target that the chain was chosen for.
+    #[must_use]
+    pub fn run(&self) -> TargetRun {
+        TargetRun {
+            name: self.target.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// A sequence of targets that covers all layers in order.
 #[derive(Debug, Clone)]
 pub struct Chain {
@@ -98,6 +112,11 @@
     Suspected,
     /// the targets that cover the layers have no free capacity for the request
     Full,
+    /// the targets that cover the layers asked for a pause, the first of them until {until}
+    Paused {
+        /// When the first of the pauses ends.
+        until: Millis,
+    },
 }
 
 /// Summary of the load on the targets, for log lines.
@@ -242,6 +261,7 @@
             size,
             avoid: request.avoid,
             place: None,
+            ignores_pauses: false,
             other_entries: self.other_entries(now),
             now,
         };
@@ -313,11 +333,30 @@
             settings: &settings,
             ..*search
         };
-        match unlimited.run(&self.fleet) {
-            Some(_) => NoChain::Full,
-            None if has_blocked => NoChain::Suspected,
-            None => NoChain::Uncovered,
+        if unlimited.run(&self.fleet).is_some() {
+            return NoChain::Full;
         }
+        if let Some(until) = self.first_pause_end(search.now) {
+            let without_pauses = Search {
+                ignores_pauses: true,
+                ..unlimited
+            };
+            if without_pauses.run(&self.fleet).is_some() {
+                return NoChain::Paused { until };
+            }
+        }
+        if has_blocked {
+            NoChain::Suspected
+        } else {
+            NoChain::Uncovered
+        }
+    }
+
+    /// When the first of the pauses that targets asked for ends.
+    fn first_pause_end(&self, now: Millis) -> Option<Millis> {
+        let pauses = self.fleet.iter();
+        let ends = pauses.filter_map(|(_, member)| member.health.pause_end(now));
+        ends.min()
     }
 
     fn reserve(&mut self, found: &FoundChain, size: RequestSize) -> Chain {
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -20,6 +20,8 @@
     pub avoid: &'a [TargetName],
     /// Zone that the chain must stay in; `None` for chains across zones.
     pub place: Option<&'a PlaceName>,
+    /// Whether targets that asked for a pause may be used as well.
+    pub ignores_pauses: bool,
     pub other_entries: OtherEntries,
     pub now: Millis,
 }
@@ -90,7 +92,12 @@
     fn may_use(&self, member: &Member) -> bool {
         let is_place_allowed = self.place.is_none_or(|place| member.target.place == *place);
         let is_avoided = self.avoid.contains(&member.target.name);
-        is_place_allowed && !is_avoided && !member.health.is_blocked(self.now)
+        // A paused target can't be used before the pause ends, whatever else is known about it.
+        let is_usable = match member.health.pause_end(self.now) {
+            Some(_) => self.ignores_pauses,
+            None => !member.health.is_blocked(self.now),
+        };
+        is_place_allowed && !is_avoided && is_usable
     }
 
     /// Layer boundaries at which some candidate's range starts or ends, in ascending order.
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod chain;
 mod error;
+mod exclusions;
 mod graph;
 mod limit;
 mod path;
@@ -18,6 +19,7 @@
     SilentTargets, TargetLoad,
 };
 pub use error::NoPath;
+pub use exclusions::{ExclusionSettings, Exclusions, TargetRun};
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
     Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -8,9 +8,9 @@
 use chain_support::{router, target};
 use mgw_route::{
     Chain, ChainRequest, ChainRouter, ChainTarget, EntryLoad, EntryLoadTable, NoChain,
-    OtherEntriesLoad, ProbeOutcome,
+    OtherEntriesLoad, ProbeOutcome, TargetRun,
 };
-use mgw_world::{Millis, TargetName};
+use mgw_world::{Incarnation, Millis, TargetName};
 
 const REQUEST: ChainRequest<'_> = ChainRequest {
     prompt_tokens: 760,
@@ -410,3 +410,53 @@
         );
     }
 }
+
+fn run(name: &str) -> TargetRun {
+    TargetRun {
+        name: name.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Load pattern: targets of the entry's zone shed load during a burst, and later those of the other
+/// zone as well.
+#[test]
+fn chains_leave_out_targets_that_asked_for_a_pause_and_a_refusal_names_its_first_end() {
+    let mut router = router(two_zones());
+    router.pause(&run("h1"), Millis(900));
+    let far = router.choose(&REQUEST, Millis(0)).unwrap();
+    assert_eq!(names(&far), ["f1", "f2"]);
+    router.pause(&run("f2"), Millis(400));
+    // A token of an earlier request doesn't end the pause.
+    router.record_token(far.reservation, Millis(1));
+    router.pause(&run("f2"), Millis(300));
+    let refused = router.choose(&REQUEST, Millis(399)).unwrap_err();
+    assert_eq!(refused, NoChain::Paused { until: Millis(400) });
+    let far = router.choose(&REQUEST, Millis(400)).unwrap();
+    assert_eq!(names(&far), ["f1", "f2"]);
+    let home = router.choose(&REQUEST, Millis(900)).unwrap();
+    assert_eq!(names(&home), ["h1", "h2"]);
+}
+
+/// The pause of a target can't explain that layers are missing that it doesn't hold.
+#[test]
+fn layers_that_no_target_holds_are_uncovered_also_while_others_pause() {
+    let mut router = router(vec![target("h1", "home", "fast", 0, 40)]);
+    router.pause(&run("h1"), Millis(900));
+    let refused = router.choose(&REQUEST, Millis(0)).unwrap_err();
+    assert_eq!(refused, NoChain::Uncovered);
+}
+
+#[test]
+fn leaving_targets_of_one_entry_are_passed_on_to_all_others() {
+    let mut table = EntryLoadTable::default();
+    let leaving = EntryLoad {
+        leaving: vec![run("h1")],
+        ..EntryLoad::default()
+    };
+    table.exchange("one", leaving, Millis(0));
+    for name in ["two", "three"] {
+        let seen = table.exchange(name, EntryLoad::default(), Millis(10));
+        assert_eq!(seen.leaving, [run("h1")], "{name}");
+    }
+}
