--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -2,6 +2,7 @@
 //! audit trail) on a machine with a disk.
 
 mod app;
+mod data_folder;
 mod founding;
 mod handle;
 mod maintenance;
--- a/crates/mgw-control/src/maintenance.rs
+++ b/crates/mgw-control/src/maintenance.rs
@@ -76,6 +76,7 @@
         .set(i64::from(report.role == Role::Leader));
     metrics.term.set(to_gauge(report.term.0));
     metrics.sync_count.set(to_gauge(report.sync_count));
+    metrics.is_disk_full.set(i64::from(report.is_disk_full));
     let state = app.replica.state.read();
     metrics.applied_index.set(to_gauge(state.applied()));
     metrics
--- a/crates/mgw-control/src/metrics.rs
+++ b/crates/mgw-control/src/metrics.rs
@@ -15,6 +15,8 @@
     pub applied_index: IntGauge,
     /// Number of syncs since the data folder was opened.
     pub sync_count: IntGauge,
+    /// 1 while a write waits for space on the disk, else 0.
+    pub is_disk_full: IntGauge,
     /// Number of ledger claims whose outcome is unknown.
     pub unknown_claims: IntGauge,
     /// Bytes of the view exchanges that this process started, replies included.
@@ -33,6 +35,10 @@
             term: IntGauge::new("mgw_control_term", "Current term of the log.")?,
             applied_index: IntGauge::new("mgw_control_applied_index", "Last index applied.")?,
             sync_count: IntGauge::new("mgw_control_syncs", "Syncs of the data folder.")?,
+            is_disk_full: IntGauge::new(
+                "mgw_control_disk_full",
+                "Whether a write waits for space on the disk.",
+            )?,
             unknown_claims: IntGauge::new(
                 "mgw_ledger_unknown_claims",
                 "Ledger claims whose outcome is unknown.",
@@ -44,6 +50,7 @@
             &metrics.term,
             &metrics.applied_index,
             &metrics.sync_count,
+            &metrics.is_disk_full,
             &metrics.unknown_claims,
         ];
         for gauge in gauges {
--- a/crates/mgw-control/src/operator/read.rs
+++ b/crates/mgw-control/src/operator/read.rs
@@ -57,6 +57,9 @@
     if let Some(damage) = report.damage {
         attention.push(damage);
     }
+    if report.is_disk_full {
+        attention.push("the disk is full; this control acknowledges and votes nothing".to_owned());
+    }
     if !has_quorum {
         attention.push("no leader is known; changes and claims wait for a quorum".to_owned());
     }
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -53,6 +53,7 @@
     replica: Replica,
     disk: Sender<DiskWrite>,
     is_write_in_flight: bool,
+    is_disk_full: bool,
     is_flush_scheduled: bool,
     pending_proposals: BTreeMap<Index, Proposal>,
     queued_reads: Vec<ResponseSender<()>>,
@@ -90,6 +91,7 @@
             replica: arguments.replica,
             disk,
             is_write_in_flight: false,
+            is_disk_full: false,
             is_flush_scheduled: false,
             pending_proposals: BTreeMap::new(),
             queued_reads: Vec::new(),
@@ -138,8 +140,13 @@
             }
             ReplicaMessage::TransferLeadership => self.transfer_leadership(),
             ReplicaMessage::Describe(sender) => self.describe(sender),
+            ReplicaMessage::DiskFull => {
+                self.is_disk_full = true;
+                self.transfer_leadership();
+            }
             ReplicaMessage::Synced(write, sync_count) => {
                 self.is_write_in_flight = false;
+                self.is_disk_full = false;
                 self.sync_count = sync_count;
                 self.replica.confirm_synced(write, now);
             }
@@ -420,6 +427,7 @@
             membership,
             reachable,
             damage: self.replica.damage().map(ToString::to_string),
+            is_disk_full: self.is_disk_full,
             sync_count: self.sync_count,
         };
         let _ = response_sender.send(report);
--- a/crates/mgw-control/src/replica/message.rs
+++ b/crates/mgw-control/src/replica/message.rs
@@ -44,6 +44,8 @@
     pub replicas: Vec<ReplicaStatus>,
     /// Description of the damage found in the data folder, if there is any.
     pub damage: Option<String>,
+    /// Whether a write waits for space on the disk.
+    pub is_disk_full: bool,
     /// Number of syncs since the data folder was opened.
     pub sync_count: u64,
 }
@@ -64,6 +66,8 @@
     TransferLeadership,
     /// Respond with the state of the replica.
     Describe(oneshot::Sender<ReplicaReport>),
+    /// A write waits for space on the disk.
+    DiskFull,
     /// A write is on disk; with the number of syncs since the folder was opened.
     Synced(WriteId, u64),
     /// Run the replica's timers: elections, heartbeats and queued reads.
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -19,6 +19,7 @@
 use tracing::{info, warn};
 
 use crate::app::App;
+use crate::data_folder::{FOUNDING_DISK_ID, open_data_folder};
 use crate::founding::check_other_logs_empty;
 use crate::handle::ControlHandle;
 use crate::maintenance::run_maintenance;
@@ -32,9 +33,6 @@
 use crate::view::create_view;
 use crate::watches::watch_controls;
 
-/// Disk ID of the controls that found a group together. It is fixed so that each of them knows the
-/// replica identities of the others; all other disks get a random ID.
-const FOUNDING_DISK_ID: u64 = 0;
 /// Interval of the replica's ticks.
 const TICK_INTERVAL_MS: Millis = Millis(25);
 /// Longest time that a shutdown waits for another control to become the leader.
@@ -147,7 +145,12 @@
 ) -> Result<Option<Control>, RunError> {
     let http = listen(settings.listen).await?;
     let peers = listen_peers(settings.peer_listen).await?;
-    let (mut storage, mut recovered) = open_storage(&settings, &founding)?;
+    let opening = open_data_folder(&settings, &founding);
+    let opened = match shutdown.graceful.run_until_cancelled(opening).await {
+        None => return Ok(None),
+        Some(opened) => opened.map_err(|error| data_error(&error))?,
+    };
+    let (mut storage, mut recovered) = opened;
     let identity = load_identity(&settings)?;
     let pool = Arc::new(PeerPool::new(identity.clone()));
     let stop = CancellationToken::new();
@@ -330,25 +333,6 @@
         .map_err(|error| start_error(&error))
 }
 
-fn open_storage(
-    settings: &ControlSettings,
-    founding: &Founding,
-) -> Result<(Storage, RecoveredState), RunError> {
-    let write_hook = Box::new(|_| Ok(()));
-    let disk = match founding {
-        Founding::With(names) if names.iter().any(|name| name == settings.name.as_str()) => {
-            FOUNDING_DISK_ID
-        }
-        _ => rand::random::<u64>().max(FOUNDING_DISK_ID + 1),
-    };
-    let opened = Storage::open(&settings.data, settings.name.as_str(), disk, write_hook);
-    let (storage, recovered) = opened.map_err(|error| data_error(&error))?;
-    if let Some(damage) = &recovered.damage {
-        tracing::error!(%damage, "the data folder is damaged; this control won't vote");
-    }
-    Ok((storage, recovered))
-}
-
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| RunError::Listen {
--- a/crates/mgw-quorum/src/lib.rs
+++ b/crates/mgw-quorum/src/lib.rs
@@ -23,4 +23,4 @@
 };
 pub use replica::{DiskWrite, Output, ReadyRead, Replica, Role, RoleChange};
 pub use settings::{InjectedFault, ReadMode, Settings};
-pub use storage::{Storage, StorageError, SyncHook, SyncPoint};
+pub use storage::{FileHook, FilePoint, FileStep, Storage, StorageError};
--- a/crates/mgw-quorum/src/storage/error.rs
+++ b/crates/mgw-quorum/src/storage/error.rs
@@ -3,8 +3,12 @@
 use std::io;
 use std::path::PathBuf;
 
+/// Name of the operation that makes written data durable.
+pub(super) const SYNCING: &str = "syncing";
+
 /// Why the data folder can't be used. After an error of [`crate::Storage::write`] the process must
-/// exit: what reached the disk is unknown until it is read back after a restart.
+/// exit, as what reached the disk is unknown until it is read back after a restart. The exception is
+/// a full disk; see [`Self::is_disk_full`].
 #[derive(Debug, displaydoc::Display, derive_more::Error)]
 pub enum StorageError {
     /// {action} {path:?} failed: {source}; help: check the disk, then restart the process
@@ -45,3 +49,20 @@
         source: postcard::Error,
     },
 }
+
+impl StorageError {
+    /// Whether the disk had no space for the operation. Nothing was synced then, so a write may be
+    /// tried again as it is.
+    #[must_use]
+    pub fn is_disk_full(&self) -> bool {
+        let Self::Io { action, source, .. } = self else {
+            return false;
+        };
+        let has_no_space = matches!(
+            source.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        );
+        // After a failed sync it is unknown which of the written pages are on disk.
+        has_no_space && *action != SYNCING
+    }
+}
--- a/crates/mgw-quorum/src/storage/files.rs
+++ b/crates/mgw-quorum/src/storage/files.rs
@@ -1,27 +1,38 @@
 //! File operations, each with the syncs that make it durable.
 
 use super::StorageError;
+use super::error::SYNCING;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// A point just before or just after a sync, at which a test can let the sync fail or stop the
-/// process.
+/// A point at which a test can let a file operation fail or stop the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SyncPoint {
+pub struct FilePoint {
     /// File in the data folder, or `.` for the folder itself.
     pub file: &'static str,
-    /// False just before the sync, true just after it.
-    pub is_after_sync: bool,
+    /// Position of the point in the operation.
+    pub step: FileStep,
 }
 
-/// Callback for each [`SyncPoint`]. If it returns an error, the sync counts as failed.
-pub type SyncHook = Box<dyn FnMut(SyncPoint) -> io::Result<()> + Send>;
+/// Position of a [`FilePoint`] in a file operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileStep {
+    /// Before a write. If the hook fails it, half of the bytes are written.
+    BeforeWrite,
+    /// Before a sync.
+    BeforeSync,
+    /// After a sync.
+    AfterSync,
+}
+
+/// Callback for each [`FilePoint`]. If it returns an error, the operation counts as failed.
+pub type FileHook = Box<dyn FnMut(FilePoint) -> io::Result<()> + Send>;
 
 /// Reads and writes the files of one folder and counts the syncs.
 pub(super) struct Files {
     folder: PathBuf,
-    hook: SyncHook,
+    hook: FileHook,
     sync_count: u64,
 }
 
@@ -29,7 +40,7 @@
 const NEW_SUFFIX: &str = ".new";
 
 impl Files {
-    pub(super) const fn new(folder: PathBuf, hook: SyncHook) -> Self {
+    pub(super) const fn new(folder: PathBuf, hook: FileHook) -> Self {
         Self {
             folder,
             hook,
@@ -76,8 +87,7 @@
         let path = self.path(name);
         let mut file =
             File::create(&new_path).map_err(|source| io_error("creating", &new_path, source))?;
-        file.write_all(bytes)
-            .map_err(|source| io_error("writing", &new_path, source))?;
+        self.write(&mut file, name, &new_path, bytes)?;
         self.sync(&file, name, &new_path)?;
         fs::rename(&new_path, &path).map_err(|source| io_error("renaming", &new_path, source))?;
         let folder = self.folder.clone();
@@ -101,11 +111,23 @@
         bytes: &[u8],
     ) -> Result<(), StorageError> {
         let path = self.path(name);
-        file.write_all(bytes)
-            .map_err(|source| io_error("writing", &path, source))?;
+        self.write(file, name, &path, bytes)?;
         self.sync(file, name, &path)
     }
 
+    /// Removes what a failed append may have left behind `size_bytes`. It isn't synced: a restart
+    /// removes such a tail as well.
+    pub(super) fn remove_tail(
+        &self,
+        file: &File,
+        name: &'static str,
+        size_bytes: u64,
+    ) -> Result<(), StorageError> {
+        let path = self.path(name);
+        file.set_len(size_bytes)
+            .map_err(|source| io_error("truncating", &path, source))
+    }
+
     /// Truncates a file to `size_bytes` and syncs it.
     pub(super) fn truncate(
         &mut self,
@@ -119,15 +141,36 @@
         self.sync(file, name, &path)
     }
 
+    fn write(
+        &mut self,
+        file: &mut File,
+        name: &'static str,
+        path: &Path,
+        bytes: &[u8],
+    ) -> Result<(), StorageError> {
+        let write_error = |source| io_error("writing", path, source);
+        let point = FilePoint {
+            file: name,
+            step: FileStep::BeforeWrite,
+        };
+        if let Err(source) = (self.hook)(point) {
+            // As on a disk that runs full in the middle of a write.
+            file.write_all(&bytes[..bytes.len() / 2])
+                .map_err(write_error)?;
+            return Err(write_error(source));
+        }
+        file.write_all(bytes).map_err(write_error)
+    }
+
     /// Syncs a file or folder between the two calls of the hook.
     fn sync(&mut self, file: &File, name: &'static str, path: &Path) -> Result<(), StorageError> {
-        let sync_error = |source| io_error("syncing", path, source);
-        let before = SyncPoint {
+        let sync_error = |source| io_error(SYNCING, path, source);
+        let before = FilePoint {
             file: name,
-            is_after_sync: false,
+            step: FileStep::BeforeSync,
         };
-        let after = SyncPoint {
-            is_after_sync: true,
+        let after = FilePoint {
+            step: FileStep::AfterSync,
             ..before
         };
         (self.hook)(before).map_err(sync_error)?;
--- a/crates/mgw-quorum/src/storage/folder.rs
+++ b/crates/mgw-quorum/src/storage/folder.rs
@@ -1,7 +1,7 @@
 //! The data folder of a replica: opened once, then written batch by batch.
 
 use super::StorageError;
-use super::files::{Files, SyncHook, io_error};
+use super::files::{FileHook, Files, io_error};
 use super::frame::{encode_frame, scan_frames};
 use super::recover::{Base, Batch, FilesState, LOG, SNAPSHOT, read_state};
 use crate::{Damage, DiskWrite, HardState, Membership, RecoveredState, ReplicaId, Snapshot};
@@ -25,6 +25,8 @@
     files: Files,
     id: ReplicaId,
     log: Option<File>,
+    /// Length of the log up to the end of the last synced record.
+    log_bytes: u64,
     next_sequence: u64,
     hard_state: HardState,
     is_empty: bool,
@@ -46,7 +48,7 @@
         folder: &Path,
         name: &str,
         disk: u64,
-        hook: SyncHook,
+        hook: FileHook,
     ) -> Result<(Self, RecoveredState), StorageError> {
         let mut files = Files::new(folder.to_owned(), hook);
         files.create_folder()?;
@@ -56,6 +58,7 @@
             files,
             id: ReplicaId::new(name, disk),
             log: None,
+            log_bytes: 0,
             next_sequence: 0,
             hard_state: HardState::default(),
             is_empty: false,
@@ -125,25 +128,37 @@
     ///
     /// # Errors
     ///
-    /// Fails when the folder can't be written or synced. After any error it accepts no more writes
-    /// and the process must exit.
+    /// Fails when the folder can't be written or synced. After an error for which
+    /// [`StorageError::is_disk_full`] holds, the same write may be tried again. After any other
+    /// error the folder accepts no more writes and the process must exit.
     pub fn write(&mut self, write: &DiskWrite) -> Result<(), StorageError> {
-        let Some(log) = self.log.take() else {
+        let Some(mut log) = self.log.take() else {
             return Err(StorageError::Closed);
         };
         if let Some(hard_state) = &write.hard_state {
             self.hard_state = hard_state.clone();
         }
         self.is_empty = false;
-        let log = match &write.snapshot {
-            Some(snapshot) => self.replace_snapshot_and_log(snapshot, write)?,
-            None => self.append(log, write)?,
+        let written = match &write.snapshot {
+            Some(snapshot) => self.replace_snapshot_and_log(snapshot, write).map(Some),
+            None => self.append(&mut log, write).map(|()| None),
         };
-        self.log = Some(log);
-        Ok(())
+        match written {
+            Ok(new_log) => {
+                self.log = Some(new_log.unwrap_or(log));
+                Ok(())
+            }
+            Err(failure) => {
+                if failure.is_disk_full() {
+                    self.files.remove_tail(&log, LOG, self.log_bytes)?;
+                    self.log = Some(log);
+                }
+                Err(failure)
+            }
+        }
     }
 
-    fn append(&mut self, mut log: File, write: &DiskWrite) -> Result<File, StorageError> {
+    fn append(&mut self, log: &mut File, write: &DiskWrite) -> Result<(), StorageError> {
         let batch = Batch {
             base: None,
             hard_state: write.hard_state.clone(),
@@ -151,9 +166,10 @@
             entries: write.append.clone(),
         };
         let bytes = encode_frame(self.next_sequence, &batch)?;
+        self.files.append(log, LOG, &bytes)?;
         self.next_sequence += 1;
-        self.files.append(&mut log, LOG, &bytes)?;
-        Ok(log)
+        self.log_bytes += bytes.len() as u64;
+        Ok(())
     }
 
     fn replace_snapshot_and_log(
@@ -177,8 +193,9 @@
 
     fn replace_log(&mut self, first_batch: &Batch) -> Result<File, StorageError> {
         let bytes = encode_frame(0, first_batch)?;
-        self.next_sequence = 1;
         self.files.replace(LOG, &bytes)?;
+        self.next_sequence = 1;
+        self.log_bytes = bytes.len() as u64;
         self.files.open_append(LOG)
     }
 
@@ -247,7 +264,8 @@
             })?
         } else {
             let log = self.files.open_append(LOG)?;
-            self.files.truncate(&log, LOG, state.valid_bytes as u64)?;
+            self.log_bytes = state.valid_bytes as u64;
+            self.files.truncate(&log, LOG, self.log_bytes)?;
             log
         };
         self.log = Some(log);
--- a/crates/mgw-quorum/src/storage/mod.rs
+++ b/crates/mgw-quorum/src/storage/mod.rs
@@ -7,5 +7,5 @@
 mod recover;
 
 pub use error::StorageError;
-pub use files::{SyncHook, SyncPoint};
+pub use files::{FileHook, FilePoint, FileStep};
 pub use folder::Storage;
--- a/crates/mgw-quorum/tests/storage.rs
+++ b/crates/mgw-quorum/tests/storage.rs
@@ -2,15 +2,15 @@
 #![allow(clippy::unwrap_used)]
 
 use mgw_quorum::{
-    DiskWrite, Entry, HardState, Index, Payload, RecoveredState, Replica, ReplicaId, Role,
-    Settings, Snapshot, SnapshotMeta, Storage, StorageError, SyncPoint, Term, WriteId,
+    DiskWrite, Entry, FilePoint, FileStep, HardState, Index, Payload, RecoveredState, Replica,
+    ReplicaId, Role, Settings, Snapshot, SnapshotMeta, Storage, StorageError, Term, WriteId,
 };
 use mgw_world::Millis;
 use std::fs;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tempfile::{TempDir, tempdir};
 
 const DISK: u64 = 41;
@@ -161,12 +161,10 @@
 
 /// Writes while the hook lets the sync with the number `failing_sync` fail, just before or just
 /// after it is done. Returns how many writes were acknowledged.
-fn write_until_sync_fails(folder: &Path, failing_sync: u64, is_after_sync: bool) -> u64 {
+fn write_until_sync_fails(folder: &Path, failing_sync: u64, failing_step: FileStep) -> u64 {
     let count = Arc::new(AtomicU64::new(0));
-    let hook = move |point: SyncPoint| {
-        if point.is_after_sync == is_after_sync
-            && count.fetch_add(1, Ordering::Relaxed) == failing_sync
-        {
+    let hook = move |point: FilePoint| {
+        if point.step == failing_step && count.fetch_add(1, Ordering::Relaxed) == failing_sync {
             return Err(io::Error::other("injected sync failure"));
         }
         Ok(())
@@ -194,12 +192,12 @@
 fn a_failure_at_any_sync_loses_no_acknowledged_write() {
     let last_indexes = [0, 1, 2, 2, 3, 4];
     for failing_sync in 0..16 {
-        for is_after_sync in [false, true] {
+        for step in [FileStep::BeforeSync, FileStep::AfterSync] {
             let folder = tempdir().unwrap();
             let path = folder.path().join("data");
-            let acknowledged = write_until_sync_fails(&path, failing_sync, is_after_sync) as usize;
+            let acknowledged = write_until_sync_fails(&path, failing_sync, step) as usize;
             let (storage, recovered) = open_folder(&path);
-            let context = format!("sync {failing_sync}, after sync: {is_after_sync}");
+            let context = format!("sync {failing_sync}, {step:?}");
             assert_eq!(recovered.damage, None, "{context}");
             assert_eq!(storage.id(), &ReplicaId::new("vm-1", DISK), "{context}");
             let base = recovered.snapshot.map_or(0, |it| it.meta.index.0);
@@ -290,20 +288,19 @@
     let folder = tempdir().unwrap();
     let observed = Arc::new(std::sync::Mutex::new(Vec::new()));
     let (observed_by_hook, path) = (Arc::clone(&observed), folder.path().to_owned());
-    let hook = move |point: SyncPoint| {
+    let hook = move |point: FilePoint| {
         let is_renamed = path.join("snapshot").exists();
-        observed_by_hook.lock().unwrap().push((point, is_renamed));
+        if point.step != FileStep::BeforeWrite {
+            observed_by_hook.lock().unwrap().push((point, is_renamed));
+        }
         Ok(())
     };
     let (mut storage, _) = Storage::open(folder.path(), "vm-1", DISK, Box::new(hook)).unwrap();
     observed.lock().unwrap().clear();
     storage.write(&snapshot_write(1)).unwrap();
     let sync_points = |file, is_renamed| {
-        let point = |is_after_sync| SyncPoint {
-            file,
-            is_after_sync,
-        };
-        [(point(false), is_renamed), (point(true), is_renamed)]
+        let point = |step| FilePoint { file, step };
+        [FileStep::BeforeSync, FileStep::AfterSync].map(|step| (point(step), is_renamed))
     };
     let expected = [
         sync_points("snapshot", false),
@@ -313,3 +310,70 @@
     ];
     assert_eq!(*observed.lock().unwrap(), expected.concat());
 }
+
+/// Opens a folder whose disk is full while `is_full` is set.
+fn open_with_full_disk(folder: &Path, is_full: &Arc<AtomicBool>) -> Storage {
+    let is_full = Arc::clone(is_full);
+    let hook = move |point: FilePoint| {
+        if point.step == FileStep::BeforeWrite && is_full.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    };
+    Storage::open(folder, "vm-1", DISK, Box::new(hook))
+        .unwrap()
+        .0
+}
+
+/// A full disk takes half a record, again and again, before it has space.
+#[test]
+fn a_write_to_a_full_disk_can_be_repeated_once_there_is_space() {
+    for write in [append_write(2), snapshot_write(1)] {
+        let folder = tempdir().unwrap();
+        let is_full = Arc::new(AtomicBool::new(false));
+        let mut storage = open_with_full_disk(folder.path(), &is_full);
+        storage.write(&append_write(1)).unwrap();
+        is_full.store(true, Ordering::Relaxed);
+        for _ in 0..3 {
+            let failure = storage.write(&write).unwrap_err();
+            assert!(failure.is_disk_full(), "{failure}");
+        }
+        is_full.store(false, Ordering::Relaxed);
+        storage.write(&write).unwrap();
+        storage.write(&append_write(3)).unwrap();
+        drop(storage);
+        let (_, recovered) = open_folder(folder.path());
+        assert_eq!(recovered.damage, None);
+        assert_eq!(recovered.entries.last().unwrap().index, Index(3));
+    }
+}
+
+/// The process is killed while its disk is full.
+#[test]
+fn what_was_acknowledged_before_the_disk_was_full_survives_a_restart() {
+    let folder = tempdir().unwrap();
+    let is_full = Arc::new(AtomicBool::new(false));
+    let mut storage = open_with_full_disk(folder.path(), &is_full);
+    storage.write(&append_write(1)).unwrap();
+    is_full.store(true, Ordering::Relaxed);
+    storage.write(&snapshot_write(1)).unwrap_err();
+    storage.write(&append_write(2)).unwrap_err();
+    drop(storage);
+    let (_, recovered) = open_folder(folder.path());
+    assert_eq!(recovered.damage, None);
+    let indices: Vec<Index> = recovered.entries.iter().map(|it| it.index).collect();
+    assert_eq!(indices, [Index(1)]);
+}
+
+#[test]
+fn a_failed_sync_for_lack_of_space_is_final() {
+    let folder = tempdir().unwrap();
+    let (storage, _) = open_folder(folder.path());
+    drop(storage);
+    let hook = |point: FilePoint| match (point.file, point.step) {
+        ("log", FileStep::BeforeSync) => Err(io::ErrorKind::StorageFull.into()),
+        _ => Ok(()),
+    };
+    let opened = Storage::open(folder.path(), "vm-1", DISK, Box::new(hook));
+    assert!(!opened.err().unwrap().is_disk_full());
+}
