Test of expired load reports expects the flag that the table is complete

The table has then collected for 10 s, longer than a report is valid; the loads are compared as before.

--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -287,7 +287,11 @@
     let others = loads.exchange("here", nothing.clone(), Millis(1_000));
     assert!(!others.uses.is_empty());
     let others = loads.exchange("here", nothing, Millis(10_000));
-    assert_eq!(others, OtherEntriesLoad::default());
+    let none = OtherEntriesLoad {
+        is_complete: true,
+        ..OtherEntriesLoad::default()
+    };
+    assert_eq!(others, none);
 }
 
 /// Load pattern: a target fails while each of many entries has few streams. Without reports from
