Routing documents are compressed for the entries; an entry that is behind doesn't answer 404 or 401

Change: a control compresses each version once (PackedRouting, zlib by flate2) and sends that to whoever fetches it. An entry that knows that some control has a newer version than its own waits a short part of the caller's time for it before it refuses a route or key as unknown, and then answers 503 with the time to come back. Ruled out for now: fan-out through entries, and differences by version; they come after a measurement of this.

--- a/crates/mgw-control/src/handle/routing.rs
+++ b/crates/mgw-control/src/handle/routing.rs
@@ -98,7 +98,13 @@
             })
             .await;
         let newest_document = response.map_err(to_peer_error)??;
-        Ok(newest_document.unwrap_or(own_document))
+        let Some(newest_document) = newest_document else {
+            return Ok(own_document);
+        };
+        let unpacked = newest_document.unpack();
+        unpacked.map_err(|error| PeerError::Refused {
+            message: error.to_string(),
+        })
     }
 }
 
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use mgw_quorum::{Envelope, ReplicaId, Role};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
-use mgw_routing::RoutingDocument;
+use mgw_routing::PackedRouting;
 use mgw_state::{Command, ConfigUpdate, Reply};
 use mgw_world::{Millis, NodeName};
 use tarpc::context::Context;
@@ -109,15 +109,30 @@
         self,
         _: Context,
         request: RoutingRequest,
-    ) -> Result<Option<RoutingDocument>, PeerError> {
+    ) -> Result<Option<PackedRouting>, PeerError> {
         let app = self.app()?;
         if request.confirmed {
             app.replica.confirm_read().await?;
         }
-        let state = app.replica.state.read();
-        let document = state.routing();
-        Ok((document.version != request.have).then(|| document.clone()))
+        if app.replica.state.read().routing().version == request.have {
+            return Ok(None);
+        }
+        pack_routing(app).map(Some)
+    }
+}
+
+/// The routing document that this control holds, compressed once for each version.
+fn pack_routing(app: &App) -> Result<PackedRouting, PeerError> {
+    let mut latest = app.packed_routing.lock();
+    let document = app.replica.state.read().routing().clone();
+    if let Some(packed) = latest.as_ref().filter(|it| it.version == document.version) {
+        return Ok(packed.clone());
     }
+    let packed = PackedRouting::pack(&document).map_err(|error| PeerError::Refused {
+        message: error.to_string(),
+    })?;
+    *latest = Some(packed.clone());
+    Ok(packed)
 }
 
 /// Responds as soon as there are changes that the caller doesn't have, at the latest after its
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -6,7 +6,7 @@
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
-use mgw_routing::RoutingDocument;
+use mgw_routing::PackedRouting;
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
 use mgw_world::{Millis, NodeName, Revision, RoutingVersion};
 use serde::{Deserialize, Serialize};
@@ -129,5 +129,5 @@
     /// Reports an entry's load on the targets and returns the sum of all other entries' load.
     async fn share_use(entry: NodeName, load: EntryLoad) -> Result<OtherEntriesLoad, PeerError>;
     /// Returns the routing document that the control holds; none when the caller has that version.
-    async fn routing(request: RoutingRequest) -> Result<Option<RoutingDocument>, PeerError>;
+    async fn routing(request: RoutingRequest) -> Result<Option<PackedRouting>, PeerError>;
 }
--- a/crates/mgw-peer/src/view_server.rs
+++ b/crates/mgw-peer/src/view_server.rs
@@ -5,7 +5,7 @@
 use mgw_member::{Exchange, ExchangeReply, View};
 use mgw_quorum::Envelope;
 use mgw_route::{EntryLoad, OtherEntriesLoad};
-use mgw_routing::RoutingDocument;
+use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
 use mgw_world::{Clock, NodeName};
 use parking_lot::Mutex;
@@ -68,7 +68,7 @@
         self,
         _: Context,
         _: RoutingRequest,
-    ) -> Result<Option<RoutingDocument>, PeerError> {
+    ) -> Result<Option<PackedRouting>, PeerError> {
         Err(PeerError::NotAControl)
     }
 }
--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -15,7 +15,7 @@
 };
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
-use mgw_routing::RoutingDocument;
+use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
 use mgw_world::{Millis, NodeName};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
@@ -81,7 +81,7 @@
         self,
         _: Context,
         _: RoutingRequest,
-    ) -> Result<Option<RoutingDocument>, PeerError> {
+    ) -> Result<Option<PackedRouting>, PeerError> {
         Err(PeerError::NotAControl)
     }
 }
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -16,6 +16,7 @@
 
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
+use crate::follow::RoutingUpdates;
 use crate::metrics::Metrics;
 use crate::retries::ServiceRetries;
 use crate::settings::RelaySettings;
@@ -47,8 +48,10 @@
     pub wait_limits: WaitLimits,
     /// Notified when a stream releases its chain; wakes one waiter at a time, the oldest first.
     pub capacity_freed: Notify,
-    /// Notified when the first routing document is in force.
-    pub first_routing_set: Notify,
+    /// Notified when a routing document has come into force.
+    pub routing_set: Notify,
+    /// Versions of the routing document that controls have.
+    pub routing_updates: RoutingUpdates,
     /// Limits on pauses of streams.
     pub pause_limits: PauseLimits,
     /// Notified when the state of targets in the view has changed.
@@ -82,7 +85,8 @@
             pause_limits: PauseLimits::default(),
             wait_limits: WaitLimits::default(),
             capacity_freed: Notify::new(),
-            first_routing_set: Notify::new(),
+            routing_set: Notify::new(),
+            routing_updates: RoutingUpdates::default(),
             targets_changed: Arc::new(Notify::new()),
             metrics: Metrics::new()?,
             routing: RwLock::default(),
@@ -121,13 +125,13 @@
         self.metrics.routing_version.set(to_gauge(version.0));
         self.update_models();
         self.update_targets();
-        self.first_routing_set.notify_waiters();
+        self.routing_set.notify_waiters();
     }
 
     /// The routing document in force. While the process starts, waits for the first one during a
     /// fraction of the caller's time.
     pub async fn wait_for_routing(&self, time_ms: Millis) -> Arc<RouteTable> {
-        let first_set = self.first_routing_set.notified();
+        let first_set = self.routing_set.notified();
         let current = self.routing();
         if current.version() > RoutingVersion(0) {
             return current;
@@ -138,6 +142,22 @@
         self.routing()
     }
 
+    /// Waits for the newest routing document that a control has told of, for at most `wait_ms`.
+    /// Returns whether it is in force.
+    pub async fn wait_for_newest_routing(&self, wait_ms: Millis) -> bool {
+        let ends_at = self.clock.now() + wait_ms;
+        loop {
+            let newly_set = self.routing_set.notified();
+            if self.routing().version() >= self.routing_updates.newest_version() {
+                return true;
+            }
+            let left_ms = ends_at - self.clock.now();
+            if timeout(left_ms.to_duration(), newly_set).await.is_err() {
+                return false;
+            }
+        }
+    }
+
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -1,5 +1,7 @@
 //! Reads a caller's request and finds its route.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -56,15 +58,18 @@
         let arrived_at = app.clock.now();
         let (parts, body) = request.into_parts();
         let head = (app.adapter.dialect.read_request)(&parts.headers);
-        let routing = app
-            .wait_for_routing(head.deadline_ms.unwrap_or_default())
-            .await;
-        let admitted = admit(&routing, &parts, &head, body).await;
-        let Admitted {
-            route,
-            workspace,
-            body,
-        } = admitted.inspect_err(|refusal| log_refusal(&parts, &head, &routing, *refusal))?;
+        let routing = wait_for_routing(app, &parts, &head).await;
+        let log = |refusal: &Refusal| log_refusal(&parts, &head, &routing, *refusal);
+        let admitted = admit(&routing, &parts, &head);
+        // The missing route or key may be one that a newer document adds.
+        let is_outdated = routing.version() < app.routing_updates.newest_version();
+        let admitted = match admitted {
+            Err(_) if is_outdated => Err(Refusal::outdated_routing()),
+            admitted => admitted,
+        };
+        let Admitted { route, workspace } = admitted.inspect_err(log)?;
+        let max_body_bytes = routing.limits().max_body_bytes;
+        let body = read_body(body, max_body_bytes).await.inspect_err(log)?;
         let timeout_ms = route.timeout_ms;
         let time_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
         let path = parts.uri.path_and_query();
@@ -86,19 +91,30 @@
     }
 }
 
+/// Waits for a routing document. If the request has no route or workspace in it while a control has a
+/// newer one, waits for that one as well.
+async fn wait_for_routing(app: &App, parts: &Parts, head: &CallerHead) -> Arc<RouteTable> {
+    let time_ms = head.deadline_ms.unwrap_or_default();
+    let routing = app.wait_for_routing(time_ms).await;
+    if admit(&routing, parts, head).is_ok() {
+        return routing;
+    }
+    let wait_ms = app.wait_limits.capacity_wait_ms(time_ms);
+    app.wait_for_newest_routing(wait_ms).await;
+    app.routing()
+}
+
 /// What admission found for a request.
 struct Admitted<'a> {
     route: &'a Route,
     workspace: Option<&'a KeyedWorkspace>,
-    body: Bytes,
 }
 
-/// Finds route and workspace of a request and reads its body.
-async fn admit<'a>(
+/// Finds route and workspace of a request.
+fn admit<'a>(
     routing: &'a RouteTable,
     parts: &Parts,
     head: &CallerHead,
-    body: Incoming,
 ) -> Result<Admitted<'a>, Refusal> {
     if routing.version() == RoutingVersion(0) {
         return Err(Refusal::no_routing());
@@ -113,7 +129,6 @@
     Ok(Admitted {
         route,
         workspace: workspace.map_err(to_refusal)?,
-        body: read_body(body, routing.limits().max_body_bytes).await?,
     })
 }
 
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -20,6 +20,8 @@
 /// `Retry-After` while no routing document is known: longer than an election after a restart of all
 /// controls.
 const NO_ROUTING_RETRY_MS: Millis = Millis(1_500);
+/// `Retry-After` while a newer routing document is being fetched.
+const OUTDATED_ROUTING_RETRY_MS: Millis = Millis(300);
 /// `Retry-After` while some layers aren't covered: a target takes that long to load layers.
 const UNCOVERED_RETRY_MS: Millis = Millis(1_500);
 /// `Retry-After` while all targets are full: about half the duration of a usual answer.
@@ -63,6 +65,16 @@
         Self::retry_later("no routing document is known yet", NO_ROUTING_RETRY_MS)
     }
 
+    /// A control has a newer routing document that isn't in force here yet, so that a missing route or
+    /// key may be one that it adds.
+    #[must_use]
+    pub const fn outdated_routing() -> Self {
+        Self::retry_later(
+            "a newer routing document is being fetched",
+            OUTDATED_ROUTING_RETRY_MS,
+        )
+    }
+
     /// No route has a prefix of the path.
     #[must_use]
     pub const fn not_found() -> Self {
--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use mgw_peer::RoutingRequest;
-use mgw_routing::{RouteTable, RoutingDocument};
+use mgw_routing::{PackedRouting, RouteTable};
 use mgw_world::{Millis, RoutingVersion};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -30,6 +30,12 @@
 }
 
 impl RoutingUpdates {
+    /// Highest version that any control has.
+    #[must_use]
+    pub fn newest_version(&self) -> RoutingVersion {
+        self.sources.lock().newest_version()
+    }
+
     /// Records the version that a control has.
     pub fn record_version(&self, control: SocketAddr, version: RoutingVersion) {
         self.sources.lock().record_version(control, version);
@@ -97,7 +103,7 @@
         })
         .await;
     match response {
-        Ok(Ok(Some(document))) => set_routing_from(app, &document, control),
+        Ok(Ok(Some(packed))) => set_routing_from(app, &packed, control),
         Ok(Ok(None)) => true,
         Ok(Err(error)) => {
             info!(%control, %error, "control refused to send the routing document");
@@ -107,17 +113,20 @@
     }
 }
 
-fn set_routing_from(app: &App, document: &RoutingDocument, control: SocketAddr) -> bool {
-    match (app.adapter.decode_routing)(&document.source) {
+fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr) -> bool {
+    let unpacked = packed.unpack().map_err(|error| error.to_string());
+    let decode = app.adapter.decode_routing;
+    match unpacked.and_then(|document| decode(&document.source)) {
         Ok(routing) => {
-            info!(%control, version = %document.version, "routing document fetched");
+            let size_bytes = packed.size_bytes();
+            info!(%control, version = %packed.version, size_bytes, "routing document fetched");
             app.set_routing(RouteTable::new(routing));
             true
         }
         Err(error) => {
             warn!(
                 %control,
-                version = %document.version,
+                version = %packed.version,
                 %error,
                 "can't decode the routing document"
             );
--- a/crates/mgw-relay/src/follow/sources.rs
+++ b/crates/mgw-relay/src/follow/sources.rs
@@ -41,6 +41,13 @@
         self.sources.insert(control, state);
     }
 
+    /// Highest version that any control has; zero while none is known.
+    #[must_use]
+    pub fn newest_version(&self) -> RoutingVersion {
+        let versions = self.sources.values().map(|state| state.version);
+        versions.max().unwrap_or_default()
+    }
+
     /// Records that no document could be fetched from a control.
     pub fn record_failure(&mut self, control: SocketAddr, now: Millis) {
         if let Some(state) = self.sources.get_mut(&control) {
--- a/crates/mgw-relay/src/relay.rs
+++ b/crates/mgw-relay/src/relay.rs
@@ -18,9 +18,7 @@
 use crate::callers::{CallerConnections, serve_callers};
 use crate::dialect::RelayAdapter;
 use crate::drain::drain;
-use crate::follow::{
-    ReloadControls, RoutingUpdates, follow_controls, run_load_exchange, run_view_sync,
-};
+use crate::follow::{ReloadControls, follow_controls, run_load_exchange, run_view_sync};
 use crate::settings::RelaySettings;
 
 /// Why a relay couldn't start.
@@ -111,7 +109,7 @@
         reload_controls: ReloadControls,
     ) {
         let app = &self.app;
-        let updates = RoutingUpdates::default();
+        let updates = app.routing_updates.clone();
         let server = ViewServer {
             view: Arc::clone(&app.view),
             clock: app.clock.clone(),
--- a/crates/mgw-relay/tests/sources.rs
+++ b/crates/mgw-relay/tests/sources.rs
@@ -50,3 +50,15 @@
     assert_eq!(sources.choose(CURRENT, &[], Millis(200)), source(2, 4));
     assert_eq!(sources.choose(CURRENT, &[], Millis(1_200)), source(1, 5));
 }
+
+/// Load pattern: hundreds of entries fetch a new document at once, and some get it late. Such an entry
+/// must know that it is behind, or it would refuse routes that the new document adds as unknown.
+#[test]
+fn the_newest_version_counts_also_while_its_control_cant_be_reached() {
+    let mut sources = RoutingSources::default();
+    assert_eq!(sources.newest_version(), RoutingVersion(0));
+    sources.record_version(control(1), RoutingVersion(5));
+    sources.record_version(control(2), RoutingVersion(4));
+    sources.record_failure(control(1), Millis(100));
+    assert_eq!(sources.newest_version(), RoutingVersion(5));
+}
--- a/crates/mgw-routing/src/lib.rs
+++ b/crates/mgw-routing/src/lib.rs
@@ -4,9 +4,11 @@
 mod check;
 mod document;
 mod objects;
+mod packed;
 mod table;
 
 pub use check::{RoutingFinding, check_routing};
 pub use document::{DecodeRouting, RoutingDocument};
 pub use objects::{CallKind, CallerLimits, KeyedWorkspace, Route, RoutedService, Routing, Split};
+pub use packed::{PackedRouting, UnpackError};
 pub use table::{NoRoute, RouteTable};
