Second copies of answers, dripping streams and stalled bodies

Causes, found by tests with a target that writes scripted bytes: an answer without an id on a connection that was used before was taken as the next request's own, so a late second copy reached the next caller; any byte of a stream counted as progress, so a target that sent one now and then held a stream until its deadline; a caller's body had no time limit.

Change: on a reused connection only an answer with the request's id counts; pauses of a stream are counted between new whole events; a body that isn't whole within the caller's time is answered with 408, as the request went to no target.

--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -11,6 +11,7 @@
 use mgw_routing::{KeyedWorkspace, NoRoute, Route, RouteTable, Split};
 use mgw_world::{Millis, RoutingVersion, ServiceName, WorkspaceName};
 use rand::Rng;
+use tokio::time::timeout;
 use tracing::info;
 
 use super::Refusal;
@@ -69,9 +70,11 @@
         };
         let Admitted { route, workspace } = admitted.inspect_err(log)?;
         let max_body_bytes = routing.limits().max_body_bytes;
-        let body = read_body(body, max_body_bytes).await.inspect_err(log)?;
         let timeout_ms = route.timeout_ms;
         let time_ms = head.deadline_ms.unwrap_or(timeout_ms).min(timeout_ms);
+        let body = timeout(time_ms.to_duration(), read_body(body, max_body_bytes)).await;
+        let body = body.unwrap_or(Err(Refusal::late_body()));
+        let body = body.inspect_err(log)?;
         let path = parts.uri.path_and_query();
         let workspace_rank = workspace.and_then(|it| it.priority);
         Ok(Self {
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -97,6 +97,15 @@
         }
     }
 
+    /// The request's body didn't arrive whole within the caller's own time. It wasn't sent to a target.
+    #[must_use]
+    pub const fn late_body() -> Self {
+        Self::final_answer(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body didn't arrive in time",
+        )
+    }
+
     /// The known targets don't cover the model's layers.
     #[must_use]
     pub const fn uncovered() -> Self {
--- a/crates/mgw-relay/src/stream/chain_stream.rs
+++ b/crates/mgw-relay/src/stream/chain_stream.rs
@@ -57,7 +57,7 @@
 pub struct ChainStream {
     /// Reservation on the chain.
     pub reserved: ReservedChain,
-    /// When the last bytes arrived, or when the head of the answer was read.
+    /// When the last new events arrived, or when the head of the answer was read.
     pub received_at: Millis,
     body: Incoming,
     connection: Option<PooledConnection>,
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -266,22 +266,9 @@
     }
 
     /// Adds bytes of the chain and returns the complete events that weren't passed on before, or
-    /// `None` if there are none. After a long pause the targets of the chain are probed.
+    /// `None` if there are none. Only complete events count as progress: a target may send a byte now
+    /// and then and never complete an event.
     fn process_data(&mut self, data: Bytes) -> Result<Option<Bytes>, StreamFault> {
-        let now = self.app.clock.now();
-        if let Some(chain_stream) = &mut self.chain_stream {
-            let pause = now - chain_stream.received_at;
-            chain_stream.received_at = now;
-            let reservation = chain_stream.reserved.reservation;
-            let is_slow = self.has_begun && pause > self.app.pause_limits.slow_after_ms;
-            let service = &self.call.service;
-            let probes = self.app.with_chains(service, |chains| {
-                chains.record_token(reservation, now);
-                is_slow.then(|| chains.start_slowness_probes(reservation, now))
-            });
-            let probes = probes.flatten().unwrap_or_default();
-            probe_hops(&self.app, service, probes, "slow stream");
-        }
         let complete = self
             .splitter
             .push(data)
@@ -293,7 +280,30 @@
             .event_order
             .accept(&events)
             .map_err(|_| StreamFault::EventMissing)?;
-        Ok((!new_events.is_empty()).then_some(new_events))
+        if new_events.is_empty() {
+            return Ok(None);
+        }
+        self.record_progress();
+        Ok(Some(new_events))
+    }
+
+    /// Records that new events arrived. After a long pause the targets of the chain are probed.
+    fn record_progress(&mut self) {
+        let Some(chain_stream) = &mut self.chain_stream else {
+            return;
+        };
+        let now = self.app.clock.now();
+        let pause = now - chain_stream.received_at;
+        chain_stream.received_at = now;
+        let reservation = chain_stream.reserved.reservation;
+        let is_slow = self.has_begun && pause > self.app.pause_limits.slow_after_ms;
+        let service = &self.call.service;
+        let probes = self.app.with_chains(service, |chains| {
+            chains.record_token(reservation, now);
+            is_slow.then(|| chains.start_slowness_probes(reservation, now))
+        });
+        let probes = probes.flatten().unwrap_or_default();
+        probe_hops(&self.app, service, probes, "slow stream");
     }
 
     fn log_end(&self, end: &'static str, ms: Millis) {
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -123,7 +123,12 @@
     let (mut parts, body) = response.into_parts();
     let read = app.adapter.dialect.read_answer;
     let head = read(parts.status.as_u16(), &parts.headers);
-    if head.id.as_deref().is_some_and(|id| id != outbound.id) {
+    // Without an id, bytes on a connection that was used before may be a second copy of its last answer.
+    let is_foreign = match head.id.as_deref() {
+        Some(id) => id != outbound.id,
+        None => connection.is_reused,
+    };
+    if is_foreign {
         return Err(SendFailure::Foreign);
     }
     let target = TargetRun {
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::unwrap_used)]
 
+mod raw;
 mod standin;
 
 use std::net::SocketAddr;
@@ -31,8 +32,10 @@
 };
 use tempfile::TempDir;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+pub use raw::Piece;
 pub use standin::{Behaviour, EVENTS, Standin};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -208,25 +211,34 @@
     }
 
     pub async fn call_with(&self, request: Request<Full<Bytes>>) -> Answer {
-        let stream = TcpStream::connect(self.listen).await.unwrap();
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
-        tokio::spawn(connection);
-        let answering = timeout(TEST_TIMEOUT, sender.send_request(request));
-        let (parts, mut body) = answering.await.unwrap().unwrap().into_parts();
-        let mut text = Vec::new();
-        let is_whole = loop {
-            match timeout(TEST_TIMEOUT, body.frame()).await.unwrap() {
-                Some(Ok(frame)) => text.extend(frame.into_data().unwrap_or_default()),
-                Some(Err(_)) => break false,
-                None => break true,
-            }
-        };
-        Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: String::from_utf8(text).unwrap(),
-            is_whole,
+        call(self.listen, request).await
+    }
+
+    /// Calls the relay in the background.
+    pub fn send(&self, request: Request<Full<Bytes>>) -> JoinHandle<Answer> {
+        tokio::spawn(call(self.listen, request))
+    }
+}
+
+async fn call(listen: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
+    let stream = TcpStream::connect(listen).await.unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let answering = timeout(TEST_TIMEOUT, sender.send_request(request));
+    let (parts, mut body) = answering.await.unwrap().unwrap().into_parts();
+    let mut text = Vec::new();
+    let is_whole = loop {
+        match timeout(TEST_TIMEOUT, body.frame()).await.unwrap() {
+            Some(Ok(frame)) => text.extend(frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => break false,
+            None => break true,
         }
+    };
+    Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: String::from_utf8(text).unwrap(),
+        is_whole,
     }
 }
 
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -102,16 +102,25 @@
 impl Standin {
     pub async fn start(name: &str, is_engine: bool, plan: &[Behaviour]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let standin = Self {
+        let standin = Self::new(name, listener.local_addr().unwrap(), is_engine, plan);
+        tokio::spawn(standin.clone().serve(listener));
+        standin
+    }
+
+    /// A target that nothing serves yet.
+    pub fn new(name: &str, address: SocketAddr, is_engine: bool, plan: &[Behaviour]) -> Self {
+        Self {
             name: name.to_owned(),
-            address: listener.local_addr().unwrap(),
+            address,
             is_engine,
             plan: Arc::new(Mutex::new(plan.iter().copied().collect())),
             seen: Arc::default(),
             dropped: Arc::default(),
-        };
-        tokio::spawn(standin.clone().serve(listener));
-        standin
+        }
+    }
+
+    pub fn record(&self, seen: Seen) {
+        self.seen.lock().push(seen);
     }
 
     pub fn seen(&self) -> Vec<Seen> {
