Loads of a control that has just begun to collect are used at once

Only the count and the grants of retries need all entries.

Change: loads, lost and leaving targets are used from every reply; the count of entries and grants only from complete ones, and budgets earn by their own requests meanwhile.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
@@ -67,6 +68,8 @@
     chains: Mutex<HashMap<ServiceName, ChainRouter>>,
     plain_balancer: Mutex<PlainBalancer>,
     entry_count: Mutex<u32>,
+    /// Whether a control has told how many entries there are.
+    knows_entries: AtomicBool,
     other_entries_requests: Mutex<Option<OtherEntriesRequests>>,
 }
 
@@ -96,6 +99,7 @@
             exclusions: Mutex::default(),
             retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
+            knows_entries: AtomicBool::new(false),
             other_entries_requests: Mutex::default(),
             settings,
             adapter,
@@ -205,7 +209,10 @@
         for router in self.chains.lock().values_mut() {
             router.set_other_entries_load(&other_entries.uses, &other_entries.lost, now);
         }
-        self.set_entries(other_entries.entries + 1);
+        if other_entries.is_complete {
+            self.set_entries(other_entries.entries + 1);
+            self.knows_entries.store(true, Ordering::Relaxed);
+        }
         self.retries.lock().set_shared(other_entries);
         for target in &other_entries.leaving {
             self.record_leaving(target, "another entry");
@@ -291,7 +298,7 @@
             self.usable_targets.lock().update(&view.targets(now), now);
             count_entries(&view, now)
         };
-        if self.other_entries_requests.lock().is_none() {
+        if !self.knows_entries.load(Ordering::Relaxed) {
             self.set_entries(known_entries);
         }
         let entries = self.entries();
--- a/crates/mgw-relay/src/follow/load_exchange.rs
+++ b/crates/mgw-relay/src/follow/load_exchange.rs
@@ -36,12 +36,10 @@
             client.share_use(context, entry, load).await
         })
         .await;
-    // Without a complete answer the last one stays valid for a while, after that the number of entries
-    // is all that is known of the others.
+    // Without an answer the last one stays valid for a while, after that the number of entries is
+    // all that is known of the others.
     match answer {
-        Ok(Ok(other_entries)) if other_entries.is_complete => {
-            app.set_other_entries_load(&other_entries);
-        }
+        Ok(Ok(other_entries)) => app.set_other_entries_load(&other_entries),
         _ => app.record_missed_exchange(),
     }
 }
--- a/crates/mgw-relay/src/retries.rs
+++ b/crates/mgw-relay/src/retries.rs
@@ -44,8 +44,13 @@
     }
 
     /// Divides the limit on saved retries among the entries, and grants retries by what all of them
-    /// have sent in the last seconds, if that is known.
+    /// have sent in the last seconds. Where that isn't known, as the control has just begun to collect
+    /// reports, budgets earn retries by their own requests.
     pub fn set_shared(&mut self, other_entries: &OtherEntriesLoad) {
+        if !other_entries.is_complete {
+            self.resume_earning();
+            return;
+        }
         let entries = other_entries.entries + 1;
         self.max_saved = self.shared.max_saved / entries;
         let shared = self.shared;
--- a/crates/mgw-relay/tests/retries.rs
+++ b/crates/mgw-relay/tests/retries.rs
@@ -29,10 +29,7 @@
         sends: retries.own_sends(),
         ..EntryLoad::default()
     };
-    let other_entries = table.exchange(name, load, now);
-    if other_entries.is_complete {
-        retries.set_shared(&other_entries);
-    }
+    retries.set_shared(&table.exchange(name, load, now));
 }
 
 /// Requests and retries of all entries in each step of the last window.
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -35,7 +35,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use standin::{Behaviour, EVENTS, Standin};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/mgw-relay/tests/support/raw.rs
+++ b/crates/mgw-relay/tests/support/raw.rs
@@ -64,9 +64,8 @@
         for piece in script.unwrap_or_else(|| last.to_vec()) {
             match piece {
                 Piece::Send(text) => {
-                    stream
-                        .write_all(text.replace("{id}", &id).as_bytes())
-                        .await?
+                    let text = text.replace("{id}", &id);
+                    stream.write_all(text.as_bytes()).await?;
                 }
                 Piece::Pause(span_ms) => sleep(Duration::from_millis(span_ms)).await,
                 Piece::Close => return Ok(()),
