--- a/crates/mgw-quorum/src/storage/folder.rs
+++ b/crates/mgw-quorum/src/storage/folder.rs
@@ -27,6 +27,8 @@
     log: Option<File>,
     /// Length of the log up to the end of the last synced record.
     log_bytes: u64,
+    /// Whether a failed append may have left a part of a record behind `log_bytes`.
+    has_partial_record: bool,
     next_sequence: u64,
     hard_state: HardState,
     is_empty: bool,
@@ -59,6 +61,7 @@
             id: ReplicaId::new(name, disk),
             log: None,
             log_bytes: 0,
+            has_partial_record: false,
             next_sequence: 0,
             hard_state: HardState::default(),
             is_empty: false,
@@ -150,7 +153,7 @@
             }
             Err(failure) => {
                 if failure.is_disk_full() {
-                    self.files.remove_tail(&log, LOG, self.log_bytes)?;
+                    self.has_partial_record = true;
                     self.log = Some(log);
                 }
                 Err(failure)
@@ -166,6 +169,10 @@
             entries: write.append.clone(),
         };
         let bytes = encode_frame(self.next_sequence, &batch)?;
+        if self.has_partial_record {
+            self.files.remove_tail(log, LOG, self.log_bytes)?;
+            self.has_partial_record = false;
+        }
         self.files.append(log, LOG, &bytes)?;
         self.next_sequence += 1;
         self.log_bytes += bytes.len() as u64;
@@ -194,6 +201,7 @@
     fn replace_log(&mut self, first_batch: &Batch) -> Result<File, StorageError> {
         let bytes = encode_frame(0, first_batch)?;
         self.files.replace(LOG, &bytes)?;
+        self.has_partial_record = false;
         self.next_sequence = 1;
         self.log_bytes = bytes.len() as u64;
         self.files.open_append(LOG)
