One route lookup for each request again, and one way to name a target's run

Cause, found in the read-through: each request was admitted twice, the first time only to see whether to wait for a newer routing document; and the run of a target was built by hand at two places from the same type. Change: the first lookup is made only while a newer document is known; TargetRun is made from a Target by From. wait_for_newest_routing returns nothing, as its result was unused. Behaviour is as before.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -146,18 +146,23 @@
         self.routing()
     }
 
+    /// Whether a control has told of a newer routing document than the one in force.
+    #[must_use]
+    pub fn is_routing_outdated(&self) -> bool {
+        self.routing().version() < self.routing_updates.newest_version()
+    }
+
     /// Waits for the newest routing document that a control has told of, for at most `wait_ms`.
-    /// Returns whether it is in force.
-    pub async fn wait_for_newest_routing(&self, wait_ms: Millis) -> bool {
+    pub async fn wait_for_newest_routing(&self, wait_ms: Millis) {
         let ends_at = self.clock.now() + wait_ms;
         loop {
             let newly_set = self.routing_set.notified();
-            if self.routing().version() >= self.routing_updates.newest_version() {
-                return true;
+            if !self.is_routing_outdated() {
+                return;
             }
             let left_ms = ends_at - self.clock.now();
             if timeout(left_ms.to_duration(), newly_set).await.is_err() {
-                return false;
+                return;
             }
         }
     }
@@ -335,7 +340,7 @@
     /// The targets that may get new work, without those that said that they are leaving.
     fn list_targets(&self, now: Millis) -> Vec<Target> {
         let usable_targets = self.usable_targets.lock();
-        let runs: Vec<TargetRun> = usable_targets.iter().map(to_run).collect();
+        let runs: Vec<TargetRun> = usable_targets.iter().map(TargetRun::from).collect();
         let mut exclusions = self.exclusions.lock();
         exclusions.expire(runs.iter(), now);
         let targets = usable_targets.iter().zip(&runs);
@@ -379,13 +384,6 @@
     }
 }
 
-fn to_run(target: &Target) -> TargetRun {
-    TargetRun {
-        name: target.name.clone(),
-        incarnation: target.incarnation,
-    }
-}
-
 /// Number of entries in the view that aren't leaving, including this one. In a large group the view
 /// hears of the other entries too seldom to tell which of them are alive.
 fn count_entries(view: &View, now: Millis) -> u32 {
--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -62,10 +62,11 @@
         let routing = wait_for_routing(app, &parts, &head).await;
         let log = |refusal: &Refusal| log_refusal(&parts, &head, &routing, *refusal);
         let admitted = admit(&routing, &parts, &head);
-        // The missing route or key may be one that a newer document adds.
-        let is_outdated = routing.version() < app.routing_updates.newest_version();
         let admitted = match admitted {
-            Err(_) if is_outdated => Err(Refusal::outdated_routing()),
+            // The missing route or key may be one that a newer document adds.
+            Err(_) if routing.version() < app.routing_updates.newest_version() => {
+                Err(Refusal::outdated_routing())
+            }
             admitted => admitted,
         };
         let Admitted { route, workspace } = admitted.inspect_err(log)?;
@@ -99,7 +100,7 @@
 async fn wait_for_routing(app: &App, parts: &Parts, head: &CallerHead) -> Arc<RouteTable> {
     let time_ms = head.deadline_ms.unwrap_or_default();
     let routing = app.wait_for_routing(time_ms).await;
-    if admit(&routing, parts, head).is_ok() {
+    if !app.is_routing_outdated() || admit(&routing, parts, head).is_ok() {
         return routing;
     }
     let wait_ms = app.wait_limits.capacity_wait_ms(time_ms);
--- a/crates/mgw-relay/src/targets/plain_balancer.rs
+++ b/crates/mgw-relay/src/targets/plain_balancer.rs
@@ -71,12 +71,8 @@
             };
             let previous = previous_services.get(service).into_iter().flatten();
             let previous = previous.into_iter().find(|it| it.run.name == target.name);
-            let run = TargetRun {
-                name: target.name.clone(),
-                incarnation: target.incarnation,
-            };
             let target = PlainTarget {
-                run,
+                run: TargetRun::from(target),
                 address: target.address,
                 is_same_zone: target.place == *own_place,
                 in_flight: previous.map_or(0, |it| it.in_flight),
--- a/crates/mgw-route/src/exclusions.rs
+++ b/crates/mgw-route/src/exclusions.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use mgw_world::{Incarnation, Millis, TargetName};
+use mgw_world::{Incarnation, Millis, Target, TargetName};
 use serde::{Deserialize, Serialize};
 
 /// One run of a target. A restarted target keeps its name but gets a higher incarnation, to which
@@ -21,6 +21,15 @@
     pub incarnation: Incarnation,
 }
 
+impl From<&Target> for TargetRun {
+    fn from(target: &Target) -> Self {
+        Self {
+            name: target.name.clone(),
+            incarnation: target.incarnation,
+        }
+    }
+}
+
 /// Settings for exclusions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExclusionSettings {
