Logs and metrics tell why a routing document or a log message comes late

An entry logged that it can't fetch a document, not whether the control refused or gave no response, nor after how long; a control logged no failed delivery of its log, and nothing said when each control had applied a document. No decision changes.

--- a/crates/mgw-control/src/metrics.rs
+++ b/crates/mgw-control/src/metrics.rs
@@ -19,6 +19,8 @@
     pub is_disk_full: IntGauge,
     /// Number of ledger claims whose outcome is unknown.
     pub unknown_claims: IntGauge,
+    /// Deliveries of log messages that another control didn't acknowledge in time.
+    pub failed_deliveries: IntCounter,
     /// Bytes of the view exchanges that this process started, replies included.
     pub view_bytes: IntCounter,
 }
@@ -43,6 +45,10 @@
                 "mgw_ledger_unknown_claims",
                 "Ledger claims whose outcome is unknown.",
             )?,
+            failed_deliveries: IntCounter::new(
+                "mgw_control_deliveries_failed_total",
+                "Deliveries of log messages that weren't acknowledged in time.",
+            )?,
             view_bytes: IntCounter::new("mgw_view_bytes_total", "Bytes of views exchanged.")?,
         };
         let gauges = [
@@ -56,9 +62,9 @@
         for gauge in gauges {
             metrics.registry.register(Box::new(gauge.clone()))?;
         }
-        metrics
-            .registry
-            .register(Box::new(metrics.view_bytes.clone()))?;
+        for counter in [&metrics.failed_deliveries, &metrics.view_bytes] {
+            metrics.registry.register(Box::new(counter.clone()))?;
+        }
         Ok(metrics)
     }
 }
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -344,6 +344,9 @@
                 | Action::ReplaceRouting(_)
         );
         let reply = self.context.state.write().apply(index.0, command);
+        if let Reply::Routing { version } = &reply {
+            info!(%index, %version, "routing document applied");
+        }
         if changes_config {
             self.context
                 .config_version
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -234,7 +234,8 @@
         .iter()
         .filter(|peer| peer.name != settings.name);
     let addresses = other_controls.map(|peer| (peer.name.to_string(), peer.address));
-    let senders = Senders::start(&pool, addresses);
+    let metrics = Metrics::new().map_err(|error| start_error(&error))?;
+    let senders = Senders::start(&pool, &clock, &metrics.failed_deliveries, addresses);
     let replica = Replica::new(
         id,
         settings.quorum.to_settings(),
@@ -270,7 +271,7 @@
         entry_loads: Mutex::default(),
         packed_routing: Mutex::default(),
         view_changed: Notify::new(),
-        metrics: Metrics::new().map_err(|error| start_error(&error))?,
+        metrics,
         settings,
         clock,
         shutdown,
--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -96,30 +96,43 @@
         have: app.routing().version(),
         confirmed: false,
     };
+    let started_at = app.clock.now();
     let response = app
         .peers
         .call(control, FETCH_TIMEOUT_MS, |client, context| async move {
             client.routing(context, request).await
         })
         .await;
+    let ms = (app.clock.now() - started_at).0;
     match response {
-        Ok(Ok(Some(packed))) => set_routing_from(app, &packed, control),
-        Ok(Ok(None)) => true,
+        Ok(Ok(Some(packed))) => {
+            app.metrics.count_routing_fetch("fetched");
+            set_routing_from(app, &packed, control, ms)
+        }
+        Ok(Ok(None)) => {
+            app.metrics.count_routing_fetch("nothing newer");
+            true
+        }
         Ok(Err(error)) => {
-            info!(%control, %error, "control refused to send the routing document");
+            app.metrics.count_routing_fetch("refused");
+            info!(%control, %error, ms, "control refused to send the routing document");
+            false
+        }
+        Err(failure) => {
+            app.metrics.count_routing_fetch("no response");
+            info!(%control, %failure, ms, "fetch of the routing document failed");
             false
         }
-        Err(_) => false,
     }
 }
 
-fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr) -> bool {
+fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr, ms: u64) -> bool {
     let unpacked = packed.unpack().map_err(|error| error.to_string());
     let decode = app.adapter.decode_routing;
     match unpacked.and_then(|document| decode(&document.source)) {
         Ok(routing) => {
             let size_bytes = packed.size_bytes();
-            info!(%control, version = %packed.version, size_bytes, "routing document fetched");
+            info!(%control, version = %packed.version, size_bytes, ms, "routing document fetched");
             app.set_routing(RouteTable::new(routing));
             true
         }
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -26,6 +26,8 @@
     pub targets: IntGauge,
     /// Version of the routing document in force.
     pub routing_version: IntGauge,
+    /// Fetches of routing documents from controls, by outcome.
+    pub routing_fetches: IntCounterVec,
 }
 
 impl Metrics {
@@ -75,6 +77,13 @@
                 "mgw_relay_routing_version",
                 "Version of the routing document in force.",
             )?,
+            routing_fetches: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_routing_fetches_total",
+                    "Fetches of routing documents from controls, by outcome.",
+                ),
+                &["outcome"],
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.requests.clone()))?;
@@ -85,6 +94,12 @@
         registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
+        registry.register(Box::new(metrics.routing_fetches.clone()))?;
         Ok(metrics)
     }
+
+    /// Counts a fetch of a routing document by its outcome.
+    pub fn count_routing_fetch(&self, outcome: &str) {
+        self.routing_fetches.with_label_values(&[outcome]).inc();
+    }
 }
