Routing documents are compressed where they are accepted, and replicated, stored and fetched so

Cause: the document, about 1.4 MB by then, passed every hop of the controls uncompressed and element by element, was decoded and compressed on the event loop, and each delivery was given up after 500 ms and sent again from its first byte; the heartbeats behind it came too late, and leaders changed. Ruled out: entries' fetches (none failed on these sources), disks (none disturbed, no slow sync in the record). Why it works: all hops carry a fifteenth of the bytes, and heartbeats don't wait for the decoder.

--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -6,7 +6,6 @@
 use mgw_member::View;
 use mgw_peer::PeerPool;
 use mgw_route::EntryLoadTable;
-use mgw_routing::PackedRouting;
 use mgw_serve::Shutdown;
 use mgw_world::Clock;
 use parking_lot::Mutex;
@@ -35,8 +34,6 @@
     pub other_controls: Mutex<Vec<SocketAddr>>,
     /// Load on the targets as each entry last reported it.
     pub entry_loads: Mutex<EntryLoadTable>,
-    /// The newest routing document in compressed form, once an entry has asked for it.
-    pub packed_routing: Mutex<Option<PackedRouting>>,
     /// Notified when a target's announcement changes this control's record in the view.
     pub view_changed: Notify,
     /// Metrics of the process.
--- a/crates/mgw-control/src/handle/mod.rs
+++ b/crates/mgw-control/src/handle/mod.rs
@@ -7,3 +7,4 @@
 mod targets;
 
 pub use control_handle::ControlHandle;
+pub use routing::AcceptError;
--- a/crates/mgw-control/src/handle/routing.rs
+++ b/crates/mgw-control/src/handle/routing.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use mgw_peer::{CallFailure, PeerError, RoutingRequest};
-use mgw_routing::RoutingDocument;
+use mgw_routing::{DecodeRouting, PackedRouting, RoutingDocument};
+use mgw_serve::run_blocking;
 use mgw_state::{Action, Command, Reply};
 use mgw_world::{Clock, NodeName, RoutingVersion};
 use tracing::{info, warn};
@@ -11,7 +13,43 @@
 use super::ControlHandle;
 use crate::app::App;
 
+/// Why a document in the operator's format isn't accepted.
+#[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
+pub enum AcceptError {
+    /// {message}
+    #[from(ignore)]
+    Invalid {
+        /// Faults of the document, each with its position.
+        message: String,
+    },
+    /// {0}
+    NotConfirmed(PeerError),
+}
+
 impl ControlHandle {
+    /// Decodes and commits a document in the operator's format; see [`Self::replace_routing`].
+    ///
+    /// # Errors
+    /// When the document is invalid, or isn't confirmed as with [`Self::replace_routing`].
+    pub async fn accept_routing(
+        &self,
+        source: Bytes,
+        decode: DecodeRouting,
+    ) -> Result<RoutingVersion, AcceptError> {
+        let decoded = run_blocking(move || {
+            let version = decode(&source)?.version;
+            let document = RoutingDocument {
+                version,
+                source: source.as_ref().into(),
+            };
+            PackedRouting::pack(&document).map_err(|error| error.to_string())
+        });
+        let document = decoded
+            .await
+            .map_err(|message| AcceptError::Invalid { message })?;
+        Ok(self.replace_packed(document).await?)
+    }
+
     /// Commits a routing document and returns the version in effect afterwards. A document whose
     /// version isn't higher than the one in effect changes nothing.
     ///
@@ -21,13 +59,21 @@
         &self,
         document: RoutingDocument,
     ) -> Result<RoutingVersion, PeerError> {
+        let packed = run_blocking(move || PackedRouting::pack(&document)).await;
+        let packed = packed.map_err(|error| PeerError::Refused {
+            message: error.to_string(),
+        })?;
+        self.replace_packed(packed).await
+    }
+
+    async fn replace_packed(&self, document: PackedRouting) -> Result<RoutingVersion, PeerError> {
         let version = document.version;
         let held = self.app.replica.state.read().routing().version;
         if held >= version {
             info!(%version, %held, "routing document isn't newer; nothing changed");
             return Ok(held);
         }
-        let action = Action::ReplaceRouting(document);
+        let action = Action::ReplacePackedRouting(document);
         let response = match self.app.replica.submit(action.clone()).await {
             Err(PeerError::NotLeader { leader }) => self.submit_to(leader, action).await,
             response => response,
@@ -53,10 +99,14 @@
     /// # Errors
     /// When no leader is known or no quorum confirmed in time.
     pub async fn read_routing(&self) -> Result<RoutingDocument, PeerError> {
-        match self.app.replica.confirm_read().await {
+        let document = match self.app.replica.confirm_read().await {
             Err(PeerError::NotLeader { leader }) => self.read_from(leader).await,
             confirmed => confirmed.map(|()| self.app.replica.state.read().routing().clone()),
-        }
+        }?;
+        let unpacked = run_blocking(move || document.unpack()).await;
+        unpacked.map_err(|error| PeerError::Refused {
+            message: error.to_string(),
+        })
     }
 
     /// Submits an action at the leader.
@@ -82,7 +132,7 @@
     }
 
     /// Reads the newest routing document from the leader.
-    async fn read_from(&self, leader: Option<NodeName>) -> Result<RoutingDocument, PeerError> {
+    async fn read_from(&self, leader: Option<NodeName>) -> Result<PackedRouting, PeerError> {
         let address = leader_address(&self.app, leader)?;
         let own_document = self.app.replica.state.read().routing().clone();
         let request = RoutingRequest {
@@ -98,13 +148,7 @@
             })
             .await;
         let newest_document = response.map_err(to_peer_error)??;
-        let Some(newest_document) = newest_document else {
-            return Ok(own_document);
-        };
-        let unpacked = newest_document.unpack();
-        unpacked.map_err(|error| PeerError::Refused {
-            message: error.to_string(),
-        })
+        Ok(newest_document.unwrap_or(own_document))
     }
 }
 
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -17,7 +17,7 @@
 mod view;
 mod watches;
 
-pub use handle::ControlHandle;
+pub use handle::{AcceptError, ControlHandle};
 pub use placement::{OrderCall, PlacementCalls};
 pub use run::{Control, Founding, RunError, run_control, start_control};
 pub use settings::{ControlSettings, Peer, QuorumSettings};
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -114,25 +114,10 @@
         if request.confirmed {
             app.replica.confirm_read().await?;
         }
-        if app.replica.state.read().routing().version == request.have {
-            return Ok(None);
-        }
-        pack_routing(app).map(Some)
-    }
-}
-
-/// The routing document that this control holds, compressed once for each version.
-fn pack_routing(app: &App) -> Result<PackedRouting, PeerError> {
-    let mut latest = app.packed_routing.lock();
-    let document = app.replica.state.read().routing().clone();
-    if let Some(packed) = latest.as_ref().filter(|it| it.version == document.version) {
-        return Ok(packed.clone());
+        let state = app.replica.state.read();
+        let document = state.routing();
+        Ok((document.version != request.have).then(|| document.clone()))
     }
-    let packed = PackedRouting::pack(&document).map_err(|error| PeerError::Refused {
-        message: error.to_string(),
-    })?;
-    *latest = Some(packed.clone());
-    Ok(packed)
 }
 
 /// Responds as soon as there are changes that the caller doesn't have, at the latest after its
--- a/crates/mgw-control/src/placement/leader_loop.rs
+++ b/crates/mgw-control/src/placement/leader_loop.rs
@@ -6,8 +6,9 @@
 use mgw_contract::target::Readiness;
 use mgw_member::VouchState;
 use mgw_place::{AnnouncedEngine, PlacementOrder, Placer, PlacerSettings};
-use mgw_routing::DecodeRouting;
+use mgw_routing::{DecodeRouting, PackedRouting, Routing};
 use mgw_serve::http::{HttpClient, unpooled_client};
+use mgw_serve::run_blocking;
 use mgw_world::{Millis, PipelineModel, RoutingVersion, ServiceName, TargetName};
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -71,7 +72,7 @@
             self.placers.clear();
             return;
         }
-        self.update_services();
+        self.update_services().await;
         for service_index in 0..self.services.len() {
             let orders = self.plan_service(service_index);
             let targets_to_read = self.list_targets_to_read(service_index);
@@ -81,7 +82,7 @@
     }
 
     /// Reads the services anew when the routing document has changed.
-    fn update_services(&mut self) {
+    async fn update_services(&mut self) {
         let document = {
             let state = self.app.replica.state.read();
             if state.routing().version == self.version {
@@ -89,8 +90,11 @@
             }
             state.routing().clone()
         };
-        self.version = document.version;
-        match (self.decode_routing)(&document.source) {
+        let version = document.version;
+        self.version = version;
+        let decode_routing = self.decode_routing;
+        let decoded = run_blocking(move || decode_packed(&document, decode_routing)).await;
+        match decoded {
             Ok(routing) => {
                 let services = routing.services.into_iter();
                 let placed = services.filter_map(|service| {
@@ -101,9 +105,7 @@
                 });
                 self.services = placed.collect();
             }
-            Err(error) => {
-                warn!(version = %document.version, %error, "can't decode the routing document");
-            }
+            Err(error) => warn!(%version, %error, "can't decode the routing document"),
         }
     }
 
@@ -190,3 +192,11 @@
         }
     }
 }
+
+fn decode_packed(
+    document: &PackedRouting,
+    decode_routing: DecodeRouting,
+) -> Result<Routing, String> {
+    let unpacked = document.unpack().map_err(|error| error.to_string())?;
+    decode_routing(&unpacked.source)
+}
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -342,6 +342,7 @@
                 | Action::Drain { .. }
                 | Action::Undrain { .. }
                 | Action::ReplaceRouting(_)
+                | Action::ReplacePackedRouting(_)
         );
         let reply = self.context.state.write().apply(index.0, command);
         if let Reply::Routing { version } = &reply {
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -269,7 +269,6 @@
         view: create_view(&settings, seed, clock.now()),
         other_controls: Mutex::default(),
         entry_loads: Mutex::default(),
-        packed_routing: Mutex::default(),
         view_changed: Notify::new(),
         metrics,
         settings,
--- a/crates/mgw-routing/src/packed.rs
+++ b/crates/mgw-routing/src/packed.rs
@@ -1,11 +1,13 @@
-//! A routing document as it is sent to other processes: compressed.
+//! A routing document as it is replicated, stored and sent to entries: compressed.
 //!
-//! Load pattern: hundreds of entries fetch each new document, with over a thousand routes, from a few
-//! controls that have a fraction of a core each. Routes are alike, so a compressed document is a
-//! small part of the original, and a control compresses each version once.
+//! Load pattern: a document with thousands of routes passes from the control that accepts it to the
+//! leader, to all other controls and to hundreds of entries, and controls have a fraction of a core
+//! each. Routes are alike, so a compressed document is a small part of the original. It is
+//! compressed once, where it is accepted.
 
 use std::io::{Read, Write};
 
+use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
@@ -18,12 +20,12 @@
 const MAX_SOURCE_BYTES: usize = 64 * 1024 * 1024;
 
 /// A compressed routing document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PackedRouting {
     /// Version that the operator assigned.
     pub version: RoutingVersion,
-    /// The document's bytes in the zlib format.
-    compressed: Vec<u8>,
+    /// The document's bytes in the zlib format; empty at version zero.
+    compressed: Bytes,
 }
 
 /// Why a document can't be unpacked.
@@ -51,7 +53,22 @@
         encoder.write_all(&document.source)?;
         Ok(Self {
             version: document.version,
-            compressed: encoder.finish()?,
+            compressed: encoder.finish()?.into(),
+        })
+    }
+
+    /// Compresses a document that was stored in place of a compressed one: up to format 2, snapshots
+    /// hold the plain bytes in the same position.
+    ///
+    /// # Errors
+    /// When the encoder fails.
+    pub fn pack_stored_plain(self) -> std::io::Result<Self> {
+        if self.version == RoutingVersion::default() {
+            return Ok(self);
+        }
+        Self::pack(&RoutingDocument {
+            version: self.version,
+            source: self.compressed.as_ref().into(),
         })
     }
 
@@ -60,9 +77,12 @@
     /// # Errors
     /// When the bytes are damaged, or the document is too large.
     pub fn unpack(&self) -> Result<RoutingDocument, UnpackError> {
+        if self.version == RoutingVersion::default() {
+            return Ok(RoutingDocument::default());
+        }
         let limit = MAX_SOURCE_BYTES as u64 + 1;
         let mut source = Vec::new();
-        ZlibDecoder::new(self.compressed.as_slice())
+        ZlibDecoder::new(self.compressed.as_ref())
             .take(limit)
             .read_to_end(&mut source)
             .map_err(|source| UnpackError::Damaged { source })?;
--- a/crates/mgw-serve/src/lib.rs
+++ b/crates/mgw-serve/src/lib.rs
@@ -1,11 +1,13 @@
 //! HTTP, logging, metrics and shutdown code shared by all processes.
 
+mod blocking;
 pub mod http;
 mod line_budget;
 mod logging;
 mod metrics;
 mod shutdown;
 
+pub use blocking::run_blocking;
 pub use line_budget::{BudgetFilter, FAILURE_FIELD, LineBudget, SuppressedLines};
 pub use logging::{DecisionLog, UnwrittenLines, start_decision_log, start_logging};
 pub use metrics::render_metrics;
--- a/crates/mgw-state/src/command.rs
+++ b/crates/mgw-state/src/command.rs
@@ -1,7 +1,7 @@
 //! The commands of the replicated log and the replies to them.
 
 use mgw_contract::operator::{ApplyReply, DrainRequest, ResolveRequest};
-use mgw_routing::RoutingDocument;
+use mgw_routing::{PackedRouting, RoutingDocument};
 use mgw_world::{
     FenceNumber, NodeName, OperatorName, RequestId, Revision, RoutingVersion, UnixMillis,
 };
@@ -93,11 +93,13 @@
         /// Name of the leader.
         leader: NodeName,
     },
-    /// Replaces the routing document if the new version is higher than the current one.
+    /// As [`Self::ReplacePackedRouting`], with the plain document; logs of earlier builds hold it.
     ReplaceRouting(RoutingDocument),
     /// Advances the time, so that ended claims are forgotten even while there are no other
     /// commands.
     AdvanceTime,
+    /// Replaces the routing document if the new version is higher than the current one.
+    ReplacePackedRouting(PackedRouting),
 }
 
 /// Reply to a command.
@@ -126,7 +128,7 @@
         /// Highest fencing number; higher than the requested one if that was refused.
         newest: FenceNumber,
     },
-    /// Reply to [`Action::ReplaceRouting`].
+    /// Reply to [`Action::ReplacePackedRouting`] and [`Action::ReplaceRouting`].
     Routing {
         /// Version of the current document.
         version: RoutingVersion,
--- a/crates/mgw-state/src/state.rs
+++ b/crates/mgw-state/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use mgw_contract::operator::{ApplyReply, AuditRecord, DrainRequest, ResolveRequest};
-use mgw_routing::RoutingDocument;
+use mgw_routing::{PackedRouting, RoutingDocument};
 use mgw_world::{EntryName, FenceNumber, NodeName, OperatorName, Revision, TargetName, UnixMillis};
 use serde::{Deserialize, Serialize};
 
@@ -15,7 +15,9 @@
 };
 
 /// Version of the snapshot format; incremented with each change that older programs can't read.
-const SNAPSHOT_FORMAT: u8 = 2;
+const SNAPSHOT_FORMAT: u8 = 3;
+/// Format of earlier builds, in which the routing document isn't compressed.
+const PLAIN_ROUTING_FORMAT: u8 = 2;
 
 /// The replicated state: everything that the controls agree on.
 ///
@@ -39,7 +41,7 @@
     drained_targets: BTreeSet<TargetName>,
     fence: FenceNumber,
     leader: Option<NodeName>,
-    routing: RoutingDocument,
+    routing: PackedRouting,
 }
 
 impl State {
@@ -99,7 +101,7 @@
 
     /// The accepted routing document with the highest version; version zero when there is none.
     #[must_use]
-    pub const fn routing(&self) -> &RoutingDocument {
+    pub const fn routing(&self) -> &PackedRouting {
         &self.routing
     }
 
@@ -118,10 +120,20 @@
     pub fn restore(bytes: &[u8]) -> Result<Self, StateError> {
         match bytes.split_first() {
             Some((&SNAPSHOT_FORMAT, rest)) => decode(rest),
+            Some((&PLAIN_ROUTING_FORMAT, rest)) => decode::<Self>(rest)?.with_packed_routing(),
             _ => Err(StateError::Damaged),
         }
     }
 
+    /// Compresses the routing document of a state that an earlier build stored.
+    fn with_packed_routing(self) -> Result<Self, StateError> {
+        let routing = self.routing.pack_stored_plain();
+        Ok(Self {
+            routing: routing.map_err(|_| StateError::Damaged)?,
+            ..self
+        })
+    }
+
     /// Returns the action that proposes a change: a patch when the change is based on the current
     /// revision and passed its check, else the whole change.
     #[must_use]
@@ -168,8 +180,9 @@
             Action::Undrain { operator, subject } => self.set_drain(operator, subject, false),
             Action::NoteRefusal(refusal) => self.record_refusal(refusal),
             Action::SetFence { fence, leader } => self.set_fence(fence, leader),
-            Action::ReplaceRouting(document) => self.replace_routing(document),
+            Action::ReplaceRouting(document) => self.replace_plain_routing(&document),
             Action::AdvanceTime => Reply::Noted,
+            Action::ReplacePackedRouting(document) => self.replace_routing(document),
         }
     }
 
@@ -270,9 +283,19 @@
         Reply::Fence { newest: self.fence }
     }
 
-    fn replace_routing(&mut self, document: RoutingDocument) -> Reply {
+    fn replace_plain_routing(&mut self, document: &RoutingDocument) -> Reply {
+        match PackedRouting::pack(document) {
+            Ok(packed) => self.replace_routing(packed),
+            // Compressing into memory doesn't fail; the document in force stays.
+            Err(_) => Reply::Routing {
+                version: self.routing.version,
+            },
+        }
+    }
+
+    fn replace_routing(&mut self, document: PackedRouting) -> Reply {
         let accepted = document.version > self.routing.version;
-        let detail = format!("{} bytes", document.source.len());
+        let detail = format!("{} bytes compressed", document.size_bytes());
         self.append_audit_record(AuditRecord {
             accepted,
             detail,
