A control that doesn't have the version which it reported is passed over until it reports again

Cause: an entry keeps the highest version that each control has ever reported; a control that lost its disk, or applies its log anew after a restart, answers a fetch with an older document or with none, and both counted as success, so that the entry asked the same control again at once, without a pause and never another one. The watch of a control reported rises only. Change: a fetch tells which version the control holds. If it is lower than the reported one, the record is corrected, unless a newer report came in meanwhile; a watch passes on every change of the reported version, also a fall. Why it works: a control is chosen only for a version that it has shown to hold or has reported since.

--- a/crates/mgw-peer/src/watch.rs
+++ b/crates/mgw-peer/src/watch.rs
@@ -36,7 +36,7 @@
     pub changed: Arc<Notify>,
     /// Called after each response with the other controls that the watched control knows.
     pub on_controls: ControlsCallback,
-    /// Called when the watched control reports a newer version of the routing document.
+    /// Called when the watched control reports another version of the routing document.
     pub on_routing_version: Arc<dyn Fn(SocketAddr, RoutingVersion) + Send + Sync>,
 }
 
@@ -84,7 +84,7 @@
         return false;
     };
     let now = watch.clock.now();
-    let has_changes = response.routing > *routing
+    let has_changes = response.routing != *routing
         || response
             .reply
             .deltas
@@ -95,7 +95,8 @@
         .lock()
         .handle_watch_reply(address, &response.reply, sent_at, now);
     (watch.on_controls)(&response.controls);
-    if response.routing > *routing {
+    // Lower after the control has lost its disk, or as long as it applies its log anew.
+    if response.routing != *routing {
         *routing = response.routing;
         (watch.on_routing_version)(address, response.routing);
     }
--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -47,11 +47,18 @@
         loop {
             self.changed.notified().await;
             while let Some(source) = self.find_source(&app).await {
-                if !fetch(&app, source.control).await {
-                    let RoutingSource { control, version } = source;
-                    warn!(%control, %version, "can't fetch a newer routing document");
-                    self.sources.lock().record_failure(control, app.clock.now());
-                    sleep(RETRY_PAUSE_MS.to_duration()).await;
+                let RoutingSource { control, version } = source;
+                match fetch(&app, control).await {
+                    Fetch::Held(held) if held < version => {
+                        info!(%control, %version, %held, "control doesn't have the version that it reported");
+                        self.sources.lock().correct_version(source, held);
+                    }
+                    Fetch::Held(_) => {}
+                    Fetch::Failed => {
+                        warn!(%control, %version, "can't fetch a newer routing document");
+                        self.sources.lock().record_failure(control, app.clock.now());
+                        sleep(RETRY_PAUSE_MS.to_duration()).await;
+                    }
                 }
             }
         }
@@ -90,10 +97,19 @@
     same_zone.map(|node| node.info.peer_address).collect()
 }
 
-/// Fetches a document newer than the one in force and puts it in force; `false` if that failed.
-async fn fetch(app: &App, control: SocketAddr) -> bool {
+/// Result of a fetch.
+enum Fetch {
+    /// The control holds this version. It is in force now, unless an equal or newer one was before.
+    Held(RoutingVersion),
+    /// The control sent no document that can be used.
+    Failed,
+}
+
+/// Fetches the document of a control and puts it in force if it is newer.
+async fn fetch(app: &App, control: SocketAddr) -> Fetch {
+    let have = app.routing().version();
     let request = RoutingRequest {
-        have: app.routing().version(),
+        have,
         confirmed: false,
     };
     let started_at = app.clock.now();
@@ -111,22 +127,22 @@
         }
         Ok(Ok(None)) => {
             app.metrics.count_routing_fetch("nothing newer");
-            true
+            Fetch::Held(have)
         }
         Ok(Err(error)) => {
             app.metrics.count_routing_fetch("refused");
             info!(%control, %error, ms, "control refused to send the routing document");
-            false
+            Fetch::Failed
         }
         Err(failure) => {
             app.metrics.count_routing_fetch("no response");
             info!(%control, %failure, ms, "fetch of the routing document failed");
-            false
+            Fetch::Failed
         }
     }
 }
 
-fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr, ms: u64) -> bool {
+fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr, ms: u64) -> Fetch {
     let unpacked = packed.unpack().map_err(|error| error.to_string());
     let decode = app.adapter.decode_routing;
     match unpacked.and_then(|document| decode(&document.source)) {
@@ -134,7 +150,7 @@
             let size_bytes = packed.size_bytes();
             info!(%control, version = %packed.version, size_bytes, ms, "routing document fetched");
             app.set_routing(RouteTable::new(routing));
-            true
+            Fetch::Held(packed.version)
         }
         Err(error) => {
             warn!(
@@ -143,7 +159,7 @@
                 %error,
                 "can't decode the routing document"
             );
-            false
+            Fetch::Failed
         }
     }
 }
--- a/crates/mgw-relay/src/follow/sources.rs
+++ b/crates/mgw-relay/src/follow/sources.rs
@@ -41,6 +41,16 @@
         self.sources.insert(control, state);
     }
 
+    /// Records that a control which reported a version has only an older one. A report that came in
+    /// meanwhile stays.
+    pub fn correct_version(&mut self, reported: RoutingSource, actual: RoutingVersion) {
+        if let Some(state) = self.sources.get_mut(&reported.control)
+            && state.version == reported.version
+        {
+            state.version = actual;
+        }
+    }
+
     /// Highest version that any control has; zero while none is known.
     #[must_use]
     pub fn newest_version(&self) -> RoutingVersion {
--- a/crates/mgw-relay/tests/sources.rs
+++ b/crates/mgw-relay/tests/sources.rs
@@ -1,5 +1,7 @@
 //! The control from which a newer routing document is fetched.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 
 use mgw_relay::{RoutingSource, RoutingSources};
@@ -62,3 +64,19 @@
     sources.record_failure(control(1), Millis(100));
     assert_eq!(sources.newest_version(), RoutingVersion(5));
 }
+
+/// After a restart a control may hold an older version than it reported. A report that arrives while
+/// that is found out is newer than the finding.
+#[test]
+fn a_corrected_version_is_not_chosen_and_a_later_report_is_kept() {
+    let mut sources = RoutingSources::default();
+    sources.record_version(control(1), RoutingVersion(9));
+    sources.record_version(control(2), RoutingVersion(5));
+    let reported = sources.choose(CURRENT, &[], Millis(0)).unwrap();
+    sources.correct_version(reported, RoutingVersion(3));
+    assert_eq!(sources.choose(CURRENT, &[], Millis(0)), source(2, 5));
+    assert_eq!(sources.newest_version(), RoutingVersion(5));
+    sources.record_version(control(1), RoutingVersion(10));
+    sources.correct_version(reported, RoutingVersion(3));
+    assert_eq!(sources.choose(CURRENT, &[], Millis(0)), source(1, 10));
+}
