Entries fetch routing documents in parts, and keep what has arrived

Cause: an entry gave up a fetch after 800 ms and asked the next control for the whole document from its first byte. Ruled out: elections (entries of the other zones got the document in the same seconds), refusals by controls. An entry unpacks and decodes on a thread of its own, as streams go on meanwhile. Why it works: each call that succeeds brings the transfer nearer to its end, whatever else the link carries.

--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -6,6 +6,7 @@
 use mgw_member::View;
 use mgw_peer::PeerPool;
 use mgw_route::EntryLoadTable;
+use mgw_routing::TransferableRoutings;
 use mgw_serve::Shutdown;
 use mgw_world::Clock;
 use parking_lot::Mutex;
@@ -34,6 +35,8 @@
     pub other_controls: Mutex<Vec<SocketAddr>>,
     /// Load on the targets as each entry last reported it.
     pub entry_loads: Mutex<EntryLoadTable>,
+    /// Routing documents that entries may still be fetching.
+    pub transferable: Mutex<TransferableRoutings>,
     /// Notified when a target's announcement changes this control's record in the view.
     pub view_changed: Notify,
     /// Metrics of the process.
--- a/crates/mgw-control/src/handle/routing.rs
+++ b/crates/mgw-control/src/handle/routing.rs
@@ -137,7 +137,6 @@
         let own_document = self.app.replica.state.read().routing().clone();
         let request = RoutingRequest {
             have: own_document.version,
-            confirmed: true,
         };
         let call_timeout = self.app.settings.quorum.commit_limit_ms;
         let response = self
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -5,8 +5,8 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc, RoutingRequest,
-    WatchRequest, WatchResponse,
+    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc,
+    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
 };
 use mgw_quorum::{Envelope, ReplicaId, Role};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
@@ -111,13 +111,32 @@
         request: RoutingRequest,
     ) -> Result<Option<PackedRouting>, PeerError> {
         let app = self.app()?;
-        if request.confirmed {
-            app.replica.confirm_read().await?;
-        }
+        app.replica.confirm_read().await?;
         let state = app.replica.state.read();
         let document = state.routing();
         Ok((document.version != request.have).then(|| document.clone()))
     }
+
+    async fn routing_part(
+        self,
+        _: Context,
+        request: RoutingPartRequest,
+    ) -> Result<RoutingPartResponse, PeerError> {
+        let app = self.app()?;
+        let newest = app.replica.state.read().routing().clone();
+        let is_needed = newest.version > request.have;
+        let part = is_needed.then(|| app.transferable.lock().part(request.position, &newest));
+        Ok(RoutingPartResponse {
+            held: newest.version,
+            part,
+        })
+    }
+}
+
+/// Keeps the newest routing document for those that are told of it.
+fn keep_transferable(app: &App) {
+    let state = app.replica.state.read();
+    app.transferable.lock().keep(state.routing());
 }
 
 /// Responds as soon as there are changes that the caller doesn't have, at the latest after its
@@ -130,6 +149,9 @@
         routing.mark_unchanged();
         let now = app.clock.now();
         let version = app.replica.state.read().routing().version;
+        if version > request.routing {
+            keep_transferable(app);
+        }
         let has_changes = app.view.lock().has_changes_for(&request.exchange);
         if has_changes || version > request.routing || now >= deadline {
             return WatchResponse {
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -269,6 +269,7 @@
         view: create_view(&settings, seed, clock.now()),
         other_controls: Mutex::default(),
         entry_loads: Mutex::default(),
+        transferable: Mutex::default(),
         view_changed: Notify::new(),
         metrics,
         settings,
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -6,7 +6,7 @@
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
-use mgw_routing::PackedRouting;
+use mgw_routing::{PackedRouting, PartPosition, RoutingPart};
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
 use mgw_world::{Millis, NodeName, Revision, RoutingVersion};
 use serde::{Deserialize, Serialize};
@@ -97,14 +97,30 @@
     pub controls: Vec<SocketAddr>,
 }
 
-/// Asks for the routing document.
+/// Asks for the newest routing document, confirmed by a quorum.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingRequest {
     /// Version that the caller has.
     pub have: RoutingVersion,
-    /// Whether a quorum must confirm that the document is the newest; then only the leader
-    /// responds.
-    pub confirmed: bool,
+}
+
+/// Asks for a part of a routing document that a control holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingPartRequest {
+    /// Version that the caller has; no part is needed unless the control has a newer one.
+    pub have: RoutingVersion,
+    /// Where the caller's transfer goes on; none to begin with the first part.
+    pub position: Option<PartPosition>,
+}
+
+/// A part of a routing document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingPartResponse {
+    /// Newest version that the control holds.
+    pub held: RoutingVersion,
+    /// The part; none if the caller has the newest version. It is the first part of the newest
+    /// version if the control doesn't hold the one that was asked for.
+    pub part: Option<RoutingPart>,
 }
 
 /// Calls between processes. A process that isn't a control responds to the calls meant for controls
@@ -128,6 +144,9 @@
     async fn watch(request: WatchRequest) -> Result<WatchResponse, PeerError>;
     /// Reports an entry's load on the targets and returns the sum of all other entries' load.
     async fn share_use(entry: NodeName, load: EntryLoad) -> Result<OtherEntriesLoad, PeerError>;
-    /// Returns the routing document that the control holds; none when the caller has that version.
+    /// Returns the newest routing document; none when the caller has that version. Only the leader
+    /// responds.
     async fn routing(request: RoutingRequest) -> Result<Option<PackedRouting>, PeerError>;
+    /// Returns a part of a routing document that the control holds.
+    async fn routing_part(request: RoutingPartRequest) -> Result<RoutingPartResponse, PeerError>;
 }
--- a/crates/mgw-peer/src/view_server.rs
+++ b/crates/mgw-peer/src/view_server.rs
@@ -12,8 +12,8 @@
 use tarpc::context::Context;
 
 use crate::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc, RoutingRequest,
-    WatchRequest, WatchResponse,
+    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc,
+    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
 };
 
 /// Exchanges views and refuses all calls that are meant for controls.
@@ -71,4 +71,11 @@
     ) -> Result<Option<PackedRouting>, PeerError> {
         Err(PeerError::NotAControl)
     }
+    async fn routing_part(
+        self,
+        _: Context,
+        _: RoutingPartRequest,
+    ) -> Result<RoutingPartResponse, PeerError> {
+        Err(PeerError::NotAControl)
+    }
 }
--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -10,8 +10,9 @@
 use mgw_member::{Exchange, ExchangeReply, NodeId};
 use mgw_peer::{
     CallFailure, ConfigRequest, ConfigResponse, FoundingState, GROUP_NAME, GroupError, GroupFiles,
-    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, RoutingRequest, WatchRequest,
-    WatchResponse, bind_peer_listener, channel_handler, serve_peers,
+    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, RoutingPartRequest,
+    RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse, bind_peer_listener,
+    channel_handler, serve_peers,
 };
 use mgw_quorum::{Envelope, ReplicaId};
 use mgw_route::{EntryLoad, OtherEntriesLoad};
@@ -84,6 +85,14 @@
     ) -> Result<Option<PackedRouting>, PeerError> {
         Err(PeerError::NotAControl)
     }
+
+    async fn routing_part(
+        self,
+        _: Context,
+        _: RoutingPartRequest,
+    ) -> Result<RoutingPartResponse, PeerError> {
+        Err(PeerError::NotAControl)
+    }
 }
 
 /// Creates the certificate authority of a new group and the files of one process in a folder.
--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mgw_peer::RoutingRequest;
-use mgw_routing::{PackedRouting, RouteTable};
+use mgw_peer::RoutingPartRequest;
+use mgw_routing::{AddedPart, PackedRouting, PartialRouting, RouteTable};
+use mgw_serve::run_blocking;
 use mgw_world::{Millis, RoutingVersion};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -17,8 +18,8 @@
 /// How long to wait for a control in the same zone to get a new document before it is fetched from
 /// another zone.
 const SAME_ZONE_WAIT_MS: Millis = Millis(250);
-/// Timeout of fetching a document.
-const FETCH_TIMEOUT_MS: Millis = Millis(800);
+/// Timeout of fetching one part of a document.
+const PART_TIMEOUT_MS: Millis = Millis(800);
 /// Pause between two attempts to find a source or to fetch a document.
 const RETRY_PAUSE_MS: Millis = Millis(100);
 
@@ -44,11 +45,12 @@
 
     /// Keeps the document in force up to date until the process ends.
     pub async fn run(self, app: Arc<App>) {
+        let mut transfer = None;
         loop {
             self.changed.notified().await;
             while let Some(source) = self.find_source(&app).await {
                 let RoutingSource { control, version } = source;
-                match fetch(&app, control).await {
+                match fetch(&app, control, &mut transfer).await {
                     Fetch::Held(held) if held < version => {
                         info!(%control, %version, %held, "control doesn't have the version that it reported");
                         self.sources.lock().correct_version(source, held);
@@ -105,60 +107,72 @@
     Failed,
 }
 
-/// Fetches the document of a control and puts it in force if it is newer.
-async fn fetch(app: &App, control: SocketAddr) -> Fetch {
+/// Fetches the document of a control part by part and puts it in force. What has arrived stays in
+/// `transfer` when a call fails, so that the next fetch goes on from there.
+async fn fetch(app: &App, control: SocketAddr, transfer: &mut Option<PartialRouting>) -> Fetch {
     let have = app.routing().version();
-    let request = RoutingRequest {
-        have,
-        confirmed: false,
-    };
+    transfer.take_if(|it| it.version() <= have);
     let started_at = app.clock.now();
-    let response = app
-        .peers
-        .call(control, FETCH_TIMEOUT_MS, |client, context| async move {
-            client.routing(context, request).await
-        })
-        .await;
-    let ms = (app.clock.now() - started_at).0;
-    match response {
-        Ok(Ok(Some(packed))) => {
-            app.metrics.count_routing_fetch("fetched");
-            set_routing_from(app, &packed, control, ms)
-        }
-        Ok(Ok(None)) => {
+    loop {
+        let position = transfer.as_ref().map(PartialRouting::next_position);
+        let request = RoutingPartRequest { have, position };
+        let response = app
+            .peers
+            .call(control, PART_TIMEOUT_MS, |client, context| async move {
+                client.routing_part(context, request).await
+            })
+            .await;
+        let ms = (app.clock.now() - started_at).0;
+        let response = match response {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                app.metrics.count_routing_fetch("refused");
+                info!(%control, %error, ms, "control refused to send the routing document");
+                return Fetch::Failed;
+            }
+            Err(failure) => {
+                app.metrics.count_routing_fetch("no response");
+                let offset_bytes = position.map_or(0, |it| it.offset_bytes);
+                info!(%control, %failure, offset_bytes, ms, "fetch of the routing document failed");
+                return Fetch::Failed;
+            }
+        };
+        let Some(part) = response.part else {
             app.metrics.count_routing_fetch("nothing newer");
-            Fetch::Held(have)
-        }
-        Ok(Err(error)) => {
-            app.metrics.count_routing_fetch("refused");
-            info!(%control, %error, ms, "control refused to send the routing document");
-            Fetch::Failed
-        }
-        Err(failure) => {
-            app.metrics.count_routing_fetch("no response");
-            info!(%control, %failure, ms, "fetch of the routing document failed");
-            Fetch::Failed
+            return Fetch::Held(response.held);
+        };
+        match PartialRouting::add(transfer, &part) {
+            AddedPart::Whole(packed) => {
+                app.metrics.count_routing_fetch("fetched");
+                return set_routing_from(app, packed, control, ms).await;
+            }
+            AddedPart::Incomplete => {}
+            AddedPart::Rejected => {
+                app.metrics.count_routing_fetch("unusable part");
+                let (version, held) = (part.position.version, response.held);
+                warn!(%control, %version, %held, ms, "control sent an unusable part");
+                return Fetch::Failed;
+            }
         }
     }
 }
 
-fn set_routing_from(app: &App, packed: &PackedRouting, control: SocketAddr, ms: u64) -> Fetch {
-    let unpacked = packed.unpack().map_err(|error| error.to_string());
+async fn set_routing_from(app: &App, packed: PackedRouting, control: SocketAddr, ms: u64) -> Fetch {
+    let version = packed.version;
+    let size_bytes = packed.size_bytes();
     let decode = app.adapter.decode_routing;
-    match unpacked.and_then(|document| decode(&document.source)) {
-        Ok(routing) => {
-            let size_bytes = packed.size_bytes();
-            info!(%control, version = %packed.version, size_bytes, ms, "routing document fetched");
-            app.set_routing(RouteTable::new(routing));
-            Fetch::Held(packed.version)
+    let decoded = run_blocking(move || {
+        let document = packed.unpack().map_err(|error| error.to_string())?;
+        decode(&document.source).map(RouteTable::new)
+    });
+    match decoded.await {
+        Ok(table) => {
+            info!(%control, %version, size_bytes, ms, "routing document fetched");
+            app.set_routing(table);
+            Fetch::Held(version)
         }
         Err(error) => {
-            warn!(
-                %control,
-                version = %packed.version,
-                %error,
-                "can't decode the routing document"
-            );
+            warn!(%control, %version, %error, "can't decode the routing document");
             Fetch::Failed
         }
     }
--- a/crates/mgw-relay/tests/support/control_front.rs
+++ b/crates/mgw-relay/tests/support/control_front.rs
@@ -9,7 +9,8 @@
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{
     ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerPool, PeerRpc,
-    RoutingRequest, WatchRequest, WatchResponse, bind_peer_listener, channel_handler, serve_peers,
+    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
+    bind_peer_listener, channel_handler, serve_peers,
 };
 use mgw_quorum::Envelope;
 use mgw_route::{EntryLoad, OtherEntriesLoad};
@@ -75,22 +76,30 @@
         })
     }
 
-    async fn routing(
+    async fn routing_part(
         self,
         _: Context,
-        request: RoutingRequest,
-    ) -> Result<Option<PackedRouting>, PeerError> {
+        request: RoutingPartRequest,
+    ) -> Result<RoutingPartResponse, PeerError> {
         let response = self
             .pool
             .call(
                 self.control,
                 CALL_TIMEOUT_MS,
-                |client, context| async move { client.routing(context, request).await },
+                |client, context| async move { client.routing_part(context, request).await },
             )
             .await;
         response.map_err(|_| PeerError::NotConfirmed)?
     }
 
+    async fn routing(
+        self,
+        _: Context,
+        _: RoutingRequest,
+    ) -> Result<Option<PackedRouting>, PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
     async fn deliver(self, _: Context, _: Vec<Envelope>) -> Result<(), PeerError> {
         Err(PeerError::NotAControl)
     }
--- a/crates/mgw-routing/src/packed.rs
+++ b/crates/mgw-routing/src/packed.rs
@@ -17,7 +17,7 @@
 use crate::RoutingDocument;
 
 /// Largest document that is unpacked, in bytes.
-const MAX_SOURCE_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MAX_SOURCE_BYTES: usize = 64 * 1024 * 1024;
 
 /// A compressed routing document.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,7 +25,7 @@
     /// Version that the operator assigned.
     pub version: RoutingVersion,
     /// The document's bytes in the zlib format; empty at version zero.
-    compressed: Bytes,
+    pub(crate) compressed: Bytes,
 }
 
 /// Why a document can't be unpacked.
