Bytes of a target that come without end are read up to a bound, and the connection is given up

Cause: three reads of an answer had no bound of their own. The body of a plain answer was held whole, as large as it came until the deadline (123 MB in 2 s in the test, more than an entry's memory); a stream whose bytes hold no new event, but repeat one or hold comments, counted as alive until the deadline (116 MB); the body of a failure answer to a stream had a bound in bytes but none in time. Ruled out: heads (hyper ends them at 100 fields or 400 KB; interim responses without end are cut by the time limit of the send), single events that never end (1 MB), probes (64 KB and 400 ms). Change: answers that are held whole end at 8 MiB, also of plain services at an entry and of engines' reports at a control, which could take 64 MB; a chain that sends 2 MiB without a new event is left, and an event without a number is no progress on a stream that may be resumed; the failure answer is read within the request's time.

--- a/crates/mgw-control/src/placement/calls.rs
+++ b/crates/mgw-control/src/placement/calls.rs
@@ -5,7 +5,7 @@
 use hyper::Request;
 use mgw_contract::target::{EngineReport, ReportCall};
 use mgw_place::{OrderOutcome, PlacementOrder};
-use mgw_serve::http::{Body, HttpClient, full, read_body};
+use mgw_serve::http::{Body, HttpClient, full, read_answer};
 use mgw_world::Millis;
 use tokio::time::timeout;
 use tracing::{info, warn};
@@ -75,7 +75,7 @@
         let request = Request::get(uri).body(Body::default()).ok()?;
         let reading = async {
             let response = http.request(request).await.ok()?;
-            read_body(response.into_body()).await.ok()
+            read_answer(response.into_body()).await.ok()
         };
         let body = timeout(CALL_TIMEOUT_MS.to_duration(), reading).await;
         let Ok(Some(body)) = body else {
--- a/crates/mgw-entry/src/services/call.rs
+++ b/crates/mgw-entry/src/services/call.rs
@@ -4,7 +4,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, StatusCode};
 use mgw_contract::caller::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, WORKSPACE_HEADER};
-use mgw_serve::http::{HttpClient, full, read_body};
+use mgw_serve::http::{HttpClient, full, read_answer};
 use mgw_world::{Millis, RequestId, ServiceName, TargetName, WorkspaceName};
 use tokio::time::timeout;
 use tracing::warn;
@@ -127,7 +127,7 @@
         })?;
         let status = response.status();
         let content_type = read_content_type(response.headers());
-        let body = read_body(response.into_body())
+        let body = read_answer(response.into_body())
             .await
             .map_err(|_| ServiceFailure::Unknown)?;
         Ok(ServiceAnswer {
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
 use mgw_routing::CallKind;
+use mgw_serve::http::read_answer;
 use mgw_world::{Millis, TargetName};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -254,9 +254,11 @@
         return SendResult::NoAnswer(SendOutcome::NotRun, "turned away");
     }
     let left = (ends_at - app.clock.now()).to_duration();
-    let body = match timeout(left, answer.body.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => return SendResult::NoAnswer(SendOutcome::Unknown, "answer broke off"),
+    let body = match timeout(left, read_answer(answer.body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => {
+            return SendResult::NoAnswer(SendOutcome::Unknown, "answer broke off or is too long");
+        }
         Err(_) => return SendResult::NoAnswer(SendOutcome::Unknown, "answer not whole in time"),
     };
     app.connection_pool.put_back(answer.connection);
--- a/crates/mgw-relay/src/stream/chain_stream.rs
+++ b/crates/mgw-relay/src/stream/chain_stream.rs
@@ -59,6 +59,8 @@
     pub reserved: ReservedChain,
     /// When the last new events arrived, or when the head of the answer was read.
     pub received_at: Millis,
+    /// Number of bytes that arrived since then.
+    pub bytes_since: usize,
     body: Incoming,
     connection: Option<PooledConnection>,
 }
@@ -85,6 +87,7 @@
         Self {
             reserved,
             received_at: now,
+            bytes_since: 0,
             body,
             connection: Some(connection),
         }
--- a/crates/mgw-relay/src/stream/fault.rs
+++ b/crates/mgw-relay/src/stream/fault.rs
@@ -15,6 +15,8 @@
     LongPause,
     /// An event is longer than any event that targets send.
     EventTooLong,
+    /// Many bytes arrived without a new event among them.
+    NoNewEvent,
     /// The number of an event doesn't follow that of the previous one.
     EventMissing,
     /// The deadline of the request has passed.
@@ -30,6 +32,7 @@
             Self::Silence => "silence",
             Self::LongPause => "long pause",
             Self::EventTooLong => "event too long",
+            Self::NoNewEvent => "no new event",
             Self::EventMissing => "event missing",
             Self::TimeOver => "time is over",
         }
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -97,7 +97,7 @@
                 self.avoid.push(reserved.hops[0].target.clone());
                 return Err(OpenError::SendFailed(SendOutcome::Unknown, "target failed"));
             }
-            return Err(pass_failure(answer).await);
+            return Err(pass_failure(answer, self.time_left()).await);
         }
         let now = self.app.clock.now();
         let chain_stream = ChainStream::new(reserved, answer.body, answer.connection, now);
@@ -276,14 +276,17 @@
     }
 }
 
-/// Reads a failure answer whole, so that it can be passed on to the caller.
-async fn pass_failure(answer: Answer) -> OpenError {
+/// Reads a failure answer whole within `left_ms`, so that it can be passed on to the caller.
+async fn pass_failure(answer: Answer, left_ms: Millis) -> OpenError {
     let body = http_body_util::Limited::new(answer.body, MAX_FAILURE_BYTES);
-    match body.collect().await {
-        Ok(collected) => {
+    match timeout(left_ms.to_duration(), body.collect()).await {
+        Ok(Ok(collected)) => {
             let body = full_body(collected.to_bytes());
             OpenError::FailureAnswer(Box::new(Response::from_parts(answer.parts, body)))
         }
-        Err(_) => OpenError::SendFailed(SendOutcome::Unknown, "answer broke off"),
+        Ok(Err(_)) => {
+            OpenError::SendFailed(SendOutcome::Unknown, "answer broke off or is too long")
+        }
+        Err(_) => OpenError::SendFailed(SendOutcome::Unknown, StreamFault::TimeOver.as_str()),
     }
 }
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -21,6 +21,9 @@
 /// Least time left before the deadline for a stream to be started or moved.
 pub(super) const MIN_SEND_TIME_MS: Millis = Millis(100);
 
+/// Most bytes of a chain without a new event; larger than any event.
+const MAX_BYTES_WITHOUT_EVENT: usize = 2 * 1024 * 1024;
+
 /// Result of starting a stream.
 pub enum StreamStart {
     /// The first events arrived.
@@ -266,9 +269,10 @@
     }
 
     /// Adds bytes of the chain and returns the complete events that weren't passed on before, or
-    /// `None` if there are none. Only complete events count as progress: a target may send a byte now
-    /// and then and never complete an event.
+    /// `None` if there are none. Only new events count as progress: a target may send a byte now and
+    /// then and never complete an event, or repeat events and comments without end.
     fn process_data(&mut self, data: Bytes) -> Result<Option<Bytes>, StreamFault> {
+        self.count_bytes(data.len())?;
         let complete = self
             .splitter
             .push(data)
@@ -276,6 +280,7 @@
         let Some(events) = complete else {
             return Ok(None);
         };
+        let last = self.event_order.last();
         let new_events = self
             .event_order
             .accept(&events)
@@ -283,10 +288,26 @@
         if new_events.is_empty() {
             return Ok(None);
         }
-        self.record_progress();
+        // A stream that may be resumed numbers all its events.
+        let needs_numbers = last.is_some() || self.call.route.is_resumable;
+        if !needs_numbers || self.event_order.last() > last {
+            self.record_progress();
+        }
         Ok(Some(new_events))
     }
 
+    /// Counts bytes that arrived over the chain since the last new event.
+    fn count_bytes(&mut self, count: usize) -> Result<(), StreamFault> {
+        let Some(chain_stream) = &mut self.chain_stream else {
+            return Ok(());
+        };
+        chain_stream.bytes_since += count;
+        if chain_stream.bytes_since > MAX_BYTES_WITHOUT_EVENT {
+            return Err(StreamFault::NoNewEvent);
+        }
+        Ok(())
+    }
+
     /// Records that new events arrived. After a long pause the targets of the chain are probed.
     fn record_progress(&mut self) {
         let Some(chain_stream) = &mut self.chain_stream else {
@@ -295,6 +316,7 @@
         let now = self.app.clock.now();
         let pause = now - chain_stream.received_at;
         chain_stream.received_at = now;
+        chain_stream.bytes_since = 0;
         let reservation = chain_stream.reserved.reservation;
         let is_slow = self.has_begun && pause > self.app.pause_limits.slow_after_ms;
         let service = &self.call.service;
--- a/crates/mgw-relay/tests/support/raw.rs
+++ b/crates/mgw-relay/tests/support/raw.rs
@@ -14,6 +14,9 @@
 use super::Standin;
 use super::standin::Seen;
 
+/// Number of copies that an endless piece sends at once.
+const ENDLESS_REPEATS: usize = 64;
+
 /// One step of an answer.
 #[derive(Debug, Clone)]
 pub enum Piece {
@@ -21,6 +24,8 @@
     Send(&'static str),
     /// Sends nothing for so many milliseconds.
     Pause(u64),
+    /// Sends these bytes again and again until the relay gives the connection up.
+    Endless(&'static str),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -68,6 +73,18 @@
                     stream.write_all(text.as_bytes()).await?;
                 }
                 Piece::Pause(span_ms) => sleep(Duration::from_millis(span_ms)).await,
+                Piece::Endless(text) => {
+                    let block = text.replace("{id}", &id).repeat(ENDLESS_REPEATS);
+                    let mut sent_bytes = 0;
+                    while stream.write_all(block.as_bytes()).await.is_ok() {
+                        sent_bytes += block.len();
+                    }
+                    // Probes carry no id.
+                    if !id.is_empty() {
+                        standin.record_given_up(sent_bytes);
+                    }
+                    return Ok(());
+                }
                 Piece::Close => return Ok(()),
                 Piece::Reset => {
                     stream.set_zero_linger()?;
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -77,6 +77,7 @@
     plan: Arc<Mutex<VecDeque<Behaviour>>>,
     seen: Arc<Mutex<Vec<Seen>>>,
     dropped: Arc<Mutex<u32>>,
+    endless: Arc<Mutex<Vec<usize>>>,
 }
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -116,6 +117,7 @@
             plan: Arc::new(Mutex::new(plan.iter().copied().collect())),
             seen: Arc::default(),
             dropped: Arc::default(),
+            endless: Arc::default(),
         }
     }
 
@@ -132,6 +134,16 @@
         *self.dropped.lock()
     }
 
+    /// Records how many bytes of an endless answer were sent when the relay gave it up.
+    pub fn record_given_up(&self, sent_bytes: usize) {
+        self.endless.lock().push(sent_bytes);
+    }
+
+    /// Sizes in bytes of the endless answers that the relay gave up.
+    pub fn given_up(&self) -> Vec<usize> {
+        self.endless.lock().clone()
+    }
+
     async fn serve(self, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let standin = self.clone();
--- a/crates/mgw-serve/src/http.rs
+++ b/crates/mgw-serve/src/http.rs
@@ -31,6 +31,9 @@
 
 /// Maximum size of a body that [`read_body`] accepts.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of an answer of a target that is held whole, see [`read_answer`]. A target in trouble
+/// may send bytes without end, and a process on a small machine reads several answers at a time.
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT_MS: Millis = Millis(1000);
 /// Interval of HTTP/2 pings on a connection with calls in flight.
@@ -87,7 +90,19 @@
 /// # Errors
 /// When the body is incomplete or larger than [`MAX_BODY_BYTES`].
 pub async fn read_body(body: Incoming) -> Result<Bytes, BodyError> {
-    let limited = Limited::new(body, MAX_BODY_BYTES);
+    read_limited(body, MAX_BODY_BYTES).await
+}
+
+/// Reads the whole body of a target's answer.
+///
+/// # Errors
+/// When the body is incomplete or larger than [`MAX_ANSWER_BYTES`].
+pub async fn read_answer(body: Incoming) -> Result<Bytes, BodyError> {
+    read_limited(body, MAX_ANSWER_BYTES).await
+}
+
+async fn read_limited(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let limited = Limited::new(body, max_bytes);
     let collected = limited.collect().await;
     let collected = collected.map_err(|error| BodyError::Broken {
         message: error.to_string(),
