--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mgw_peer::RoutingPartRequest;
+use mgw_peer::{RoutingPartRequest, RoutingPartResponse};
 use mgw_routing::{AddedPart, PackedRouting, PartialRouting, RouteTable};
 use mgw_serve::run_blocking;
 use mgw_world::{Millis, RoutingVersion};
@@ -114,28 +114,12 @@
     transfer.take_if(|it| it.version() <= have);
     let started_at = app.clock.now();
     loop {
-        let position = transfer.as_ref().map(PartialRouting::next_position);
-        let request = RoutingPartRequest { have, position };
-        let response = app
-            .peers
-            .call(control, PART_TIMEOUT_MS, |client, context| async move {
-                client.routing_part(context, request).await
-            })
-            .await;
-        let ms = (app.clock.now() - started_at).0;
-        let response = match response {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                app.metrics.count_routing_fetch("refused");
-                info!(%control, %error, ms, "control refused to send the routing document");
-                return Fetch::Failed;
-            }
-            Err(failure) => {
-                app.metrics.count_routing_fetch("no response");
-                let offset_bytes = position.map_or(0, |it| it.offset_bytes);
-                info!(%control, %failure, offset_bytes, ms, "fetch of the routing document failed");
-                return Fetch::Failed;
-            }
+        let request = RoutingPartRequest {
+            have,
+            position: transfer.as_ref().map(PartialRouting::next_position),
+        };
+        let Some(response) = request_part(app, control, request).await else {
+            return Fetch::Failed;
         };
         let Some(part) = response.part else {
             app.metrics.count_routing_fetch("nothing newer");
@@ -144,19 +128,50 @@
         match PartialRouting::add(transfer, &part) {
             AddedPart::Whole(packed) => {
                 app.metrics.count_routing_fetch("fetched");
+                let ms = (app.clock.now() - started_at).0;
                 return set_routing_from(app, packed, control, ms).await;
             }
             AddedPart::Incomplete => {}
             AddedPart::Rejected => {
                 app.metrics.count_routing_fetch("unusable part");
                 let (version, held) = (part.position.version, response.held);
-                warn!(%control, %version, %held, ms, "control sent an unusable part");
+                warn!(%control, %version, %held, "control sent an unusable part");
                 return Fetch::Failed;
             }
         }
     }
 }
 
+/// Requests one part; `None` if the control sends none.
+async fn request_part(
+    app: &App,
+    control: SocketAddr,
+    request: RoutingPartRequest,
+) -> Option<RoutingPartResponse> {
+    let offset_bytes = request.position.map_or(0, |it| it.offset_bytes);
+    let sent_at = app.clock.now();
+    let response = app
+        .peers
+        .call(control, PART_TIMEOUT_MS, |client, context| async move {
+            client.routing_part(context, request).await
+        })
+        .await;
+    let ms = (app.clock.now() - sent_at).0;
+    match response {
+        Ok(Ok(response)) => Some(response),
+        Ok(Err(error)) => {
+            app.metrics.count_routing_fetch("refused");
+            info!(%control, %error, ms, "control refused to send the routing document");
+            None
+        }
+        Err(failure) => {
+            app.metrics.count_routing_fetch("no response");
+            info!(%control, %failure, offset_bytes, ms, "fetch of the routing document failed");
+            None
+        }
+    }
+}
+
 async fn set_routing_from(app: &App, packed: PackedRouting, control: SocketAddr, ms: u64) -> Fetch {
     let version = packed.version;
     let size_bytes = packed.size_bytes();
