--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -3,22 +3,22 @@
 use std::collections::BTreeMap;
 use std::sync::mpsc::Sender;
 
-use mgw_contract::operator::ReplicaStatus;
 use mgw_peer::PeerError;
 use mgw_quorum::{
-    DiskWrite, Entry, Index, Output, Payload, QuorumError, ReadToken, Replica, ReplicaId, Role,
-    Snapshot, Storage, Term,
+    DiskWrite, Entry, Index, Output, Payload, QuorumError, ReadToken, Replica, Role, Snapshot,
+    Storage, Term,
 };
 use mgw_state::{Action, Command, Reply, State, decode, encode};
 use mgw_world::{Clock, Millis, NodeName};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tracing::{error, info, warn};
 
+use super::describe::{DiskState, describe, leader_name};
 use super::disk::start_disk;
 use super::message::ResponseSender;
 use super::senders::Senders;
-use super::{MemberChange, ReplicaMessage, ReplicaReport, SharedState};
+use super::{MemberChange, ReplicaMessage, SharedState};
 
 /// Shortest time between two confirmed reads; reads requested in between share the next one.
 const READ_INTERVAL_MS: Millis = Millis(25);
@@ -139,7 +139,13 @@
                 let _ = sender.send(self.change_members(&change));
             }
             ReplicaMessage::TransferLeadership => self.transfer_leadership(),
-            ReplicaMessage::Describe(sender) => self.describe(sender),
+            ReplicaMessage::Describe(sender) => {
+                let disk = DiskState {
+                    is_full: self.is_disk_full,
+                    sync_count: self.sync_count,
+                };
+                let _ = sender.send(describe(&self.replica, disk, now));
+            }
             ReplicaMessage::DiskFull => {
                 self.is_disk_full = true;
                 self.transfer_leadership();
@@ -383,11 +389,9 @@
     }
 
     fn not_leader(&self) -> PeerError {
-        let leader = self
-            .replica
-            .leader()
-            .map(|id| NodeName::from(id.name.as_str()));
-        PeerError::NotLeader { leader }
+        PeerError::NotLeader {
+            leader: leader_name(&self.replica),
+        }
     }
 
     fn to_peer_error(&self, refusal: &QuorumError) -> PeerError {
@@ -401,51 +405,6 @@
             },
         }
     }
-
-    fn describe(&self, response_sender: oneshot::Sender<ReplicaReport>) {
-        let membership = self.replica.membership().clone();
-        let reachable: Vec<ReplicaId> = self.replica.reachable_members().into_iter().collect();
-        let describe_member = |id: &ReplicaId, votes: bool| ReplicaStatus {
-            name: NodeName::from(id.name.as_str()),
-            role: self.describe_role(id, votes),
-            votes,
-            matched: self.replica.match_index(id).map_or(0, |index| index.0),
-            silent_ms: None,
-        };
-        let voters = membership.voters.iter().map(|id| describe_member(id, true));
-        let learners = membership
-            .learners
-            .iter()
-            .map(|id| describe_member(id, false));
-        let report = ReplicaReport {
-            id: self.replica.id().clone(),
-            role: self.replica.role(),
-            term: self.replica.term(),
-            leader: self
-                .replica
-                .leader()
-                .map(|id| NodeName::from(id.name.as_str())),
-            holds_lease: self.replica.has_lease_at(self.context.clock.now()),
-            lease_until: self.replica.lease_until(),
-            replicas: voters.chain(learners).collect(),
-            membership,
-            reachable,
-            damage: self.replica.damage().map(ToString::to_string),
-            is_disk_full: self.is_disk_full,
-            sync_count: self.sync_count,
-        };
-        let _ = response_sender.send(report);
-    }
-
-    fn describe_role(&self, id: &ReplicaId, votes: bool) -> String {
-        if self.replica.leader() == Some(id) {
-            return "leader".to_owned();
-        }
-        if id == self.replica.id() {
-            return format!("{:?}", self.replica.role()).to_lowercase();
-        }
-        if votes { "follower" } else { "learner" }.to_owned()
-    }
 }
 
 const fn is_empty(output: &Output) -> bool {
--- a/crates/mgw-control/src/replica/mod.rs
+++ b/crates/mgw-control/src/replica/mod.rs
@@ -2,6 +2,7 @@
 //! the other controls.
 
 mod actor;
+mod describe;
 mod disk;
 mod handle;
 mod message;
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -102,8 +102,6 @@
     pub refused_addresses: BTreeMap<SocketAddr, Millis>,
     /// Times of recent replies to digests of other nodes.
     pub digest_replies: VecDeque<Millis>,
-    /// When any other node last replied.
-    pub last_reply_at: Option<Millis>,
 }
 
 impl Exchanges {
@@ -119,7 +117,6 @@
             next_serve_at: Millis::ZERO,
             refused_addresses: BTreeMap::new(),
             digest_replies: VecDeque::new(),
-            last_reply_at: None,
         }
     }
 }
--- a/crates/mgw-member/src/view/reply.rs
+++ b/crates/mgw-member/src/view/reply.rs
@@ -21,7 +21,6 @@
         if now - sent.sent_at > self.settings.exchange_timeout_ms {
             return;
         }
-        self.exchanges.last_reply_at = Some(now);
         self.exchanges.refused_addresses.remove(&sent.peer_address);
         let queued_before = self.exchanges.want_queue.len();
         for (summaries, bucket) in sent.buckets.iter().zip(&reply.buckets) {
--- a/crates/mgw-member/src/view/watch.rs
+++ b/crates/mgw-member/src/view/watch.rs
@@ -84,7 +84,6 @@
             buckets: Vec::new(),
             wants: Vec::new(),
         };
-        self.exchanges.last_reply_at = Some(now);
         self.exchanges.refused_addresses.remove(&peer_address);
         self.apply_deltas(&reply.deltas, &sent, now);
         self.release_moved_targets(now);
--- a/crates/mgw-world/src/objects.rs
+++ b/crates/mgw-world/src/objects.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AcceleratorKind, AdapterName, Incarnation, LayerRange, Millis, ModelName, ModelVersion,
-    PlaceName, RegionName, ServiceName, TargetName, VmName, WorkspaceName,
+    AcceleratorKind, AdapterName, Incarnation, LayerRange, ModelName, ModelVersion, PlaceName,
+    RegionName, ServiceName, TargetName, VmName, WorkspaceName,
 };
 
 /// An availability zone.
@@ -204,10 +204,4 @@
             TargetKind::Engine(_) | TargetKind::Plain { .. } => None,
         }
     }
-
-    /// Minimum time per token at this target at full batch, in whole milliseconds.
-    #[must_use]
-    pub fn token_time(&self) -> Millis {
-        Millis(1000 / u64::from(self.limits.tokens_per_s.max(1)))
-    }
 }
