A transfer that ends with an older version doesn't hide the newer one that the control holds

Cause: a fetch reported the version that it had put in force as the one that the control holds. If the transfer of version 2 was interrupted, and the control reported version 3 before it went on, the control's record was corrected to 2, and as a watch reports a version only when it changes, version 3 was never fetched from it. Evidence: a_version_accepted_during_a_transfer_comes_into_force_after_it failed before (version 3 not in force after 30 s) and passes now. Change: a fetch reports the newest version that the control says it holds with each part.

--- a/crates/mgw-relay/src/follow/routing.rs
+++ b/crates/mgw-relay/src/follow/routing.rs
@@ -101,7 +101,8 @@
 
 /// Result of a fetch.
 enum Fetch {
-    /// The control holds this version. It is in force now, unless an equal or newer one was before.
+    /// The newest version that the control holds. What it sent, which may be the document of an older
+    /// version that was in transfer, is in force.
     Held(RoutingVersion),
     /// The control sent no document that can be used.
     Failed,
@@ -129,7 +130,12 @@
             AddedPart::Whole(packed) => {
                 app.metrics.count_routing_fetch("fetched");
                 let ms = (app.clock.now() - started_at).0;
-                return set_routing_from(app, packed, control, ms).await;
+                let is_set = set_routing_from(app, packed, control, ms).await;
+                return if is_set {
+                    Fetch::Held(response.held)
+                } else {
+                    Fetch::Failed
+                };
             }
             AddedPart::Incomplete => {}
             AddedPart::Rejected => {
@@ -172,7 +178,8 @@
     }
 }
 
-async fn set_routing_from(app: &App, packed: PackedRouting, control: SocketAddr, ms: u64) -> Fetch {
+/// Decodes a document and puts it in force; `false` if it can't be decoded.
+async fn set_routing_from(app: &App, packed: PackedRouting, control: SocketAddr, ms: u64) -> bool {
     let version = packed.version;
     let size_bytes = packed.size_bytes();
     let decode = app.adapter.decode_routing;
@@ -184,11 +191,11 @@
         Ok(table) => {
             info!(%control, %version, size_bytes, ms, "routing document fetched");
             app.set_routing(table);
-            Fetch::Held(version)
+            true
         }
         Err(error) => {
             warn!(%control, %version, %error, "can't decode the routing document");
-            Fetch::Failed
+            false
         }
     }
 }
--- a/crates/mgw-relay/tests/late_documents.rs
+++ b/crates/mgw-relay/tests/late_documents.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
@@ -14,7 +15,7 @@
 use mgw_serve::Shutdown;
 use mgw_testkit::{free_address, start_slow_link};
 use mgw_world::RoutingVersion;
-use support::{ADAPTER, ControlFront, relay_settings, start_control_alone};
+use support::{ADAPTER, ControlFront, FrontState, relay_settings, start_control_alone};
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -50,10 +51,29 @@
     wait_for_version(&relay, 2).await;
 }
 
+/// A transfer is interrupted, and a newer version is accepted before it goes on. The control holds
+/// both; the version that it reported isn't the one whose transfer ends first.
+#[tokio::test]
+async fn a_version_accepted_during_a_transfer_comes_into_force_after_it() {
+    let control = start_control_with(2, DIGITS).await;
+    let state = Arc::new(FrontState::default());
+    state.report(2);
+    let front = ControlFront::start_with(control.at, Arc::clone(&state)).await;
+    let link = start_slow_link(front, LINK_BYTES_PER_MS).await.unwrap();
+    let relay = start_relay(vec![link]).await;
+    sleep(Duration::from_millis(700)).await;
+    state.refuse(true);
+    replace_document(&control.control, 3, DIGITS).await;
+    state.report(3);
+    sleep(Duration::from_millis(2_000)).await;
+    state.refuse(false);
+    wait_for_version(&relay, 3).await;
+}
+
 /// A control with a routing document.
 struct DocumentControl {
     at: SocketAddr,
-    _control: Control,
+    control: Control,
     _data: TempDir,
 }
 
@@ -61,6 +81,16 @@
 async fn start_control_with(version: u64, digits: usize) -> DocumentControl {
     let at = free_address();
     let (control, data) = start_control_alone(at, vec![at], Founding::Alone).await;
+    replace_document(&control, version, digits).await;
+    DocumentControl {
+        at,
+        control,
+        _data: data,
+    }
+}
+
+/// Commits a document with so many random digits behind its version.
+async fn replace_document(control: &Control, version: u64, digits: usize) {
     let mut source = format!("{version}\n");
     let mut random = 1_u64;
     while source.len() < digits {
@@ -79,11 +109,6 @@
         assert!(from.elapsed() < TEST_TIMEOUT, "no leader");
         sleep(Duration::from_millis(20)).await;
     }
-    DocumentControl {
-        at,
-        _control: control,
-        _data: data,
-    }
 }
 
 async fn start_relay(controls: Vec<SocketAddr>) -> Relay {
--- a/crates/mgw-relay/tests/support/control_front.rs
+++ b/crates/mgw-relay/tests/support/control_front.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{
@@ -24,21 +25,35 @@
 
 const CALL_TIMEOUT_MS: Millis = Millis(5_000);
 
+/// What a front tells relays.
+#[derive(Debug, Default)]
+pub struct FrontState {
+    reported: AtomicU64,
+    refuses: AtomicBool,
+}
+
 /// A server that relays take for a control.
 #[derive(Clone)]
 pub struct ControlFront {
     control: SocketAddr,
-    reported: RoutingVersion,
+    state: Arc<FrontState>,
     pool: Arc<PeerPool>,
 }
 
 impl ControlFront {
     /// Starts a front of `control` that reports the version `reported`; returns its address.
     pub async fn start(control: SocketAddr, reported: u64) -> SocketAddr {
+        let state = FrontState::default();
+        state.report(reported);
+        Self::start_with(control, Arc::new(state)).await
+    }
+
+    /// Starts a front whose state the test changes.
+    pub async fn start_with(control: SocketAddr, state: Arc<FrontState>) -> SocketAddr {
         let address = free_address();
         let front = Self {
             control,
-            reported: RoutingVersion(reported),
+            state,
             pool: Arc::new(PeerPool::new(None)),
         };
         tokio::spawn(serve_peers(
@@ -51,6 +66,22 @@
     }
 }
 
+impl FrontState {
+    /// Sets the version that relays hear.
+    pub fn report(&self, version: u64) {
+        self.reported.store(version, Ordering::Relaxed);
+    }
+
+    /// Sets whether fetches of documents are refused.
+    pub fn refuse(&self, refuses: bool) {
+        self.refuses.store(refuses, Ordering::Relaxed);
+    }
+
+    fn reported(&self) -> RoutingVersion {
+        RoutingVersion(self.reported.load(Ordering::Relaxed))
+    }
+}
+
 /// A reply that tells nothing of any node, so that relays don't find the control behind the front.
 fn empty_reply(exchange: &Exchange) -> ExchangeReply {
     ExchangeReply {
@@ -66,12 +97,12 @@
     }
 
     async fn watch(self, _: Context, request: WatchRequest) -> Result<WatchResponse, PeerError> {
-        if request.routing >= self.reported {
+        if request.routing >= self.state.reported() {
             sleep(request.wait_ms.to_duration()).await;
         }
         Ok(WatchResponse {
             reply: empty_reply(&request.exchange),
-            routing: self.reported,
+            routing: self.state.reported(),
             controls: Vec::new(),
         })
     }
@@ -81,6 +112,9 @@
         _: Context,
         request: RoutingPartRequest,
     ) -> Result<RoutingPartResponse, PeerError> {
+        if self.state.refuses.load(Ordering::Relaxed) {
+            return Err(PeerError::NotConfirmed);
+        }
         let response = self
             .pool
             .call(
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -37,7 +37,7 @@
 use tokio::time::{sleep, timeout};
 
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use control_front::ControlFront;
+pub use control_front::{ControlFront, FrontState};
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
