--- a/crates/mgw-control/tests/slow_links.rs
+++ b/crates/mgw-control/tests/slow_links.rs
@@ -47,7 +47,7 @@
     let route = |number: u32| {
         let id = number.wrapping_mul(2_654_435_761) % 9_999_991;
         format!(
-            "{{\"name\":\"r-{id}\",\"host\":\"drills.example\",\"pathPrefix\":\"/{id}/\",\"kind\":\"safe\",\
+            "{{\"name\":\"r-{id}\",\"host\":\"drills.example\",\"path\":\"/{id}/\",\"kind\":\"safe\",\
              \"timeoutMs\":20000,\"service\":\"pool\",\"maxAttempts\":2,\"public\":false,\"priority\":1,\
              \"targetLatencyMs\":500,\"stickySessions\":false,\"resumable\":false,\"targetGapMs\":0}},"
         )
