Logs and metrics tell what a request shares with others, and why a probe failed

The adapter reads the parts of a prompt but the last, which is the request's own; the lines 'chain returned no stream' and 'stream failed' list them, the first with the target that the relay was connected to; failed probes tell and count their cause. No decision changes.

--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -6,7 +6,7 @@
 use mgw_contract::target::ReportCall;
 use mgw_route::Hop;
 use mgw_routing::DecodeRouting;
-use mgw_world::{Millis, TargetName, WorkspaceName};
+use mgw_world::{Millis, PromptPart, TargetName, WorkspaceName};
 
 /// Values that an adapter reads from the header fields of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -23,6 +23,9 @@
     pub max_answer_tokens: Option<u32>,
     /// The caller's estimate of the answer's length in tokens.
     pub expected_answer_tokens: Option<u32>,
+    /// Parts of the prompt that other requests may hold as well, in order. The last part of a prompt is
+    /// the request's own and isn't listed.
+    pub shared_parts: Vec<PromptPart>,
     /// Number of the last event that the caller received of an earlier answer, to resume after it.
     pub last_event: Option<u64>,
 }
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -22,6 +22,8 @@
     pub whole_answer: Histogram,
     /// Targets that asked for no requests, by cause.
     pub exclusions: IntCounterVec,
+    /// Probes of engines that brought no report, by failure.
+    pub failed_probes: IntCounterVec,
     /// Targets that may get new work.
     pub targets: IntGauge,
     /// Version of the routing document in force.
@@ -72,6 +74,13 @@
                 ),
                 &["cause"],
             )?,
+            failed_probes: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_failed_probes_total",
+                    "Probes of engines that brought no report, by failure.",
+                ),
+                &["failure"],
+            )?,
             targets: IntGauge::new("mgw_relay_targets", "Targets that may get new work.")?,
             routing_version: IntGauge::new(
                 "mgw_relay_routing_version",
@@ -92,12 +101,18 @@
         registry.register(Box::new(metrics.first_event.clone()))?;
         registry.register(Box::new(metrics.whole_answer.clone()))?;
         registry.register(Box::new(metrics.exclusions.clone()))?;
+        registry.register(Box::new(metrics.failed_probes.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         registry.register(Box::new(metrics.routing_fetches.clone()))?;
         Ok(metrics)
     }
 
+    /// Counts a probe that brought no report.
+    pub fn count_failed_probe(&self, failure: &str) {
+        self.failed_probes.with_label_values(&[failure]).inc();
+    }
+
     /// Counts a fetch of a routing document by its outcome.
     pub fn count_routing_fetch(&self, outcome: &str) {
         self.routing_fetches.with_label_values(&[outcome]).inc();
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -7,7 +7,7 @@
 use super::chain_stream::ReservedChain;
 use super::fault::StreamFault;
 use super::open::OpenError;
-use super::relayed_stream::MIN_SEND_TIME_MS;
+use super::relayed_stream::{MIN_SEND_TIME_MS, list_parts};
 use super::{EventSplitter, RelayedStream};
 use crate::request_sends::{RequestSends, SendOutcome};
 use crate::targets::{Answer, SendFailure, probe_hops};
@@ -111,6 +111,8 @@
             service = %self.call.service,
             end = %outcome,
             cause,
+            first_target = self.chain.split('=').next(),
+            parts = %list_parts(&self.call.head.shared_parts),
             sends = self.sends.sent(),
             "chain returned no stream"
         );
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -6,7 +6,7 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use mgw_route::NoChain;
-use mgw_world::{Millis, TargetName};
+use mgw_world::{Millis, PromptPart, TargetName};
 use tracing::{info, warn};
 
 use super::chain_stream::{ChainStream, ReadOutcome};
@@ -354,6 +354,7 @@
             last_event = self.event_order.last(),
             chain = %self.chain,
             avoided = self.avoid.len(),
+            parts = %list_parts(&self.call.head.shared_parts),
             waited_ms = self.waited_ms.0,
             sends = self.sends.sent(),
             moves = self.moves,
@@ -394,6 +395,12 @@
     }
 }
 
+/// Writes the digests of parts of a prompt for log lines.
+pub(super) fn list_parts(parts: &[PromptPart]) -> String {
+    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
+
 fn to_seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -1,5 +1,6 @@
 //! Probes forwarding engines: whether they answer, and their slowness.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -30,57 +31,87 @@
     }
 }
 
+/// Why a probe got no usable report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+enum ProbeFailure {
+    /// Nothing listens at the engine's address: its process has ended.
+    #[display("connection refused")]
+    Refused,
+    /// No connection was established in time, or only with an error.
+    #[display("no connection")]
+    NotConnected,
+    /// The connection broke before the report was whole.
+    #[display("connection broke")]
+    Broken,
+    /// The report didn't arrive in time.
+    #[display("no report in time")]
+    Late,
+    /// The report can't be decoded.
+    #[display("unusable report")]
+    Unusable,
+}
+
 async fn probe_until_answered(app: &App, service: &ServiceName, hop: &Hop, cause: &'static str) {
     for repeat in 0..=MAX_RETRIES {
         if app.is_excluded(&hop.run()) {
             return;
         }
-        let outcome = probe(app, hop).await;
+        let fetching = timeout(PROBE_TIMEOUT_MS.to_duration(), fetch_report(app, hop));
+        let probed = fetching.await.unwrap_or(Err(ProbeFailure::Late));
         let now = app.clock.now();
+        let outcome = match probed {
+            Ok(slowness) => ProbeOutcome::Alive { slowness },
+            Err(_) => ProbeOutcome::Dead,
+        };
         app.with_chains(service, |chains| {
             chains.record_probe(&hop.target, outcome, now);
         });
-        match outcome {
-            ProbeOutcome::Alive { slowness } => {
+        match probed {
+            Ok(slowness) => {
                 info!(target_name = %hop.target, cause, repeat, slowness, "engine answered a probe");
                 return;
             }
-            ProbeOutcome::Dead => {
-                warn!(target_name = %hop.target, cause, repeat, "engine didn't answer a probe");
+            Err(failure) => {
+                app.metrics.count_failed_probe(&failure.to_string());
+                warn!(
+                    target_name = %hop.target,
+                    incarnation = %hop.incarnation,
+                    cause,
+                    repeat,
+                    outcome = %failure,
+                    "engine didn't answer a probe"
+                );
             }
         }
         sleep(RETRY_INTERVAL_MS.to_duration()).await;
     }
 }
 
-async fn probe(app: &App, hop: &Hop) -> ProbeOutcome {
-    let fetching = timeout(PROBE_TIMEOUT_MS.to_duration(), fetch_report(app, hop));
-    let slowness = fetching.await.ok().flatten();
-    slowness.map_or(ProbeOutcome::Dead, |slowness| ProbeOutcome::Alive {
-        slowness,
-    })
-}
-
 /// Fetches the engine's report over a new connection, because an idle one may be dead while the
-/// engine is not.
-async fn fetch_report(app: &App, hop: &Hop) -> Option<f64> {
-    let mut connection = app.connection_pool.acquire(hop.address, true).await.ok()?;
+/// engine is not. Returns the engine's slowness.
+async fn fetch_report(app: &App, hop: &Hop) -> Result<f64, ProbeFailure> {
+    let connected = app.connection_pool.acquire(hop.address, true).await;
+    let mut connection = connected.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused => ProbeFailure::Refused,
+        _ => ProbeFailure::NotConnected,
+    })?;
     let request = Request::get(app.adapter.report.path)
         .header(hyper::header::HOST, hop.address.to_string())
         .body(Full::<Bytes>::default())
-        .ok()?;
-    let response = connection.sender.try_send_request(request).await.ok()?;
+        .map_err(|_| ProbeFailure::Unusable)?;
+    let sent = connection.sender.try_send_request(request).await;
+    let response = sent.map_err(|_| ProbeFailure::Broken)?;
     let read_head = app.adapter.dialect.read_answer;
     let head = read_head(response.status().as_u16(), response.headers());
     app.record_notices(&hop.run(), &head);
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-    let body = body.collect().await.ok()?.to_bytes();
+    let body = body.collect().await.map_err(|_| ProbeFailure::Broken)?;
     app.connection_pool.put_back(connection);
-    match (app.adapter.report.read)(&body) {
-        Ok(report) => Some(report.slowness),
+    match (app.adapter.report.read)(&body.to_bytes()) {
+        Ok(report) => Ok(report.slowness),
         Err(error) => {
             warn!(target_name = %hop.target, %error, "can't decode the engine's report");
-            None
+            Err(ProbeFailure::Unusable)
         }
     }
 }
--- a/crates/mgw-world/src/lib.rs
+++ b/crates/mgw-world/src/lib.rs
@@ -22,5 +22,5 @@
     Vm, Workspace,
 };
 pub use pipeline::{Accelerator, PipelineModel};
-pub use request::{Attempt, ParseRequestIdError, Position, RequestId};
+pub use request::{Attempt, ParseRequestIdError, Position, PromptPart, RequestId};
 pub use versions::{FenceNumber, Incarnation, Revision, RoutingVersion};
--- a/crates/mgw-world/src/request.rs
+++ b/crates/mgw-world/src/request.rs
@@ -1,5 +1,6 @@
 //! Identifiers of one step of a stage: request, attempt and token position.
 
+use std::num::ParseIntError;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -91,3 +92,36 @@
         Self(self.0 + count)
     }
 }
+
+/// Digest of a part of a prompt: requests whose prompts hold the same part carry the same digest. Written
+/// in hexadecimal.
+///
+/// ```
+/// use mgw_world::PromptPart;
+/// let part: PromptPart = "5c1e07a2".parse().unwrap();
+/// assert_eq!(part.to_string(), "5c1e07a2");
+/// ```
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+#[display("{_0:x}")]
+pub struct PromptPart(pub u64);
+
+impl FromStr for PromptPart {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
