--- /dev/null
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -0,0 +1,244 @@
+//! Several relays before engines that end when they begin to answer a request with a certain part.
+
+#![allow(clippy::unwrap_used)]
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream::{StreamExt, unfold};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderValue;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use mgw_contract::target::{Announcement, LoadReport, Readiness};
+use mgw_control::{Control, ControlHandle, Founding};
+use mgw_relay::{Relay, RelaySettings};
+use mgw_routing::RoutingDocument;
+use mgw_serve::Shutdown;
+use mgw_testkit::free_address;
+use mgw_world::{
+    ForwardingEngine, Incarnation, LayerRange, Limits, RoutingVersion, Target, TargetKind,
+};
+use parking_lot::Mutex;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::standin::{EVENTS, event};
+use super::{
+    ADAPTER, Answer, LAYERS, POLL_INTERVAL, TEST_TIMEOUT, call, names, relay_settings, request,
+    start_control_alone,
+};
+
+/// A part of prompts that ends each engine which begins to answer a request with it.
+pub const HARMFUL_PART: &str = "bad";
+/// The first part of all prompts.
+pub const SHARED_PART: &str = "a";
+/// Time for which an engine reads a prompt before it begins to answer.
+const READING: Duration = Duration::from_millis(30);
+/// Time from the end of an engine to its next start.
+const RESTART: Duration = Duration::from_millis(400);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// What engines have seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// When a request with the harmful part reached an engine.
+    pub reached: Vec<Instant>,
+    /// When an engine ended under such a request.
+    pub ends: Vec<Instant>,
+}
+
+/// An engine that holds all layers.
+pub struct Engine {
+    number: usize,
+    address: SocketAddr,
+    handle: ControlHandle,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Engine {
+    /// Serves one incarnation after the other.
+    async fn run(self: Arc<Self>) {
+        for incarnation in 1.. {
+            let listener = TcpListener::bind(self.address).await.unwrap();
+            let ended = CancellationToken::new();
+            let announcing = Arc::clone(&self).announce(incarnation, ended.clone());
+            tokio::spawn(announcing);
+            let serving = Arc::clone(&self).serve(listener, ended.clone());
+            ended.run_until_cancelled(serving).await;
+            sleep(RESTART).await;
+        }
+    }
+
+    async fn announce(self: Arc<Self>, incarnation: u64, ended: CancellationToken) {
+        let target = Target {
+            name: format!("engine-{}-{incarnation}", self.number)
+                .as_str()
+                .into(),
+            incarnation: Incarnation(incarnation),
+            vm: "vm".into(),
+            place: "home".into(),
+            address: self.address,
+            duty: TargetKind::Forwarding(ForwardingEngine {
+                service: "pool".into(),
+                accelerator: "card".into(),
+                layers: LayerRange::new(0, LAYERS).ok(),
+            }),
+            limits: Limits {
+                max_requests: 100,
+                kv_bytes: 0,
+                tokens_per_s: 0,
+            },
+        };
+        for sequence in 1.. {
+            self.handle.announce(&Announcement {
+                target: target.clone(),
+                sequence,
+                readiness: Readiness::Ready,
+                load: LoadReport::default(),
+                cache_events: Vec::new(),
+            });
+            let pausing = ended.run_until_cancelled(sleep(ANNOUNCE_INTERVAL));
+            if pausing.await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, listener: TcpListener, ended: CancellationToken) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (engine, ended) = (Arc::clone(&self), ended.clone());
+            tokio::spawn(async move {
+                let answering = ended.clone();
+                let service = service_fn(move |request| {
+                    let (engine, ended) = (Arc::clone(&engine), answering.clone());
+                    async move { Ok::<_, Infallible>(engine.answer(request, &ended).await) }
+                });
+                let serving = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                // The engine's end breaks its connections.
+                let _ = ended.run_until_cancelled(serving).await;
+            });
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        ended: &CancellationToken,
+    ) -> Response<Body> {
+        if request.uri().path() == "/report" {
+            return Response::new(Full::from("{}").boxed_unsync());
+        }
+        let header = |name| request.headers()[name].to_str().unwrap().to_owned();
+        let is_harmful = header(names::PARTS)
+            .split(',')
+            .any(|part| part == HARMFUL_PART);
+        if is_harmful {
+            self.seen.lock().reached.push(Instant::now());
+        }
+        sleep(READING).await;
+        if is_harmful {
+            self.seen.lock().ends.push(Instant::now());
+            ended.cancel();
+        }
+        let events = unfold(1, |number| async move {
+            sleep(EVENT_PAUSE).await;
+            (number <= EVENTS).then(|| (Ok(Frame::data(event(number).into())), number + 1))
+        });
+        let mut response = Response::new(StreamBody::new(events.boxed()).boxed_unsync());
+        let id = HeaderValue::from_str(&header(names::ID)).unwrap();
+        response.headers_mut().insert(names::ID, id);
+        response
+    }
+}
+
+/// Relays and engines with one control.
+pub struct Fleet {
+    pub relays: Vec<Relay>,
+    /// Addresses at which the relays serve callers.
+    pub entries: Vec<SocketAddr>,
+    pub seen: Arc<Mutex<Seen>>,
+    _control: Control,
+    _data: TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the relays know routes and engines.
+    pub async fn start(relays: usize, engines: usize) -> Self {
+        let at = free_address();
+        let (control, data) = start_control_alone(at, vec![at], Founding::Alone).await;
+        let handle = control.handle();
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        for number in 0..engines {
+            let engine = Engine {
+                number,
+                address: free_address(),
+                handle: handle.clone(),
+                seen: Arc::clone(&seen),
+            };
+            tokio::spawn(Arc::new(engine).run());
+        }
+        let mut fleet = Self {
+            relays: Vec::new(),
+            entries: Vec::new(),
+            seen,
+            _control: control,
+            _data: data,
+        };
+        for number in 0..relays {
+            fleet.add_relay(number, at).await;
+        }
+        accept_routing(&handle).await;
+        let from = Instant::now();
+        while !fleet.relays.iter().all(Relay::is_ready) {
+            assert!(from.elapsed() < TEST_TIMEOUT, "not ready in time");
+            sleep(POLL_INTERVAL).await;
+        }
+        fleet
+    }
+
+    async fn add_relay(&mut self, number: usize, control: SocketAddr) {
+        let settings = RelaySettings {
+            name: format!("entry-{number}").as_str().into(),
+            controls: vec![control],
+            ..relay_settings()
+        };
+        self.entries.push(settings.listen);
+        let shutdown = Shutdown::default();
+        let relay = Relay::start(settings, ADAPTER, Box::new(Vec::new), shutdown).await;
+        self.relays.push(relay.unwrap());
+    }
+
+    /// Sends a stream request whose prompt consists of these parts and one of its own.
+    pub async fn call(&self, entry: usize, id: &str, parts: &[&str]) -> Answer {
+        let mut request = request(id, "/stream/x");
+        let parts = format!("{},0", parts.join(","));
+        let parts = HeaderValue::from_str(&parts).unwrap();
+        request.headers_mut().insert(names::PARTS, parts);
+        call(self.entries[entry], request).await
+    }
+}
+
+async fn accept_routing(handle: &ControlHandle) {
+    let document = RoutingDocument {
+        version: RoutingVersion(1),
+        source: b"1".to_vec().into(),
+    };
+    let from = Instant::now();
+    while handle.replace_routing(document.clone()).await.is_err() {
+        assert!(from.elapsed() < TEST_TIMEOUT, "no leader");
+        sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod control_front;
+mod fleet;
 mod raw;
 mod standin;
 
@@ -29,7 +30,7 @@
 use mgw_testkit::free_address;
 use mgw_world::{
     Accelerator, ForwardingEngine, Incarnation, LayerRange, Limits, Millis, PipelineModel,
-    RoutingVersion, Target, TargetKind,
+    PromptPart, RoutingVersion, Target, TargetKind,
 };
 use tempfile::TempDir;
 use tokio::net::TcpStream;
@@ -39,6 +40,8 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use control_front::{ControlFront, FrontState};
 #[allow(unused_imports, reason = "each test uses a part")]
+pub use fleet::{Engine, Fleet, HARMFUL_PART, SHARED_PART};
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use standin::{Behaviour, EVENTS, Standin};
@@ -61,6 +64,7 @@
     pub const SEAL: &str = "x-seal";
     pub const LEAVING: &str = "x-leaving";
     pub const PAUSE: &str = "x-pause";
+    pub const PARTS: &str = "x-parts";
 }
 
 /// A running relay with its control.
@@ -225,7 +229,7 @@
     }
 }
 
-async fn call(listen: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
+pub async fn call(listen: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
     let stream = TcpStream::connect(listen).await.unwrap();
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     tokio::spawn(connection);
@@ -341,10 +345,21 @@
         deadline_ms: number(names::TIME).map(Millis),
         key: text(headers, names::KEY).map(ToOwned::to_owned),
         last_event: number(names::LAST_EVENT),
+        shared_parts: read_shared_parts(headers),
         ..CallerHead::default()
     }
 }
 
+fn read_shared_parts(headers: &HeaderMap) -> Vec<PromptPart> {
+    let parts = text(headers, names::PARTS).and_then(|parts| parts.rsplit_once(','));
+    let shared = parts.map(|(shared, _)| shared.split(','));
+    shared
+        .into_iter()
+        .flatten()
+        .map(|part| part.parse().unwrap())
+        .collect()
+}
+
 fn write_request(headers: &mut HeaderMap, head: &TargetHead<'_>) {
     headers.remove(names::KEY);
     let mut put = |name: &'static str, text: String| {
