--- a/crates/mgw-cli/src/args.rs
+++ b/crates/mgw-cli/src/args.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
-use mgw_world::{EntryName, KeyName, Revision, ServiceName, TargetName, WorkspaceName};
+use mgw_world::{EntryName, KeyName, PromptPart, Revision, ServiceName, TargetName, WorkspaceName};
 
 const EXIT_CODES: &str = "Exit codes:
   0  the command succeeded
@@ -87,6 +87,9 @@
     /// Operate one target
     #[command(subcommand)]
     Target(TargetCommand),
+    /// Show or lift the quarantine of parts of prompts that end targets
+    #[command(subcommand)]
+    Quarantine(QuarantineCommand),
     /// Show or resolve calls that run at most once
     #[command(subcommand)]
     Ledger(LedgerCommand),
@@ -170,3 +173,15 @@
         ran: bool,
     },
 }
+
+/// Commands on the quarantine.
+#[derive(Debug, Clone, Copy, Subcommand)]
+pub enum QuarantineCommand {
+    /// List the parts that are kept from targets, with the evidence
+    List,
+    /// Let requests with a part reach targets again
+    Lift {
+        /// Digest of the part in hexadecimal, as `mgw quarantine list` prints it
+        part: PromptPart,
+    },
+}
--- a/crates/mgw-cli/src/commands/mod.rs
+++ b/crates/mgw-cli/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod group_keys;
 mod ledger;
+mod quarantine;
 mod run;
 mod status;
 mod targets;
--- a/crates/mgw-cli/src/commands/run.rs
+++ b/crates/mgw-cli/src/commands/run.rs
@@ -2,13 +2,15 @@
 
 use mgw_contract::operator::DrainRequest;
 
-use crate::args::{Args, Command, ConfigCommand, EntryCommand, LedgerCommand, TargetCommand};
+use crate::args::{
+    Args, Command, ConfigCommand, EntryCommand, LedgerCommand, QuarantineCommand, TargetCommand,
+};
 use crate::client::Client;
 use crate::{CliError, ExitStatus};
 
 use super::{
-    audit, config_apply, config_check, config_show, drain, entries, group_keys, ledger, status,
-    targets,
+    audit, config_apply, config_check, config_show, drain, entries, group_keys, ledger, quarantine,
+    status, targets,
 };
 
 /// Runs the command that the arguments name.
@@ -72,6 +74,12 @@
         Command::Target(TargetCommand::Undrain { name }) => {
             drain::undrain(&client, &DrainRequest::Target(name.clone())).await
         }
+        Command::Quarantine(QuarantineCommand::List) => {
+            quarantine::list_parts(&client, args.json).await
+        }
+        Command::Quarantine(QuarantineCommand::Lift { part }) => {
+            quarantine::lift_part(&client, *part).await
+        }
         Command::Ledger(LedgerCommand::Show { unknown }) => {
             ledger::list_claims(&client, *unknown, args.json).await
         }
--- a/crates/mgw-contract/src/operator.rs
+++ b/crates/mgw-contract/src/operator.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mgw_world::{
-    EntryName, KeyName, Millis, NodeName, OperatorName, PlaceName, RequestId, Revision,
+    EntryName, KeyName, Millis, NodeName, OperatorName, PlaceName, PromptPart, RequestId, Revision,
     ServiceName, TargetName, UnixMillis, WorkspaceName,
 };
 use serde::{Deserialize, Serialize};
@@ -29,6 +29,9 @@
 /// Path of the ledger: `GET`, answered by a list of [`LedgerRecord`]; `POST` [`ResolveRequest`]
 /// records whether a call ran.
 pub const LEDGER_PATH: &str = "/operator/v1/ledger";
+/// Path of the quarantine: `GET`, answered by a list of [`QuarantinedPart`]; `POST` [`LiftRequest`]
+/// takes a part out.
+pub const QUARANTINE_PATH: &str = "/operator/v1/quarantine";
 /// Header with the operator's name.
 pub const OPERATOR_HEADER: &str = "x-mgw-operator";
 /// Header with the operator's key.
@@ -267,6 +270,24 @@
     pub ran: bool,
 }
 
+/// A part of prompts that is kept from targets, because they ended under it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Time of the verdict.
+    pub since_unix_ms: UnixMillis,
+    /// The evidence, as readable text.
+    pub evidence: String,
+}
+
+/// Request to take a part out of the quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LiftRequest {
+    /// The part.
+    pub part: PromptPart,
+}
+
 /// Error reply to an operator's call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[display("{message}")]
--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -1,14 +1,15 @@
 //! State shared by all tasks of a control.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgw_member::View;
 use mgw_peer::PeerPool;
-use mgw_route::EntryLoadTable;
+use mgw_route::{EntryLoadTable, QuarantineTable};
 use mgw_routing::TransferableRoutings;
 use mgw_serve::Shutdown;
-use mgw_world::Clock;
+use mgw_world::{Clock, PromptPart};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -35,6 +36,10 @@
     pub other_controls: Mutex<Vec<SocketAddr>>,
     /// Load on the targets as each entry last reported it.
     pub entry_loads: Mutex<EntryLoadTable>,
+    /// Evidence of all entries on parts of prompts.
+    pub quarantine: Mutex<QuarantineTable>,
+    /// Parts that are being committed to the quarantine.
+    pub quarantining: Mutex<BTreeSet<PromptPart>>,
     /// Routing documents that entries may still be fetching.
     pub transferable: Mutex<TransferableRoutings>,
     /// Notified when a target's announcement changes this control's record in the view.
--- a/crates/mgw-control/src/handle/mod.rs
+++ b/crates/mgw-control/src/handle/mod.rs
@@ -4,7 +4,9 @@
 mod addresses;
 mod control_handle;
 mod routing;
+mod submit;
 mod targets;
 
 pub use control_handle::ControlHandle;
 pub use routing::AcceptError;
+pub use submit::submit_anywhere;
--- a/crates/mgw-control/src/handle/routing.rs
+++ b/crates/mgw-control/src/handle/routing.rs
@@ -1,17 +1,15 @@
 //! Replaces and reads the routing document through any control, which forwards to the leader.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
-use mgw_peer::{CallFailure, PeerError, RoutingRequest};
+use mgw_peer::{PeerError, RoutingRequest};
 use mgw_routing::{DecodeRouting, PackedRouting, RoutingDocument};
 use mgw_serve::run_blocking;
-use mgw_state::{Action, Command, Reply};
-use mgw_world::{Clock, NodeName, RoutingVersion};
+use mgw_state::{Action, Reply};
+use mgw_world::{NodeName, RoutingVersion};
 use tracing::{info, warn};
 
 use super::ControlHandle;
-use crate::app::App;
+use super::submit::{leader_address, submit_anywhere, to_peer_error};
 
 /// Why a document in the operator's format isn't accepted.
 #[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
@@ -74,11 +72,7 @@
             return Ok(held);
         }
         let action = Action::ReplacePackedRouting(document);
-        let response = match self.app.replica.submit(action.clone()).await {
-            Err(PeerError::NotLeader { leader }) => self.submit_to(leader, action).await,
-            response => response,
-        };
-        match response {
+        match submit_anywhere(&self.app, action).await {
             Ok(Reply::Routing { version: held }) => {
                 info!(%version, %held, "routing document accepted");
                 Ok(held)
@@ -109,28 +103,6 @@
         })
     }
 
-    /// Submits an action at the leader.
-    async fn submit_to(
-        &self,
-        leader: Option<NodeName>,
-        action: Action,
-    ) -> Result<Reply, PeerError> {
-        let address = leader_address(&self.app, leader)?;
-        let command = Command {
-            at_unix_ms: Clock::wall(),
-            action,
-        };
-        let call_timeout = self.app.settings.quorum.commit_limit_ms;
-        let response = self
-            .app
-            .pool
-            .call(address, call_timeout, |client, context| async move {
-                client.submit(context, command).await
-            })
-            .await;
-        response.map_err(to_peer_error)?
-    }
-
     /// Reads the newest routing document from the leader.
     async fn read_from(&self, leader: Option<NodeName>) -> Result<PackedRouting, PeerError> {
         let address = leader_address(&self.app, leader)?;
@@ -150,20 +122,3 @@
         Ok(newest_document.unwrap_or(own_document))
     }
 }
-
-/// The leader's address: by the settings, else its name where that is an address (open group).
-fn leader_address(app: &App, leader: Option<NodeName>) -> Result<SocketAddr, PeerError> {
-    let name = leader.ok_or(PeerError::NotLeader { leader: None })?;
-    let address = app.settings.address_of(name.as_str());
-    let address = address.or_else(|| name.as_str().parse().ok());
-    address.ok_or(PeerError::NotLeader { leader: Some(name) })
-}
-
-fn to_peer_error(failure: CallFailure) -> PeerError {
-    match failure {
-        CallFailure::Refused(error) => error,
-        CallFailure::NothingListens | CallFailure::NotConnected | CallFailure::NoAnswer => {
-            PeerError::NotConfirmed
-        }
-    }
-}
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod peers;
 mod placement;
+mod quarantine;
 mod replica;
 mod run;
 mod settings;
--- a/crates/mgw-control/src/operator/read.rs
+++ b/crates/mgw-control/src/operator/read.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mgw_contract::operator::{
-    AuditRecord, ConfigReply, EntryStatus, LedgerRecord, StatusReply, TargetStatus,
+    AuditRecord, ConfigReply, EntryStatus, LedgerRecord, QuarantinedPart, StatusReply, TargetStatus,
 };
 use mgw_peer::PeerError;
 use mgw_world::Revision;
@@ -33,6 +33,19 @@
     Ok(app.replica.state.read().ledger().records().collect())
 }
 
+/// Returns the parts of prompts in quarantine, confirmed by a quorum.
+pub async fn read_quarantine(app: &App) -> Result<Vec<QuarantinedPart>, PeerError> {
+    app.replica.confirm_read().await?;
+    Ok(app
+        .replica
+        .state
+        .read()
+        .quarantine()
+        .parts()
+        .cloned()
+        .collect())
+}
+
 /// Returns the entries that are alive according to this control's view.
 pub fn read_entries(app: &App) -> Vec<EntryStatus> {
     app.view.lock().describe_entries(app.clock.now())
@@ -49,9 +62,14 @@
     let entries = read_entries(app);
     let targets = read_targets(app);
     let has_quorum = report.leader.is_some();
-    let (revision, ledger_unknown): (Revision, u32) = {
+    let (revision, ledger_unknown, quarantined): (Revision, u32, usize) = {
         let state = app.replica.state.read();
-        (state.revision(), state.ledger().unknown_count())
+        let quarantined = state.quarantine().parts().count();
+        (
+            state.revision(),
+            state.ledger().unknown_count(),
+            quarantined,
+        )
     };
     let mut attention = Vec::new();
     if let Some(damage) = report.damage {
@@ -68,6 +86,11 @@
             "{ledger_unknown} calls have an unknown outcome; see mgw ledger show"
         ));
     }
+    if quarantined > 0 {
+        attention.push(format!(
+            "{quarantined} parts of prompts are in quarantine; see mgw quarantine list"
+        ));
+    }
     for place in app.view.lock().places(app.clock.now()) {
         if place.is_cut_off {
             attention.push(format!("place {} is silent as a whole", place.place));
--- a/crates/mgw-control/src/operator/web.rs
+++ b/crates/mgw-control/src/operator/web.rs
@@ -5,8 +5,8 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use mgw_contract::operator::{
-    AUDIT_PATH, CONFIG_PATH, DRAIN_PATH, ENTRIES_PATH, LEDGER_PATH, OperatorError, STATUS_PATH,
-    TARGETS_PATH, UNDRAIN_PATH,
+    AUDIT_PATH, CONFIG_PATH, DRAIN_PATH, ENTRIES_PATH, LEDGER_PATH, OperatorError, QUARANTINE_PATH,
+    STATUS_PATH, TARGETS_PATH, UNDRAIN_PATH,
 };
 use mgw_peer::PeerError;
 use mgw_serve::http::{Body, json_response, read_json};
@@ -31,6 +31,7 @@
         (&Method::GET, CONFIG_PATH) => read_response(read::read_config(&app).await),
         (&Method::GET, AUDIT_PATH) => read_response(read::read_audit(&app).await),
         (&Method::GET, LEDGER_PATH) => read_response(read::read_ledger(&app).await),
+        (&Method::GET, QUARANTINE_PATH) => read_response(read::read_quarantine(&app).await),
         (&Method::GET, ENTRIES_PATH) => json_response(StatusCode::OK, &read::read_entries(&app)),
         (&Method::GET, TARGETS_PATH) => json_response(StatusCode::OK, &read::read_targets(&app)),
         (&Method::POST, CONFIG_PATH) => {
@@ -54,6 +55,13 @@
                 Err(response) => *response,
             }
         }
+        (&Method::POST, QUARANTINE_PATH) => {
+            let credentials = Credentials::from_request(&request);
+            match parse_body(request).await {
+                Ok(lift) => write_response(write::lift_quarantine(&app, &credentials, lift).await),
+                Err(response) => *response,
+            }
+        }
         (&Method::POST, LEDGER_PATH) => {
             let credentials = Credentials::from_request(&request);
             match parse_body(request).await {
@@ -101,7 +109,7 @@
         Err(error @ WriteError::Refused { .. }) => error_response(
             StatusCode::CONFLICT,
             error.to_string(),
-            "see mgw ledger show",
+            "see mgw ledger show and mgw quarantine list",
         ),
     }
 }
--- a/crates/mgw-control/src/operator/write.rs
+++ b/crates/mgw-control/src/operator/write.rs
@@ -1,7 +1,7 @@
 //! Operator calls that change something. Each is authenticated against the newest configuration and
 //! committed through the log.
 
-use mgw_contract::operator::{ApplyReply, ApplyRequest, DrainRequest, ResolveRequest};
+use mgw_contract::operator::{ApplyReply, ApplyRequest, DrainRequest, LiftRequest, ResolveRequest};
 use mgw_peer::PeerError;
 use mgw_state::{Action, ConfigChange, Refusal, Reply, ResolveReply};
 use mgw_world::Revision;
@@ -100,6 +100,28 @@
     }
 }
 
+/// Commits that a part of prompts leaves the quarantine.
+pub async fn lift_quarantine(
+    app: &App,
+    credentials: &Credentials,
+    request: LiftRequest,
+) -> Result<(), WriteError> {
+    let part = request.part;
+    authenticate(app, credentials, "lift quarantine", &format!("part {part}")).await?;
+    let operator = credentials.operator.clone();
+    match app
+        .replica
+        .submit(Action::LiftQuarantine { operator, part })
+        .await?
+    {
+        Reply::Quarantine { changed: true } => Ok(()),
+        Reply::Quarantine { changed: false } => Err(WriteError::Refused {
+            message: format!("part {part} isn't in quarantine"),
+        }),
+        other => Err(unexpected_reply(&other)),
+    }
+}
+
 /// Commits an operator's decision on a claim whose outcome is unknown.
 pub async fn resolve(
     app: &App,
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -5,11 +5,11 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc,
-    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
+    ConfigRequest, ConfigResponse, EntryReport, FoundingState, JoinRequest, OthersReport,
+    PeerError, PeerRpc, RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest,
+    WatchResponse,
 };
 use mgw_quorum::{Envelope, ReplicaId, Role};
-use mgw_route::{EntryLoad, OtherEntriesLoad};
 use mgw_routing::PackedRouting;
 use mgw_state::{Command, ConfigUpdate, Reply};
 use mgw_world::{Millis, NodeName};
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::app::App;
+use crate::quarantine::exchange_evidence;
 use crate::replica::MemberChange;
 
 /// Longest time between two checks for target leases that have expired.
@@ -98,11 +99,14 @@
         self,
         _: Context,
         entry: NodeName,
-        load: EntryLoad,
-    ) -> Result<OtherEntriesLoad, PeerError> {
+        report: EntryReport,
+    ) -> Result<OthersReport, PeerError> {
         let app = self.app()?;
         let now = app.clock.now();
-        Ok(app.entry_loads.lock().exchange(entry.as_str(), load, now))
+        let quarantine = exchange_evidence(app, entry.as_str(), &report.evidence);
+        let mut entry_loads = app.entry_loads.lock();
+        let load = entry_loads.exchange(entry.as_str(), report.load, now);
+        Ok(OthersReport { load, quarantine })
     }
 
     async fn routing(
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -269,6 +269,8 @@
         view: create_view(&settings, seed, clock.now()),
         other_controls: Mutex::default(),
         entry_loads: Mutex::default(),
+        quarantine: Mutex::default(),
+        quarantining: Mutex::default(),
         transferable: Mutex::default(),
         view_changed: Notify::new(),
         metrics,
--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -14,9 +14,9 @@
 pub use gossip::{Gossip, run_gossip};
 pub use pool::{CallFailure, PeerPool};
 pub use rpc::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc, PeerRpcClient,
-    PeerRpcRequest, PeerRpcResponse, RoutingPartRequest, RoutingPartResponse, RoutingRequest,
-    WatchRequest, WatchResponse,
+    ConfigRequest, ConfigResponse, EntryReport, FoundingState, JoinRequest, OthersReport,
+    PeerError, PeerRpc, PeerRpcClient, PeerRpcRequest, PeerRpcResponse, RoutingPartRequest,
+    RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
 };
 pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
 pub use tls::{GROUP_NAME, GroupError, GroupFiles, GroupIdentity, PeerStream};
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -5,7 +5,7 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
-use mgw_route::{EntryLoad, OtherEntriesLoad};
+use mgw_route::{EntryLoad, EvidenceReport, OtherEntriesLoad, QuarantineUpdate};
 use mgw_routing::{PackedRouting, PartPosition, RoutingPart};
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
 use mgw_world::{Millis, NodeName, Revision, RoutingVersion};
@@ -123,6 +123,24 @@
     pub part: Option<RoutingPart>,
 }
 
+/// What an entry tells the control that collects the reports of all entries.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryReport {
+    /// Load on the targets.
+    pub load: EntryLoad,
+    /// Ends of targets, and the parts of prompts under which they ended.
+    pub evidence: EvidenceReport,
+}
+
+/// What that control tells an entry.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OthersReport {
+    /// Sum of the load of all other entries.
+    pub load: OtherEntriesLoad,
+    /// Parts of prompts that are to be kept from targets.
+    pub quarantine: QuarantineUpdate,
+}
+
 /// Calls between processes. A process that isn't a control responds to the calls meant for controls
 /// with [`PeerError::NotAControl`].
 #[tarpc::service]
@@ -142,8 +160,8 @@
     async fn join(request: JoinRequest) -> Result<(), PeerError>;
     /// Returns the changes at this control: at once if there are any, else when there are.
     async fn watch(request: WatchRequest) -> Result<WatchResponse, PeerError>;
-    /// Reports an entry's load on the targets and returns the sum of all other entries' load.
-    async fn share_use(entry: NodeName, load: EntryLoad) -> Result<OtherEntriesLoad, PeerError>;
+    /// Reports what an entry knows of targets, and returns what the others know.
+    async fn share_use(entry: NodeName, report: EntryReport) -> Result<OthersReport, PeerError>;
     /// Returns the newest routing document; none when the caller has that version. Only the leader
     /// responds.
     async fn routing(request: RoutingRequest) -> Result<Option<PackedRouting>, PeerError>;
--- a/crates/mgw-peer/src/view_server.rs
+++ b/crates/mgw-peer/src/view_server.rs
@@ -4,7 +4,6 @@
 
 use mgw_member::{Exchange, ExchangeReply, View};
 use mgw_quorum::Envelope;
-use mgw_route::{EntryLoad, OtherEntriesLoad};
 use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
 use mgw_world::{Clock, NodeName};
@@ -12,8 +11,9 @@
 use tarpc::context::Context;
 
 use crate::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerRpc,
-    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
+    ConfigRequest, ConfigResponse, EntryReport, FoundingState, JoinRequest, OthersReport,
+    PeerError, PeerRpc, RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest,
+    WatchResponse,
 };
 
 /// Exchanges views and refuses all calls that are meant for controls.
@@ -59,8 +59,8 @@
         self,
         _: Context,
         _: NodeName,
-        _: EntryLoad,
-    ) -> Result<OtherEntriesLoad, PeerError> {
+        _: EntryReport,
+    ) -> Result<OthersReport, PeerError> {
         Err(PeerError::NotAControl)
     }
 
--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -9,13 +9,12 @@
 
 use mgw_member::{Exchange, ExchangeReply, NodeId};
 use mgw_peer::{
-    CallFailure, ConfigRequest, ConfigResponse, FoundingState, GROUP_NAME, GroupError, GroupFiles,
-    GroupIdentity, JoinRequest, PeerError, PeerPool, PeerRpc, RoutingPartRequest,
-    RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse, bind_peer_listener,
-    channel_handler, serve_peers,
+    CallFailure, ConfigRequest, ConfigResponse, EntryReport, FoundingState, GROUP_NAME, GroupError,
+    GroupFiles, GroupIdentity, JoinRequest, OthersReport, PeerError, PeerPool, PeerRpc,
+    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
+    bind_peer_listener, channel_handler, serve_peers,
 };
 use mgw_quorum::{Envelope, ReplicaId};
-use mgw_route::{EntryLoad, OtherEntriesLoad};
 use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
 use mgw_world::{Millis, NodeName};
@@ -73,8 +72,8 @@
         self,
         _: Context,
         _: NodeName,
-        _: EntryLoad,
-    ) -> Result<OtherEntriesLoad, PeerError> {
+        _: EntryReport,
+    ) -> Result<OthersReport, PeerError> {
         Err(PeerError::NotAControl)
     }
 
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -6,7 +6,9 @@
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
-use mgw_route::{ChainRouter, ChainTarget, EntryLoad, Exclusions, OtherEntriesLoad, TargetRun};
+use mgw_route::{
+    ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, Exclusions, OtherEntriesLoad, TargetRun,
+};
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, Millis, RoutingVersion, ServiceName, Target};
@@ -19,6 +21,7 @@
 use crate::dialect::RelayAdapter;
 use crate::follow::RoutingUpdates;
 use crate::metrics::Metrics;
+use crate::quarantine::BrokenSend;
 use crate::retries::ServiceRetries;
 use crate::settings::RelaySettings;
 use crate::stream::PauseLimits;
@@ -61,6 +64,12 @@
     pub metrics: Metrics,
     /// Targets that asked for no requests.
     pub exclusions: Mutex<Exclusions>,
+    /// Parts of prompts that are kept from targets.
+    pub quarantine: Mutex<EntryQuarantine>,
+    /// Notified when a target has ended under a request, so that a control is told at once.
+    pub evidence_changed: Notify,
+    /// Targets that are being probed, with the sends that wait for the outcome.
+    pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
     /// Retry budgets of the services.
     pub retries: Mutex<ServiceRetries>,
     routing: RwLock<Arc<RouteTable>>,
@@ -97,6 +106,9 @@
             chains: Mutex::default(),
             plain_balancer: Mutex::default(),
             exclusions: Mutex::default(),
+            quarantine: Mutex::default(),
+            evidence_changed: Notify::new(),
+            probes: Mutex::default(),
             retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
             knows_entries: AtomicBool::new(false),
@@ -172,7 +184,7 @@
     pub fn is_ready(&self) -> bool {
         let knows_routing = self.routing.read().version() > RoutingVersion(0);
         let knows_targets = self.usable_targets.lock().iter().next().is_some();
-        knows_routing && knows_targets && !self.is_leaving()
+        knows_routing && knows_targets && self.knows_quarantine() && !self.is_leaving()
     }
 
     /// Whether the process was asked to end.
--- a/crates/mgw-relay/src/follow/load_exchange.rs
+++ b/crates/mgw-relay/src/follow/load_exchange.rs
@@ -1,4 +1,5 @@
-//! Exchanges load reports with the other entries: how much of each target an entry uses.
+//! Exchanges reports with the other entries: how much of each target an entry uses, and under which
+//! parts of prompts targets have ended.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,19 +7,30 @@
 use mgw_member::NodeRole;
 use mgw_route::report_interval_ms;
 use mgw_world::Millis;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::app::App;
 
 /// Timeout of the exchange with the control.
 const ANSWER_TIMEOUT_MS: Millis = Millis(500);
+/// Shortest time between two exchanges.
+const MIN_INTERVAL_MS: Millis = Millis(100);
 
-/// Exchanges load reports until the token is cancelled.
+/// Exchanges reports until the token is cancelled: at intervals, and soon after a target has ended under
+/// a request.
 pub async fn run_load_exchange(app: Arc<App>, ended: CancellationToken) {
     loop {
-        let pausing = sleep(report_interval_ms(app.entries()).to_duration());
-        if ended.run_until_cancelled(pausing).await.is_none() {
+        let interval_ms = if app.quarantine.lock().is_informed() {
+            report_interval_ms(app.entries())
+        } else {
+            MIN_INTERVAL_MS
+        };
+        if ended
+            .run_until_cancelled(pause(&app, interval_ms))
+            .await
+            .is_none()
+        {
             return;
         }
         if let Some(control) = find_load_control(&app) {
@@ -27,19 +39,27 @@
     }
 }
 
+/// Waits for the interval, or for new evidence but at least for the shortest interval.
+async fn pause(app: &App, interval_ms: Millis) {
+    sleep(MIN_INTERVAL_MS.to_duration()).await;
+    let rest_ms = interval_ms - MIN_INTERVAL_MS;
+    // New evidence ends the pause early.
+    let _ = timeout(rest_ms.to_duration(), app.evidence_changed.notified()).await;
+}
+
 async fn exchange(app: &App, control: SocketAddr) {
     let entry = app.settings.name.clone();
-    let load = app.own_load();
+    let report = app.own_report();
     let answer = app
         .peers
         .call(control, ANSWER_TIMEOUT_MS, |client, context| async move {
-            client.share_use(context, entry, load).await
+            client.share_use(context, entry, report).await
         })
         .await;
     // Without an answer the last one stays valid for a while, after that the number of entries is
     // all that is known of the others.
     match answer {
-        Ok(Ok(other_entries)) => app.set_other_entries_load(&other_entries),
+        Ok(Ok(others)) => app.apply_others_report(&others),
         _ => app.record_missed_exchange(),
     }
 }
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod metrics;
 mod plain;
+mod quarantine;
 mod relay;
 mod request_sends;
 mod retries;
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a relay.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 11] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0];
@@ -24,6 +24,10 @@
     pub exclusions: IntCounterVec,
     /// Probes of engines that brought no report, by failure.
     pub failed_probes: IntCounterVec,
+    /// Parts of prompts that are kept from targets.
+    pub quarantined_parts: IntGauge,
+    /// Requests that were kept from targets because of a quarantined part.
+    pub quarantined_requests: IntCounter,
     /// Targets that may get new work.
     pub targets: IntGauge,
     /// Version of the routing document in force.
@@ -81,6 +85,14 @@
                 ),
                 &["failure"],
             )?,
+            quarantined_parts: IntGauge::new(
+                "mgw_relay_quarantined_parts",
+                "Parts of prompts that are kept from targets.",
+            )?,
+            quarantined_requests: IntCounter::new(
+                "mgw_relay_quarantined_requests_total",
+                "Requests that were kept from targets because of a quarantined part.",
+            )?,
             targets: IntGauge::new("mgw_relay_targets", "Targets that may get new work.")?,
             routing_version: IntGauge::new(
                 "mgw_relay_routing_version",
@@ -102,6 +114,8 @@
         registry.register(Box::new(metrics.whole_answer.clone()))?;
         registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.failed_probes.clone()))?;
+        registry.register(Box::new(metrics.quarantined_parts.clone()))?;
+        registry.register(Box::new(metrics.quarantined_requests.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
         registry.register(Box::new(metrics.routing_version.clone()))?;
         registry.register(Box::new(metrics.routing_fetches.clone()))?;
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -1,16 +1,18 @@
 //! Reaction to a fault of a chain: which target is at fault, and whether the stream resumes on
 //! another chain.
 
+use mgw_route::TargetEnd;
 use mgw_world::Millis;
 use tracing::{info, warn};
 
 use super::chain_stream::ReservedChain;
 use super::fault::StreamFault;
 use super::open::OpenError;
-use super::relayed_stream::{MIN_SEND_TIME_MS, list_parts};
+use super::relayed_stream::MIN_SEND_TIME_MS;
 use super::{EventSplitter, RelayedStream};
+use crate::quarantine::{BrokenSend, list_parts};
 use crate::request_sends::{RequestSends, SendOutcome};
-use crate::targets::{Answer, SendFailure, probe_hops};
+use crate::targets::{Answer, SendFailure, probe_after_break};
 
 /// Pause before the next attempt after a stream found no other chain to resume on.
 const MOVE_PAUSE_MS: Millis = Millis(400);
@@ -27,6 +29,7 @@
         }
         let previous = self.chain_stream.take();
         if let Some(chain_stream) = &previous {
+            self.record_ended_targets(&chain_stream.reserved, fault);
             self.record_first_target_disconnect(&chain_stream.reserved, outcome);
             self.avoid_chain(&chain_stream.reserved);
         }
@@ -171,7 +174,34 @@
         self.app.with_chains(service, |chains| {
             chains.record_disconnect(&first.target, now);
         });
+        let is_suspect = outcome == SendOutcome::TargetLost && !reserved.is_sound;
+        let send = is_suspect.then(|| self.broken_send(reserved));
         let cause = StreamFault::ConnectionBroke.as_str();
-        probe_hops(&self.app, service, vec![first], cause);
+        probe_after_break(&self.app, service, first, send, cause);
+    }
+
+    /// Records the targets of a chain whose process has ended, if the stream leaves the chain for their
+    /// silence before it was seen to be sound there.
+    pub(super) fn record_ended_targets(&self, reserved: &ReservedChain, fault: StreamFault) {
+        if fault != StreamFault::Silence || reserved.is_sound {
+            return;
+        }
+        let ended = self.app.with_chains(&self.call.service, |chains| {
+            chains.ended_targets(reserved.reservation)
+        });
+        let send = self.broken_send(reserved);
+        for run in ended.unwrap_or_default() {
+            self.app.record_target_end(&run, &send);
+        }
+    }
+
+    fn broken_send(&self, reserved: &ReservedChain) -> BrokenSend {
+        BrokenSend {
+            parts: self.call.head.shared_parts.clone(),
+            times: TargetEnd {
+                sent_at: reserved.sent_at,
+                ended_at: self.app.clock.now(),
+            },
+        }
     }
 }
--- a/crates/mgw-relay/src/stream/chain_stream.rs
+++ b/crates/mgw-relay/src/stream/chain_stream.rs
@@ -19,6 +19,12 @@
     pub hops: Vec<Hop>,
     /// Key of the reservation in the router.
     pub reservation: ChainReservation,
+    /// When the request was sent over the chain.
+    pub sent_at: Millis,
+    /// When the first new events arrived over the chain.
+    pub begun_at: Option<Millis>,
+    /// Whether events went on to arrive after the first ones, so that the request is sound.
+    pub is_sound: bool,
 }
 
 impl ReservedChain {
@@ -30,6 +36,9 @@
             service,
             hops: chain.hops,
             reservation: chain.reservation,
+            sent_at: Millis::ZERO,
+            begun_at: None,
+            is_sound: false,
         }
     }
 
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -49,12 +49,13 @@
         let started_at = self.app.clock.now();
         let chosen = self.choose_with_wait().await;
         self.waited_ms += self.app.clock.now() - started_at;
-        let reserved = chosen.map_err(OpenError::NoChain)?;
+        let mut reserved = chosen.map_err(OpenError::NoChain)?;
         self.chain = reserved.describe();
         if self.sends.sent() == 0 {
             self.app.count_first_send(&self.call.service);
         }
         let sent_at = self.app.clock.now();
+        reserved.sent_at = sent_at;
         let waited = {
             let outbound = self.outbound_request(&reserved);
             self.wait_with_pause_checks(reserved.reservation, sent_at, send(&self.app, &outbound))
@@ -66,6 +67,7 @@
                 return Err(self.record_send_failure(&reserved, failure));
             }
             ChainWait::Abandoned(fault) => {
+                self.record_ended_targets(&reserved, fault);
                 self.avoid_chain(&reserved);
                 return Err(OpenError::SendFailed(SendOutcome::Unknown, fault.as_str()));
             }
@@ -141,6 +143,7 @@
             };
             let limit_ms = match no_chain {
                 _ if self.has_begun => Millis::ZERO,
+                NoChain::Quarantined => Millis::ZERO,
                 NoChain::Full | NoChain::Suspected => wait_limits.capacity_wait_ms(left_ms),
                 NoChain::Paused { until } => wait_limits.pause_wait_ms(left_ms, until - started_at),
                 NoChain::Uncovered => wait_limits.startup_wait_ms(left_ms, started_at),
@@ -157,6 +160,13 @@
 
     /// Chooses a chain. Targets to avoid are used if the others don't cover all layers.
     fn choose(&self) -> Result<ReservedChain, NoChain> {
+        if !self.app.knows_quarantine() {
+            return Err(NoChain::Uncovered);
+        }
+        if let Some(part) = self.app.find_quarantined(&self.call.head.shared_parts) {
+            self.log_quarantined(part);
+            return Err(NoChain::Quarantined);
+        }
         let now = self.app.clock.now();
         let service = &self.call.service;
         let chosen = self.app.with_chains(service, |chains| {
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -15,6 +15,7 @@
 use super::{EventOrder, EventSplitter};
 use crate::app::App;
 use crate::callers::{Call, Refusal, RelayBody, TruncatedAnswer};
+use crate::quarantine::list_parts;
 use crate::request_sends::RequestSends;
 use crate::targets::probe_hops;
 
@@ -107,7 +108,9 @@
                     return StreamStart::Answered(response);
                 }
                 Err(OpenError::NoChain(no_chain)) => {
-                    stream.log_no_chain(no_chain);
+                    if no_chain != NoChain::Quarantined {
+                        stream.log_no_chain(no_chain);
+                    }
                     break stream.refusal_for(no_chain);
                 }
                 Err(OpenError::SendFailed(outcome, cause)) => {
@@ -158,7 +161,12 @@
     /// Whether another send is allowed. Takes a retry from the budget unless it is the first send.
     pub(super) fn may_send(&self) -> bool {
         let is_first = self.sends.sent() == 0;
-        self.sends.may_send() && (is_first || self.app.try_retry(&self.call.service))
+        if is_first {
+            return self.sends.may_send();
+        }
+        self.sends.may_send()
+            && self.app.may_repeat(&self.call.head.shared_parts)
+            && self.app.try_retry(&self.call.service)
     }
 
     /// The refusal for a request that no target answered.
@@ -177,6 +185,7 @@
         match no_chain {
             _ if self.sends.may_have_run() => self.refusal_without_answer(),
             NoChain::Full => Refusal::full(),
+            NoChain::Quarantined => Refusal::quarantined(),
             NoChain::Uncovered | NoChain::Suspected => Refusal::uncovered(),
             NoChain::Paused { until } => Refusal::paused(until - self.app.clock.now()),
         }
@@ -202,6 +211,17 @@
         );
     }
 
+    pub(super) fn log_quarantined(&self, part: PromptPart) {
+        self.app.metrics.quarantined_requests.inc();
+        info!(
+            id = %self.call.head.id,
+            %part,
+            sends = self.sends.sent(),
+            has_begun = self.has_begun,
+            "request kept from targets: a part of its prompt is quarantined"
+        );
+    }
+
     fn begin(mut self, parts: Box<Parts>, first: Bytes) -> StreamStart {
         self.has_begun = true;
         let ms = self.app.clock.now() - self.call.arrived_at;
@@ -261,6 +281,7 @@
     fn abandon_chain(&mut self, fault: StreamFault) {
         let outcome = fault.to_send_outcome();
         if let Some(chain_stream) = self.chain_stream.take() {
+            self.record_ended_targets(&chain_stream.reserved, fault);
             self.record_first_target_disconnect(&chain_stream.reserved, outcome);
             self.avoid_chain(&chain_stream.reserved);
         }
@@ -317,6 +338,15 @@
         let pause = now - chain_stream.received_at;
         chain_stream.received_at = now;
         chain_stream.bytes_since = 0;
+        match chain_stream.reserved.begun_at {
+            None => chain_stream.reserved.begun_at = Some(now),
+            Some(begun_at) if !chain_stream.reserved.is_sound => {
+                chain_stream.reserved.is_sound = true;
+                let parts = &self.call.head.shared_parts;
+                self.app.record_sound(parts, begun_at);
+            }
+            Some(_) => {}
+        }
         let reservation = chain_stream.reserved.reservation;
         let is_slow = self.has_begun && pause > self.app.pause_limits.slow_after_ms;
         let service = &self.call.service;
@@ -366,6 +396,12 @@
     fn finish(&mut self) {
         self.end = Some("whole");
         if let Some(chain_stream) = self.chain_stream.take() {
+            if let Some(begun_at) = chain_stream.reserved.begun_at
+                && !chain_stream.reserved.is_sound
+            {
+                let parts = &self.call.head.shared_parts;
+                self.app.record_sound(parts, begun_at);
+            }
             chain_stream.finish();
         }
     }
@@ -395,12 +431,6 @@
     }
 }
 
-/// Writes the digests of parts of a prompt for log lines.
-pub(super) fn list_parts(parts: &[PromptPart]) -> String {
-    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
-    parts.join(",")
-}
-
 fn to_seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
--- a/crates/mgw-relay/src/targets/mod.rs
+++ b/crates/mgw-relay/src/targets/mod.rs
@@ -9,6 +9,6 @@
 
 pub use connection_pool::{ConnectionPool, PooledConnection};
 pub use plain_balancer::{NoTarget, PlainBalancer, PlainReservation};
-pub use probe::probe_hops;
+pub use probe::{probe_after_break, probe_hops};
 pub use send::{Answer, OutboundRequest, SendFailure, send};
 pub use usable::{UsableTarget, UsableTargets};
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -1,17 +1,19 @@
 //! Probes forwarding engines: whether they answer, and their slowness.
 
+use std::collections::hash_map::Entry;
 use std::io::ErrorKind;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
-use mgw_route::{Hop, ProbeOutcome};
+use mgw_route::{Hop, ProbeOutcome, TargetRun};
 use mgw_world::{Millis, ServiceName};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use crate::app::App;
+use crate::quarantine::BrokenSend;
 
 /// Time within which an engine must answer a probe.
 const PROBE_TIMEOUT_MS: Millis = Millis(400);
@@ -25,9 +27,61 @@
 /// Probes each engine in the background and records the outcome in the router of the service.
 pub fn probe_hops(app: &Arc<App>, service: &ServiceName, hops: Vec<Hop>, cause: &'static str) {
     for hop in hops {
-        let app = Arc::clone(app);
-        let service = service.clone();
-        tokio::spawn(async move { probe_until_answered(&app, &service, &hop, cause).await });
+        probe_hop(app, service, hop, Vec::new(), cause);
+    }
+}
+
+/// Probes the engine to which a connection broke in the background. If its process has ended, that is
+/// recorded against the parts of the request that was sent over the connection.
+pub fn probe_after_break(
+    app: &Arc<App>,
+    service: &ServiceName,
+    hop: Hop,
+    send: Option<BrokenSend>,
+    cause: &'static str,
+) {
+    probe_hop(app, service, hop, send.into_iter().collect(), cause);
+}
+
+/// Starts a probe, or leaves the sends to one that is under way.
+fn probe_hop(
+    app: &Arc<App>,
+    service: &ServiceName,
+    hop: Hop,
+    mut sends: Vec<BrokenSend>,
+    cause: &'static str,
+) {
+    match app.probes.lock().entry(hop.run()) {
+        Entry::Occupied(mut waiting) => {
+            waiting.get_mut().append(&mut sends);
+            return;
+        }
+        Entry::Vacant(vacant) => {
+            vacant.insert(sends);
+        }
+    }
+    let app = Arc::clone(app);
+    let service = service.clone();
+    tokio::spawn(async move {
+        loop {
+            probe_until_answered(&app, &service, &hop, cause).await;
+            let mut probes = app.probes.lock();
+            // Sends that came in after the last outcome wait for another probe.
+            if probes.get(&hop.run()).is_none_or(Vec::is_empty) {
+                probes.remove(&hop.run());
+                return;
+            }
+        }
+    });
+}
+
+/// Records the outcome of a probe against the sends that wait for it.
+fn resolve_sends(app: &App, run: &TargetRun, has_ended: bool) {
+    let sends = app.probes.lock().get_mut(run).map(std::mem::take);
+    if has_ended {
+        for send in sends.unwrap_or_default() {
+            app.record_target_end(run, &send);
+        }
     }
 }
 
@@ -54,6 +108,7 @@
 async fn probe_until_answered(app: &App, service: &ServiceName, hop: &Hop, cause: &'static str) {
     for repeat in 0..=MAX_RETRIES {
         if app.is_excluded(&hop.run()) {
+            resolve_sends(app, &hop.run(), false);
             return;
         }
         let fetching = timeout(PROBE_TIMEOUT_MS.to_duration(), fetch_report(app, hop));
@@ -61,8 +116,10 @@
         let now = app.clock.now();
         let outcome = match probed {
             Ok(slowness) => ProbeOutcome::Alive { slowness },
+            Err(ProbeFailure::Refused) => ProbeOutcome::Ended,
             Err(_) => ProbeOutcome::Dead,
         };
+        resolve_sends(app, &hop.run(), outcome == ProbeOutcome::Ended);
         app.with_chains(service, |chains| {
             chains.record_probe(&hop.target, outcome, now);
         });
--- a/crates/mgw-relay/tests/support/control_front.rs
+++ b/crates/mgw-relay/tests/support/control_front.rs
@@ -9,12 +9,11 @@
 
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_peer::{
-    ConfigRequest, ConfigResponse, FoundingState, JoinRequest, PeerError, PeerPool, PeerRpc,
-    RoutingPartRequest, RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
-    bind_peer_listener, channel_handler, serve_peers,
+    ConfigRequest, ConfigResponse, EntryReport, FoundingState, JoinRequest, OthersReport,
+    PeerError, PeerPool, PeerRpc, RoutingPartRequest, RoutingPartResponse, RoutingRequest,
+    WatchRequest, WatchResponse, bind_peer_listener, channel_handler, serve_peers,
 };
 use mgw_quorum::Envelope;
-use mgw_route::{EntryLoad, OtherEntriesLoad};
 use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
 use mgw_testkit::free_address;
@@ -158,8 +157,8 @@
         self,
         _: Context,
         _: NodeName,
-        _: EntryLoad,
-    ) -> Result<OtherEntriesLoad, PeerError> {
+        _: EntryReport,
+    ) -> Result<OthersReport, PeerError> {
         Err(PeerError::NotAControl)
     }
 }
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -33,6 +33,14 @@
 }
 
 impl ChainTarget {
+    /// The run of the target that this describes.
+    pub(super) fn run(&self) -> TargetRun {
+        TargetRun {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// The target as a hop of a chain that runs these layers on it.
     pub(super) fn to_hop(&self, layers: LayerRange) -> Hop {
         Hop {
--- a/crates/mgw-route/src/chain/health.rs
+++ b/crates/mgw-route/src/chain/health.rs
@@ -50,8 +50,10 @@
         /// Its current step time as a multiple of its usual one; 1 is normal.
         slowness: f64,
     },
-    /// The target refused the connection or didn't answer in time.
+    /// The target didn't answer in time, or the connection to it broke.
     Dead,
+    /// Nothing listens at the target's address: its process has ended.
+    Ended,
 }
 
 /// Health of one target.
@@ -67,6 +69,8 @@
     paused_until: Millis,
     /// When the last probe failed; `None` once a token arrived or a later probe was answered.
     lost_at: Option<Millis>,
+    /// Whether the last probe showed that the target's process has ended.
+    has_ended: bool,
     probed_at: Option<Millis>,
     slowness: f64,
     slow_until: Millis,
@@ -80,6 +84,7 @@
             suspected_until: Millis::ZERO,
             paused_until: Millis::ZERO,
             lost_at: None,
+            has_ended: false,
             probed_at: None,
             slowness: 1.0,
             slow_until: Millis::ZERO,
@@ -104,6 +109,10 @@
         self.lost_at.is_some()
     }
 
+    pub const fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Whether a probe failed recently enough to be reported to the other entries.
     pub fn was_lost_recently(&self, now: Millis) -> bool {
         self.lost_at.is_some_and(|at| now - at <= LOST_REPORT_MS)
@@ -127,6 +136,7 @@
     const fn clear(&mut self) {
         self.suspected_until = Millis::ZERO;
         self.lost_at = None;
+        self.has_ended = false;
     }
 
     pub fn block(&mut self, until: Millis) {
@@ -153,8 +163,9 @@
                 self.slowness = slowness.max(1.0);
                 self.slow_until = now + settings.slowness_valid_ms;
             }
-            ProbeOutcome::Dead => {
+            ProbeOutcome::Dead | ProbeOutcome::Ended => {
                 self.lost_at = Some(now);
+                self.has_ended |= outcome == ProbeOutcome::Ended;
                 self.suspect(now + settings.dead_ms);
             }
         }
--- a/crates/mgw-route/src/chain/health_checks.rs
+++ b/crates/mgw-route/src/chain/health_checks.rs
@@ -65,6 +65,16 @@
         parts.any(|(key, _)| self.fleet.get(*key).health.is_lost())
     }
 
+    /// Targets of a chain whose process has ended by the last probe, without a token since.
+    #[must_use]
+    pub fn ended_targets(&self, reservation: ChainReservation) -> Vec<TargetRun> {
+        let reserved = self.reservations.get(reservation);
+        let parts = reserved.iter().flat_map(|reserved| &reserved.parts);
+        let members = parts.map(|(key, _)| self.fleet.get(*key));
+        let ended = members.filter(|member| member.health.has_ended());
+        ended.map(|member| member.target.run()).collect()
+    }
+
     /// Blocks the targets of a chain from which no request received a token for `silence_ms`, even
     /// if they answer probes: requests are the better evidence.
     pub fn block_silent_targets(
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -110,6 +110,8 @@
     Suspected,
     /// the targets that cover the layers have no free capacity for the request
     Full,
+    /// a part of the prompt is quarantined, because targets end under it
+    Quarantined,
     /// the targets that cover the layers asked for a pause, the first of them until {until}
     Paused {
         /// When the first of the pauses ends.
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod path;
 mod prefix;
+mod quarantine;
 mod router;
 
 pub use chain::{
@@ -28,4 +29,8 @@
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
+pub use quarantine::{
+    EntryQuarantine, EvidenceReport, PartEvidence, QuarantineChange, QuarantineSettings,
+    QuarantineTable, QuarantineUpdate, ReportedEnd, SoundPart, SuspectPart, TargetEnd,
+};
 pub use router::{Router, RouterSettings, TargetInput, TargetView};
--- a/crates/mgw-state/src/command.rs
+++ b/crates/mgw-state/src/command.rs
@@ -3,7 +3,8 @@
 use mgw_contract::operator::{ApplyReply, DrainRequest, ResolveRequest};
 use mgw_routing::{PackedRouting, RoutingDocument};
 use mgw_world::{
-    FenceNumber, NodeName, OperatorName, RequestId, Revision, RoutingVersion, UnixMillis,
+    FenceNumber, NodeName, OperatorName, PromptPart, RequestId, Revision, RoutingVersion,
+    UnixMillis,
 };
 use serde::{Deserialize, Serialize};
 
@@ -100,6 +101,20 @@
     AdvanceTime,
     /// Replaces the routing document if the new version is higher than the current one.
     ReplacePackedRouting(PackedRouting),
+    /// Keeps requests with a part in their prompts from targets.
+    QuarantinePart {
+        /// The part.
+        part: PromptPart,
+        /// The evidence, as readable text.
+        evidence: String,
+    },
+    /// Takes a part out of the quarantine.
+    LiftQuarantine {
+        /// Operator who asks.
+        operator: OperatorName,
+        /// The part.
+        part: PromptPart,
+    },
 }
 
 /// Reply to a command.
@@ -140,4 +155,9 @@
         /// Highest log index applied.
         applied: u64,
     },
+    /// Reply to [`Action::QuarantinePart`] and [`Action::LiftQuarantine`].
+    Quarantine {
+        /// Whether the quarantine changed.
+        changed: bool,
+    },
 }
--- a/crates/mgw-state/src/lib.rs
+++ b/crates/mgw-state/src/lib.rs
@@ -1,6 +1,6 @@
 //! The state machine of the replicated log: the accepted configuration, the ledger of calls that
-//! run at most once, the audit trail, drained entries and targets, the fencing number and the
-//! routing document.
+//! run at most once, the audit trail, drained entries and targets, the fencing number, the routing
+//! document and the quarantine of parts of prompts.
 //!
 //! It is deterministic: nothing here performs I/O or reads a clock, and time enters as a field of
 //! [`Command`].
@@ -13,6 +13,7 @@
 mod inventory;
 mod ledger;
 pub mod orders;
+mod quarantine;
 mod state;
 
 pub use audit::{AuditFilter, AuditTrail};
@@ -31,4 +32,5 @@
     ClaimKey, ClaimReply, ClaimRequest, ClaimantId, Ledger, OutcomeReport, RecordReply,
     RecordedResponse, ResolveReply,
 };
+pub use quarantine::Quarantine;
 pub use state::State;
--- a/crates/mgw-state/src/state.rs
+++ b/crates/mgw-state/src/state.rs
@@ -3,19 +3,25 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use mgw_contract::operator::{ApplyReply, AuditRecord, DrainRequest, ResolveRequest};
+use mgw_contract::operator::{
+    ApplyReply, AuditRecord, DrainRequest, QuarantinedPart, ResolveRequest,
+};
 use mgw_routing::{PackedRouting, RoutingDocument};
-use mgw_world::{EntryName, FenceNumber, NodeName, OperatorName, Revision, TargetName, UnixMillis};
+use mgw_world::{
+    EntryName, FenceNumber, NodeName, OperatorName, PromptPart, Revision, TargetName, UnixMillis,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::config::ChangeResult;
 use crate::{
     Action, AuditTrail, ClaimKey, Command, ConfigChange, ConfigPatch, Configuration, Inventory,
-    Ledger, Refusal, Reply, ResolveReply, StateError, decode, encode,
+    Ledger, Quarantine, Refusal, Reply, ResolveReply, StateError, decode, encode,
 };
 
 /// Version of the snapshot format; incremented with each change that older programs can't read.
-const SNAPSHOT_FORMAT: u8 = 3;
+const SNAPSHOT_FORMAT: u8 = 4;
+/// Format of earlier builds, without a quarantine.
+const WITHOUT_QUARANTINE_FORMAT: u8 = 3;
 /// Format of earlier builds, in which the routing document isn't compressed.
 const PLAIN_ROUTING_FORMAT: u8 = 2;
 
@@ -42,6 +48,7 @@
     fence: FenceNumber,
     leader: Option<NodeName>,
     routing: PackedRouting,
+    quarantine: Quarantine,
 }
 
 impl State {
@@ -105,6 +112,12 @@
         &self.routing
     }
 
+    /// The parts of prompts that are kept from targets.
+    #[must_use]
+    pub const fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Encodes the whole state, preceded by the version of the format.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
@@ -120,7 +133,10 @@
     pub fn restore(bytes: &[u8]) -> Result<Self, StateError> {
         match bytes.split_first() {
             Some((&SNAPSHOT_FORMAT, rest)) => decode(rest),
-            Some((&PLAIN_ROUTING_FORMAT, rest)) => decode::<Self>(rest)?.with_packed_routing(),
+            Some((&WITHOUT_QUARANTINE_FORMAT, rest)) => decode_without_quarantine(rest),
+            Some((&PLAIN_ROUTING_FORMAT, rest)) => {
+                decode_without_quarantine(rest)?.with_packed_routing()
+            }
             _ => Err(StateError::Damaged),
         }
     }
@@ -183,6 +199,8 @@
             Action::ReplaceRouting(document) => self.replace_plain_routing(&document),
             Action::AdvanceTime => Reply::Noted,
             Action::ReplacePackedRouting(document) => self.replace_routing(document),
+            Action::QuarantinePart { part, evidence } => self.quarantine_part(part, evidence),
+            Action::LiftQuarantine { operator, part } => self.lift_quarantine(operator, part),
         }
     }
 
@@ -313,6 +331,38 @@
         }
     }
 
+    /// A part that is in quarantine already adds no audit record: several controls may report it.
+    fn quarantine_part(&mut self, part: PromptPart, evidence: String) -> Reply {
+        let changed = self.quarantine.add(QuarantinedPart {
+            part,
+            since_unix_ms: self.now,
+            evidence: evidence.clone(),
+        });
+        if changed {
+            self.append_audit_record(AuditRecord {
+                accepted: true,
+                detail: evidence,
+                ..self.new_audit_record(
+                    OperatorName::default(),
+                    "quarantine",
+                    format!("part {part}"),
+                )
+            });
+        }
+        Reply::Quarantine { changed }
+    }
+
+    fn lift_quarantine(&mut self, operator: OperatorName, part: PromptPart) -> Reply {
+        let changed = self.quarantine.lift(part);
+        let detail = if changed { "" } else { "wasn't in quarantine" };
+        self.append_audit_record(AuditRecord {
+            accepted: changed,
+            detail: detail.to_owned(),
+            ..self.new_audit_record(operator, "lift quarantine", format!("part {part}"))
+        });
+        Reply::Quarantine { changed }
+    }
+
     /// An audit record of a refused action at the current time; the caller fills in the rest.
     fn new_audit_record(
         &self,
@@ -345,6 +395,13 @@
     }
 }
 
+/// Decodes a state of a format whose last field is missing.
+fn decode_without_quarantine(bytes: &[u8]) -> Result<State, StateError> {
+    let mut completed = bytes.to_vec();
+    completed.extend(encode(&Quarantine::default()));
+    decode(&completed)
+}
+
 /// Inserts or removes a member; returns whether the set changed.
 fn set_membership<T: Ord>(set: &mut BTreeSet<T>, member: T, present: bool) -> bool {
     if present {
