A part is convicted only by ends that nothing else explains, once what speaks for it has arrived

Found by tests of the quarantine in logical time, none of it seen at callers: at 6 entries the first part of a harmful request was convicted with it, 0.3 s after its first end; at 66 and 291 entries a rack that was lost, or targets that ended each 1.5 s, convicted first parts that many callers share. Their requests would have been refused until an operator lifts that.

Cause: the verdict came as soon as the ends sufficed, while sound streams with the part were known only to entries that hadn't been asked yet; all parts of a request shared the blame for its end; and the targets of a rack counted as ends one after the other, as repeats went from one dying target to the next.

Change: a part is judged two report intervals after its second end; parts never seen in a sound stream come first, and ends that a harmful part explains don't count against others; successive ends are 150 ms apart; 16 other streams speak against a part, or 64 before its first end while it is in nearly all ends since, so that it is found although nothing is served. The first report of an entry at a control that takes over tells nothing about when its streams were.

--- a/crates/mgw-route/src/quarantine/entry.rs
+++ b/crates/mgw-route/src/quarantine/entry.rs
@@ -10,6 +10,8 @@
 
 /// Most ends in one report; the newest are reported.
 const MAX_REPORTED_ENDS: usize = 32;
+/// Time after the first end before an entry judges alone.
+const SETTLE_ALONE_MS: Millis = Millis(1_000);
 
 /// The quarantine at one entry: what the controls have told it, and its own evidence, by which it acts
 /// alone while it hears no control.
@@ -87,6 +89,7 @@
         for part in parts {
             is_new |= self.evidence.record_end(*part, run, end);
         }
+        self.judge(end.ended_at);
         is_new
     }
 
@@ -101,6 +104,7 @@
     /// This entry's evidence for a control.
     pub fn report(&mut self, now: Millis) -> EvidenceReport {
         self.evidence.expire(now);
+        self.judge(now);
         let ends = self.evidence.ends();
         let mut ends: Vec<ReportedEnd> = ends
             .map(|(part, run, end)| ReportedEnd {
@@ -113,10 +117,10 @@
         ends.sort_unstable_by_key(|end| end.ended_age_ms);
         ends.truncate(MAX_REPORTED_ENDS);
         let sound = self.suspects.values().filter_map(|suspect| {
-            let begun_age_ms = now - self.evidence.sound_at(suspect.part)?;
-            (begun_age_ms < suspect.first_end_age_ms).then_some(SoundPart {
+            let begun_at = self.evidence.sound_at(suspect.part)?;
+            Some(SoundPart {
                 part: suspect.part,
-                begun_age_ms,
+                begun_age_ms: now - begun_at,
             })
         });
         EvidenceReport {
@@ -148,6 +152,13 @@
         }
     }
 
+    /// Judges by this entry's own evidence.
+    fn judge(&mut self, now: Millis) {
+        let quarantined = &self.quarantined;
+        self.evidence
+            .judge(SETTLE_ALONE_MS, |part| quarantined.contains(&part), now);
+    }
+
     fn all_quarantined(&self) -> BTreeSet<PromptPart> {
         let suspects = self.suspects.values();
         let uncommitted = suspects.filter(|it| it.is_harmful).map(|it| it.part);
--- a/crates/mgw-route/src/quarantine/evidence.rs
+++ b/crates/mgw-route/src/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence for and against parts of prompts, and the verdict on it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use mgw_world::{Millis, PromptPart};
 
@@ -19,8 +19,14 @@
     /// Least number of sound streams without the part since the first of these ends. While nothing is
     /// served the targets may be at fault.
     pub min_other_streams: u64,
+    /// Least time between two successive ends. The targets of a rack end within less, and take repeated
+    /// requests along.
+    pub min_end_distance_ms: Millis,
     /// Number of successive ends from which on a request with the part isn't sent to a second target.
     pub suspected_ends: u32,
+    /// Least number of sound streams before the first end, all without the part, that speak against it as
+    /// well while it is in nearly all ends since: it is new, and nothing else is.
+    pub min_earlier_streams: u64,
     /// Time without word from a control after which an entry acts by its own evidence alone.
     pub alone_after_ms: Millis,
     /// How long an end counts.
@@ -36,8 +42,10 @@
         Self {
             min_ends: 4,
             min_successive_ends: 2,
-            min_other_streams: 8,
+            min_other_streams: 16,
+            min_end_distance_ms: Millis(150),
             suspected_ends: 2,
+            min_earlier_streams: 64,
             alone_after_ms: Millis(5_000),
             valid_ms: Millis(60_000),
             max_parts: 256,
@@ -46,6 +54,9 @@
     }
 }
 
+/// A part is in nearly all ends if at most one in so many is without it.
+const NEARLY_ALL: usize = 5;
+
 /// The end of a target under a request that hadn't been seen to be sound there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetEnd {
@@ -70,19 +81,23 @@
         ended.min().unwrap_or_default()
     }
 
-    /// Largest number of ends of which each request was sent after the target before had ended.
-    fn successive_ends(&self) -> u32 {
-        let mut ends: Vec<&TargetEnd> = self.ends.values().collect();
-        ends.sort_unstable_by_key(|end| end.ended_at);
-        let mut count = 0;
-        let mut last_ended_at = Millis::ZERO;
-        for end in ends {
-            if count == 0 || end.sent_at >= last_ended_at {
-                count += 1;
-                last_ended_at = end.ended_at;
-            }
-        }
-        count
+    /// When the second target ended; since then other processes are told of the part.
+    fn suspected_at(&self) -> Millis {
+        let mut ended: Vec<Millis> = self.ends.values().map(|end| end.ended_at).collect();
+        ended.sort_unstable();
+        ended.get(1).copied().unwrap_or(Millis::MAX)
+    }
+
+    /// Whether the ends that nothing else explains suffice for a verdict.
+    fn suffices_without(
+        &self,
+        explained: &BTreeSet<TargetRun>,
+        settings: &QuarantineSettings,
+    ) -> bool {
+        let ends = self.ends.iter().filter(|(run, _)| !explained.contains(run));
+        let ends: Vec<&TargetEnd> = ends.map(|(_, end)| end).collect();
+        ends.len() >= settings.min_ends as usize
+            && count_successive(ends, settings.min_end_distance_ms) >= settings.min_successive_ends
     }
 
     fn ends(&self) -> u32 {
@@ -90,6 +105,21 @@
     }
 }
 
+/// Largest number of ends of which each request was sent after the target before had ended.
+fn count_successive(mut ends: Vec<&TargetEnd>, min_distance_ms: Millis) -> u32 {
+    ends.sort_unstable_by_key(|end| end.ended_at);
+    let mut count = 0;
+    let mut last_ended_at = Millis::ZERO;
+    for end in ends {
+        let is_distant = end.ended_at >= last_ended_at + min_distance_ms;
+        if count == 0 || is_distant && end.sent_at >= last_ended_at {
+            count += 1;
+            last_ended_at = end.ended_at;
+        }
+    }
+    count
+}
+
 /// Evidence on parts of prompts that one process has.
 ///
 /// An end names each shared part of the requests that were at the target and hadn't begun. A sound
@@ -129,18 +159,13 @@
             return false;
         }
         suspicion.ends.insert(run.clone(), end);
-        self.judge(part);
         self.limit_suspicions();
         true
     }
 
     /// Counts streams that are sound.
-    pub fn count_sound_streams(&mut self, count: u64) {
+    pub const fn count_sound_streams(&mut self, count: u64) {
         self.sound_streams += count;
-        let suspected: Vec<PromptPart> = self.suspicions.keys().copied().collect();
-        for part in suspected {
-            self.judge(part);
-        }
     }
 
     /// Records that a stream with the part began then and went on.
@@ -182,7 +207,7 @@
     #[must_use]
     pub fn is_suspected(&self, part: PromptPart) -> bool {
         let suspicion = self.suspicions.get(&part);
-        suspicion.is_some_and(|it| it.successive_ends() >= self.settings.suspected_ends)
+        suspicion.is_some_and(|it| self.successive_ends(it) >= self.settings.suspected_ends)
     }
 
     /// All ends that count, with their part and target.
@@ -194,15 +219,16 @@
         })
     }
 
-    /// The parts with ends, those with the most ends first.
+    /// The parts with several ends, those with the most ends first.
     #[must_use]
     pub fn suspects(&self, now: Millis) -> Vec<SuspectPart> {
         let suspicions = self.suspicions.iter();
         let mut suspects: Vec<SuspectPart> = suspicions
+            .filter(|(_, suspicion)| suspicion.ends.len() > 1)
             .map(|(part, suspicion)| SuspectPart {
                 part: *part,
                 ends: suspicion.ends(),
-                successive_ends: suspicion.successive_ends(),
+                successive_ends: self.successive_ends(suspicion),
                 first_end_age_ms: now - suspicion.first_ended_at(),
                 is_harmful: suspicion.is_harmful,
             })
@@ -211,6 +237,60 @@
         suspects
     }
 
+    /// Decides which parts are harmful. No part is judged before `settle_ms` after its second end: sound
+    /// streams with it need that time to become known here. Parts for which `is_known` holds are
+    /// quarantined already.
+    ///
+    /// All parts of the requests that were at an ended target share the blame, so ends that a harmful part
+    /// explains don't count against others. Parts that were never seen in a sound stream are judged first.
+    pub fn judge(&mut self, settle_ms: Millis, is_known: impl Fn(PromptPart) -> bool, now: Millis) {
+        let mut explained: BTreeSet<TargetRun> = BTreeSet::new();
+        let mut open = Vec::new();
+        for (part, suspicion) in &self.suspicions {
+            if suspicion.is_harmful || is_known(*part) {
+                explained.extend(suspicion.ends.keys().cloned());
+            } else if suspicion.ends() >= self.settings.min_ends {
+                open.push((self.sound_at(*part), u32::MAX - suspicion.ends(), *part));
+            }
+        }
+        open.sort_unstable();
+        let new_in_all_ends: Vec<PromptPart> = open
+            .iter()
+            .filter(|(sound_at, _, part)| sound_at.is_none() && self.is_in_nearly_all_ends(*part))
+            .map(|(_, _, part)| *part)
+            .collect();
+        for (_, _, part) in open {
+            let Some(suspicion) = self.suspicions.get_mut(&part) else {
+                continue;
+            };
+            let is_settled = now >= suspicion.suspected_at() + settle_ms;
+            let others = self.sound_streams - suspicion.streams_before;
+            let has_contrast =
+                others >= self.settings.min_other_streams || new_in_all_ends.contains(&part);
+            if is_settled && has_contrast && suspicion.suffices_without(&explained, &self.settings)
+            {
+                suspicion.is_harmful = true;
+                explained.extend(suspicion.ends.keys().cloned());
+            }
+        }
+    }
+
+    /// Whether a part is in nearly all ends since its first one, after many sound streams without it.
+    fn is_in_nearly_all_ends(&self, part: PromptPart) -> bool {
+        let Some(suspicion) = self.suspicions.get(&part) else {
+            return false;
+        };
+        if suspicion.streams_before < self.settings.min_earlier_streams {
+            return false;
+        }
+        let since = suspicion.first_ended_at();
+        let ends = self.suspicions.values().flat_map(|it| &it.ends);
+        let ends = ends.filter(|(_, end)| end.ended_at >= since);
+        let all: BTreeSet<&TargetRun> = ends.map(|(run, _)| run).collect();
+        let others = all.iter().filter(|run| !suspicion.ends.contains_key(**run));
+        others.count() * NEARLY_ALL <= all.len()
+    }
+
     /// Drops ends that no longer count. A verdict stays until a sound stream or an operator lifts it.
     pub fn expire(&mut self, now: Millis) {
         let valid_ms = self.settings.valid_ms;
@@ -225,15 +305,9 @@
         });
     }
 
-    fn judge(&mut self, part: PromptPart) {
-        let settings = self.settings;
-        let sound_streams = self.sound_streams;
-        if let Some(suspicion) = self.suspicions.get_mut(&part) {
-            let others = sound_streams - suspicion.streams_before;
-            suspicion.is_harmful |= suspicion.ends() >= settings.min_ends
-                && others >= settings.min_other_streams
-                && suspicion.successive_ends() >= settings.min_successive_ends;
-        }
+    fn successive_ends(&self, suspicion: &Suspicion) -> u32 {
+        let ends = suspicion.ends.values().collect();
+        count_successive(ends, self.settings.min_end_distance_ms)
     }
 
     /// Drops the part with the fewest and oldest ends while there are too many.
--- a/crates/mgw-route/src/quarantine/report.rs
+++ b/crates/mgw-route/src/quarantine/report.rs
@@ -11,7 +11,7 @@
 pub struct EvidenceReport {
     /// Ends of targets under requests of this entry.
     pub ends: Vec<ReportedEnd>,
-    /// Parts under suspicion with which this entry has seen a sound stream since the first end.
+    /// The last sound stream of this entry with each part under suspicion.
     pub sound: Vec<SoundPart>,
     /// Number of sound streams since the entry started.
     pub sound_streams: u64,
@@ -39,7 +39,7 @@
     pub begun_age_ms: Millis,
 }
 
-/// A part under whose requests targets have ended without a sound stream since.
+/// A part under whose requests several targets have ended without a sound stream since.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectPart {
     /// The part.
--- a/crates/mgw-route/src/quarantine/table.rs
+++ b/crates/mgw-route/src/quarantine/table.rs
@@ -6,7 +6,13 @@
 
 use super::evidence::{PartEvidence, QuarantineSettings, TargetEnd};
 use super::report::{EvidenceReport, QuarantineUpdate, SuspectPart};
+use crate::chain::report_interval_ms;
 
+/// Report intervals until sound streams with a suspected part are known: one until all entries have heard
+/// of it, another one until they have reported.
+const SETTLE_INTERVALS: u64 = 2;
+/// Time on top of that for a sound stream to begin.
+const SETTLE_SLACK_MS: Millis = Millis(300);
 /// Most parts under suspicion that an entry is told of.
 const MAX_TOLD_SUSPECTS: usize = 64;
 
@@ -17,6 +23,8 @@
     evidence: PartEvidence,
     /// Sound streams that each entry last reported.
     sound_streams: BTreeMap<String, u64>,
+    /// When the first report came.
+    started_at: Option<Millis>,
     revision: u64,
     quarantined: BTreeSet<PromptPart>,
 }
@@ -70,6 +78,7 @@
             };
             self.evidence.record_end(end.part, &end.run, times);
         }
+        self.judge(now);
         let mut suspects = self.evidence.suspects(now);
         suspects.truncate(MAX_TOLD_SUSPECTS);
         QuarantineUpdate {
@@ -87,6 +96,23 @@
         suspects
     }
 
+    /// Decides which parts are harmful, once all entries have had the time to tell what speaks for them.
+    fn judge(&mut self, now: Millis) {
+        let started_at = *self.started_at.get_or_insert(now);
+        let settle_ms = self.settle_ms();
+        if now >= started_at + settle_ms {
+            let quarantined = &self.quarantined;
+            self.evidence
+                .judge(settle_ms, |part| quarantined.contains(&part), now);
+        }
+    }
+
+    /// Time until every entry has heard of a suspected part and has reported its sound streams with it.
+    fn settle_ms(&self) -> Millis {
+        let entries = u32::try_from(self.sound_streams.len()).unwrap_or(u32::MAX);
+        report_interval_ms(entries).times(SETTLE_INTERVALS) + SETTLE_SLACK_MS
+    }
+
     /// Adds the streams since the entry's last report. An entry that has restarted counts from zero; the
     /// first report of an entry doesn't tell when its streams were.
     fn count_sound_streams(&mut self, entry: &str, total: u64) {
