One place records a sound stream, and verdicts are read from the update that entries get

The verdict was computed twice for each report at the control, and a sound stream was recorded in two places of the relayed stream.

--- a/crates/mgw-control/src/quarantine.rs
+++ b/crates/mgw-control/src/quarantine.rs
@@ -13,18 +13,17 @@
 /// before they are committed, so that they reach them without a quorum as well.
 pub fn exchange_evidence(app: &Arc<App>, entry: &str, report: &EvidenceReport) -> QuarantineUpdate {
     let now = app.clock.now();
-    let (update, uncommitted) = {
+    let update = {
         let state = app.replica.state.read();
         let committed = state.quarantine();
         let mut table = app.quarantine.lock();
         let parts = committed.parts().map(|it| it.part);
         table.set_quarantined(committed.revision(), parts, now);
-        let update = table.exchange(entry, report, now);
-        (update, table.uncommitted(now))
+        table.exchange(entry, report, now)
     };
-    for suspect in uncommitted {
+    for suspect in update.uncommitted() {
         if app.quarantining.lock().insert(suspect.part) {
-            tokio::spawn(commit_verdict(Arc::clone(app), suspect));
+            tokio::spawn(commit_verdict(Arc::clone(app), *suspect));
         }
     }
     update
--- a/crates/mgw-relay/src/quarantine.rs
+++ b/crates/mgw-relay/src/quarantine.rs
@@ -83,10 +83,8 @@
             (change, quarantine.len())
         };
         for part in &change.added {
-            let suspects = others.quarantine.suspects.iter();
-            let suspect = suspects
-                .filter(|it| it.part == *part)
-                .max_by_key(|it| it.ends);
+            let mut suspects = others.quarantine.suspects.iter();
+            let suspect = suspects.find(|it| it.part == *part);
             warn!(
                 %part,
                 revision = others.quarantine.revision,
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -338,16 +338,12 @@
         let pause = now - chain_stream.received_at;
         chain_stream.received_at = now;
         chain_stream.bytes_since = 0;
-        match chain_stream.reserved.begun_at {
-            None => chain_stream.reserved.begun_at = Some(now),
-            Some(begun_at) if !chain_stream.reserved.is_sound => {
-                chain_stream.reserved.is_sound = true;
-                let parts = &self.call.head.shared_parts;
-                self.app.record_sound(parts, begun_at);
-            }
-            Some(_) => {}
-        }
         let reservation = chain_stream.reserved.reservation;
+        if chain_stream.reserved.begun_at.is_some() {
+            self.record_sound();
+        } else {
+            chain_stream.reserved.begun_at = Some(now);
+        }
         let is_slow = self.has_begun && pause > self.app.pause_limits.slow_after_ms;
         let service = &self.call.service;
         let probes = self.app.with_chains(service, |chains| {
@@ -358,6 +354,20 @@
         probe_hops(&self.app, service, probes, "slow stream");
     }
 
+    /// Records once for each chain that the request is sound there.
+    fn record_sound(&mut self) {
+        let Some(chain_stream) = &mut self.chain_stream else {
+            return;
+        };
+        let reserved = &mut chain_stream.reserved;
+        if let Some(begun_at) = reserved.begun_at
+            && !std::mem::replace(&mut reserved.is_sound, true)
+        {
+            let parts = &self.call.head.shared_parts;
+            self.app.record_sound(parts, begun_at);
+        }
+    }
+
     fn log_end(&self, end: &'static str, ms: Millis) {
         if end == "whole" {
             info!(
@@ -395,13 +405,8 @@
 
     fn finish(&mut self) {
         self.end = Some("whole");
+        self.record_sound();
         if let Some(chain_stream) = self.chain_stream.take() {
-            if let Some(begun_at) = chain_stream.reserved.begun_at
-                && !chain_stream.reserved.is_sound
-            {
-                let parts = &self.call.head.shared_parts;
-                self.app.record_sound(parts, begun_at);
-            }
             chain_stream.finish();
         }
     }
--- a/crates/mgw-route/src/quarantine/report.rs
+++ b/crates/mgw-route/src/quarantine/report.rs
@@ -64,3 +64,11 @@
     /// Parts under suspicion by the evidence of all entries.
     pub suspects: Vec<SuspectPart>,
 }
+
+impl QuarantineUpdate {
+    /// Harmful parts that aren't committed to the quarantine yet.
+    pub fn uncommitted(&self) -> impl Iterator<Item = &SuspectPart> {
+        let suspects = self.suspects.iter();
+        suspects.filter(|it| it.is_harmful && !self.quarantined.contains(&it.part))
+    }
+}
--- a/crates/mgw-route/src/quarantine/table.rs
+++ b/crates/mgw-route/src/quarantine/table.rs
@@ -5,7 +5,7 @@
 use mgw_world::{Millis, PromptPart};
 
 use super::evidence::{PartEvidence, QuarantineSettings, TargetEnd};
-use super::report::{EvidenceReport, QuarantineUpdate, SuspectPart};
+use super::report::{EvidenceReport, QuarantineUpdate};
 use crate::chain::report_interval_ms;
 
 /// Report intervals until sound streams with a suspected part are known: one until all entries have heard
@@ -88,14 +88,6 @@
         }
     }
 
-    /// Harmful parts that aren't committed to the quarantine yet.
-    #[must_use]
-    pub fn uncommitted(&self, now: Millis) -> Vec<SuspectPart> {
-        let mut suspects = self.evidence.suspects(now);
-        suspects.retain(|it| it.is_harmful && !self.quarantined.contains(&it.part));
-        suspects
-    }
-
     /// Decides which parts are harmful, once all entries have had the time to tell what speaks for them.
     fn judge(&mut self, now: Millis) {
         let started_at = *self.started_at.get_or_insert(now);
--- a/crates/mgw-route/tests/quarantine.rs
+++ b/crates/mgw-route/tests/quarantine.rs
@@ -191,15 +191,15 @@
         let now = Millis(100_000);
         table.exchange("other", &streams(100), now - Millis(10_000));
         for number in order.into_iter().chain(order) {
-            table.exchange(&format!("entry-{number}"), &report(number), now);
+            let update = table.exchange(&format!("entry-{number}"), &report(number), now);
+            assert_eq!(
+                update.uncommitted().count(),
+                0,
+                "no other stream was served since"
+            );
         }
-        assert_eq!(
-            table.uncommitted(now),
-            [],
-            "no other stream was served since"
-        );
-        table.exchange("other", &streams(116), now);
-        let verdicts = table.uncommitted(now);
+        let update = table.exchange("other", &streams(116), now);
+        let verdicts: Vec<_> = update.uncommitted().collect();
         assert_eq!(verdicts.len(), 1, "{order:?}");
         assert_eq!((verdicts[0].ends, verdicts[0].successive_ends), (4, 4));
     }
--- a/crates/mgw-route/tests/quarantine_support/mod.rs
+++ b/crates/mgw-route/tests/quarantine_support/mod.rs
@@ -199,14 +199,10 @@
         entries.filter(|entry| self.knows(*entry, part)).count()
     }
 
-    /// Parts that are quarantined anywhere although they are sound.
+    /// Parts that were quarantined although they are sound.
     pub fn wrongly_quarantined(&self) -> Vec<PromptPart> {
-        let suspects = self.table.uncommitted(self.now);
-        let parts = suspects.iter().map(|it| it.part);
-        let parts = parts.chain(self.committed.iter().copied());
-        let mut parts: Vec<PromptPart> = parts.filter(|part| *part != HARMFUL).collect();
-        parts.dedup();
-        parts
+        let parts = self.committed.iter().copied();
+        parts.filter(|part| *part != HARMFUL).collect()
     }
 
     /// Requests with the harmful part that were sent later than the limit after the fifth end.
@@ -369,11 +365,11 @@
             self.table.set_quarantined(self.revision, committed, now);
             let update = self.table.exchange(&number.to_string(), &report, now);
             entry.quarantine.update(&update, now);
-        }
-        for suspect in self.table.uncommitted(now) {
-            if !self.committed.contains(&suspect.part) {
-                self.committed.push(suspect.part);
-                self.revision += 1;
+            for suspect in update.uncommitted() {
+                if !self.committed.contains(&suspect.part) {
+                    self.committed.push(suspect.part);
+                    self.revision += 1;
+                }
             }
         }
     }
