A stream that broke off ends with a reset towards callers of HTTP/1.0

A caller of HTTP/1.0 gets an answer without length and chunks, which ends with its connection. When the stream broke off, the relay closed that connection regularly, so that the caller took half of an answer for a whole one.

Found by a test of the new rule on answers without length or chunks: a_stream_that_broke_off_is_reset_towards_a_caller_of_http_1_0 failed before and passes now. The other tests of unframed_answers.rs passed before: targets' answers and streams that end with their connection, whole, inside an event, reset, none at all, and on a kept connection. The relay can't tell a stream over such a connection that ends after any event from a whole one; a reset and an end inside an event count as broken off.

Change: the socket of a caller's connection ends with a reset if a body without chunks failed.

--- a/crates/mgw-relay/src/callers/mod.rs
+++ b/crates/mgw-relay/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: their connections, their requests and refusals.
 
 mod call;
+mod caller_stream;
 mod handle;
 mod refusal;
 mod serve;
--- a/crates/mgw-relay/src/callers/serve.rs
+++ b/crates/mgw-relay/src/callers/serve.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
+use super::caller_stream::{CallerStream, ResetAtEnd};
 use super::handle_request;
 use crate::app::App;
 
@@ -61,8 +62,10 @@
     let routing = app.routing();
     let limits = *routing.limits();
     let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
+    let reset_at_end = ResetAtEnd::default();
+    let stream = CallerStream::new(stream, reset_at_end.clone());
     let service = service_fn(move |request| {
-        let answering = handle_request(Arc::clone(&app), request);
+        let answering = handle_request(Arc::clone(&app), request, reset_at_end.clone());
         async move { Ok::<_, Infallible>(answering.await) }
     });
     let connection = http1::Builder::new()
