A target behind a proxy counts as ended when the proxy breaks the probe's connection

An end counted against the parts of a request only if the probe's connection was refused. With a proxy in front of the target the connection is accepted and broken, so that no end was ever recorded and requests with a harmful part went on from target to target there.

--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -105,6 +105,14 @@
     Unusable,
 }
 
+impl ProbeFailure {
+    /// Whether nothing serves at the engine's address any more. A proxy in front of an engine that has
+    /// ended accepts the connection and breaks it.
+    const fn shows_end(self) -> bool {
+        matches!(self, Self::Refused | Self::Broken)
+    }
+}
+
 async fn probe_until_answered(app: &App, service: &ServiceName, hop: &Hop, cause: &'static str) {
     for repeat in 0..=MAX_RETRIES {
         if app.is_excluded(&hop.run()) {
@@ -116,7 +124,7 @@
         let now = app.clock.now();
         let outcome = match probed {
             Ok(slowness) => ProbeOutcome::Alive { slowness },
-            Err(ProbeFailure::Refused) => ProbeOutcome::Ended,
+            Err(failure) if failure.shows_end() => ProbeOutcome::Ended,
             Err(_) => ProbeOutcome::Dead,
         };
         resolve_sends(app, &hop.run(), outcome == ProbeOutcome::Ended);
--- a/crates/mgw-route/src/chain/health.rs
+++ b/crates/mgw-route/src/chain/health.rs
@@ -50,9 +50,9 @@
         /// Its current step time as a multiple of its usual one; 1 is normal.
         slowness: f64,
     },
-    /// The target didn't answer in time, or the connection to it broke.
+    /// The target didn't answer in time, or not with a usable report.
     Dead,
-    /// Nothing listens at the target's address: its process has ended.
+    /// Nothing serves at the target's address any more: its process has ended.
     Ended,
 }
 
