A test that fails when a transfer drops what has arrived at each failed call

The new test refuses every second fetch of a part and checks that no part is asked for twice; with the fault put in it fails (version 2 never in force), without it passes.

--- a/crates/mgw-relay/tests/late_documents.rs
+++ b/crates/mgw-relay/tests/late_documents.rs
@@ -37,6 +37,21 @@
     wait_for_version(&relay, 2).await;
 }
 
+/// Calls fail now and then. What has arrived was dropped at each failed call.
+#[tokio::test]
+async fn a_transfer_whose_calls_fail_now_and_then_asks_for_no_part_twice() {
+    let control = start_control_with(2, DIGITS).await;
+    let state = Arc::new(FrontState::default());
+    state.report(2);
+    state.refuse_every_second();
+    let front = ControlFront::start_with(control.at, Arc::clone(&state)).await;
+    let relay = start_relay(vec![front]).await;
+    wait_for_version(&relay, 2).await;
+    let offsets = state.sent_offsets();
+    assert!(offsets.len() > 4, "{offsets:?}");
+    assert!(offsets.is_sorted_by(|one, next| one < next), "{offsets:?}");
+}
+
 /// A control that has lost its disk, or has been started again, doesn't have the version that it
 /// reported before. The relay asked it again and again, and no other control.
 #[tokio::test]
--- a/crates/mgw-relay/tests/support/control_front.rs
+++ b/crates/mgw-relay/tests/support/control_front.rs
@@ -18,6 +18,7 @@
 use mgw_state::{Command, Reply};
 use mgw_testkit::free_address;
 use mgw_world::{Millis, NodeName, RoutingVersion};
+use parking_lot::Mutex;
 use tarpc::context::Context;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +30,10 @@
 pub struct FrontState {
     reported: AtomicU64,
     refuses: AtomicBool,
+    refuses_every_second: AtomicBool,
+    calls: AtomicU64,
+    /// Positions of the parts that were sent, in bytes.
+    sent_offsets: Mutex<Vec<u64>>,
 }
 
 /// A server that relays take for a control.
@@ -76,6 +81,22 @@
         self.refuses.store(refuses, Ordering::Relaxed);
     }
 
+    /// Sets whether every second fetch of a part is refused.
+    pub fn refuse_every_second(&self) {
+        self.refuses_every_second.store(true, Ordering::Relaxed);
+    }
+
+    /// Positions of the parts that were sent, in the order in which they were asked for.
+    pub fn sent_offsets(&self) -> Vec<u64> {
+        self.sent_offsets.lock().clone()
+    }
+
+    fn refuses_next(&self) -> bool {
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        let is_second = call % 2 == 1 && self.refuses_every_second.load(Ordering::Relaxed);
+        is_second || self.refuses.load(Ordering::Relaxed)
+    }
+
     fn reported(&self) -> RoutingVersion {
         RoutingVersion(self.reported.load(Ordering::Relaxed))
     }
@@ -111,9 +132,11 @@
         _: Context,
         request: RoutingPartRequest,
     ) -> Result<RoutingPartResponse, PeerError> {
-        if self.state.refuses.load(Ordering::Relaxed) {
+        if self.state.refuses_next() {
             return Err(PeerError::NotConfirmed);
         }
+        let offset_bytes = request.position.map_or(0, |it| it.offset_bytes);
+        self.state.sent_offsets.lock().push(offset_bytes);
         let response = self
             .pool
             .call(
