Test: an operator lists a quarantined part and lets it reach targets again

The way back was tested for the state and for the decision alone. The new test goes over sockets: verdict, list, refusal without a target reached, lift by an operator's call, the next request reaches a target, a second lift is a conflict, the audit trail has it.

--- a/crates/mgw-relay/tests/harmful_parts.rs
+++ b/crates/mgw-relay/tests/harmful_parts.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join;
+use hyper::StatusCode;
+use mgw_contract::operator::{AUDIT_PATH, QUARANTINE_PATH};
 use support::{Fleet, HARMFUL_PART, SHARED_PART};
 use tokio::time::sleep;
 
@@ -84,3 +86,36 @@
     );
     assert!(!seen.ends.is_empty());
 }
+
+/// The part as operators' calls write it.
+fn part_number() -> u64 {
+    u64::from_str_radix(HARMFUL_PART, 16).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_lists_a_quarantined_part_and_lets_it_reach_targets_again() {
+    let fleet = Fleet::start(ENTRIES, ENGINES).await;
+    fleet.add_operator().await;
+    let learnt_by = Instant::now() + SPREAD_LIMIT;
+    let sound = send_sound(&fleet, learnt_by, learnt_by);
+    join(send_harmful(&fleet, learnt_by), sound).await;
+    let (_, listed) = fleet.operate(QUARANTINE_PATH, None).await;
+    let part = format!(r#""part":{}"#, part_number());
+    assert!(listed.contains(&part), "{listed}");
+    let reached = || fleet.seen.lock().reached.len();
+    let before = reached();
+    let refused = fleet.call(0, "refused", &[SHARED_PART, HARMFUL_PART]).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(reached(), before);
+    let lift = format!("{{{part}}}");
+    let (status, answer) = fleet.operate(QUARANTINE_PATH, Some(lift.clone())).await;
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    // The entries hear of it with their next report.
+    sleep(Duration::from_millis(1_500)).await;
+    fleet.call(0, "lifted", &[SHARED_PART, HARMFUL_PART]).await;
+    assert!(reached() > before);
+    let (status, _) = fleet.operate(QUARANTINE_PATH, Some(lift)).await;
+    assert_eq!(status, StatusCode::CONFLICT, "it is lifted already");
+    let (_, audit) = fleet.operate(AUDIT_PATH, None).await;
+    assert!(audit.contains("lift quarantine"), "{audit}");
+}
--- a/crates/mgw-relay/tests/support/fleet.rs
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -14,13 +14,15 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mgw_contract::operator::{CONFIG_PATH, OPERATOR_HEADER, OPERATOR_KEY_HEADER};
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
 use mgw_control::{Control, ControlHandle, Founding};
 use mgw_relay::{Relay, RelaySettings};
 use mgw_routing::RoutingDocument;
 use mgw_serve::Shutdown;
+use mgw_serve::http::{client, full, read_body};
 use mgw_testkit::free_address;
 use mgw_world::{
     ForwardingEngine, Incarnation, LayerRange, Limits, RoutingVersion, Target, TargetKind,
@@ -34,13 +36,15 @@
 use super::standin::{EVENTS, event};
 use super::{
     ADAPTER, Answer, LAYERS, POLL_INTERVAL, TEST_TIMEOUT, call, names, relay_settings, request,
-    start_control_alone,
+    start_control_for_operators,
 };
 
 /// A part of prompts that ends each engine which begins to answer a request with it.
 pub const HARMFUL_PART: &str = "bad";
 /// The first part of all prompts.
 pub const SHARED_PART: &str = "a";
+const OPERATOR: &str = "ana";
+const OPERATOR_KEY: &str = "ana-key";
 /// Time for which an engine reads a prompt before it begins to answer.
 const READING: Duration = Duration::from_millis(30);
 /// Time from the end of an engine to its next start.
@@ -170,6 +174,8 @@
     /// Addresses at which the relays serve callers.
     pub entries: Vec<SocketAddr>,
     pub seen: Arc<Mutex<Seen>>,
+    /// Address at which the control serves operators.
+    operators_at: SocketAddr,
     _control: Control,
     _data: TempDir,
 }
@@ -177,8 +183,9 @@
 impl Fleet {
     /// Starts all processes and waits until the relays know routes and engines.
     pub async fn start(relays: usize, engines: usize) -> Self {
-        let at = free_address();
-        let (control, data) = start_control_alone(at, vec![at], Founding::Alone).await;
+        let (at, operators_at) = (free_address(), free_address());
+        let started = start_control_for_operators(operators_at, at, vec![at], Founding::Alone);
+        let (control, data) = started.await;
         let handle = control.handle();
         let seen = Arc::new(Mutex::new(Seen::default()));
         for number in 0..engines {
@@ -194,6 +201,7 @@
             relays: Vec::new(),
             entries: Vec::new(),
             seen,
+            operators_at,
             _control: control,
             _data: data,
         };
@@ -229,6 +237,36 @@
         request.headers_mut().insert(names::PARTS, parts);
         call(self.entries[entry], request).await
     }
+
+    /// Sends an operator's request to the control; a body makes it a `POST`.
+    pub async fn operate(&self, path: &str, body: Option<String>) -> (StatusCode, String) {
+        let method = if body.is_some() {
+            Method::POST
+        } else {
+            Method::GET
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.operators_at))
+            .header(OPERATOR_HEADER, OPERATOR)
+            .header(OPERATOR_KEY_HEADER, OPERATOR_KEY)
+            .body(full(body.unwrap_or_default()))
+            .unwrap();
+        let response = client().request(request).await.unwrap();
+        let status = response.status();
+        let body = read_body(response.into_body()).await.unwrap();
+        (status, String::from_utf8(body.to_vec()).unwrap())
+    }
+
+    /// Has the control accept an inventory that names the operator.
+    pub async fn add_operator(&self) {
+        let hash = mgw_state::hash_key(OPERATOR_KEY);
+        let text = format!("operators = [{{ name = '{OPERATOR}', key_sha256 = '{hash}' }}]");
+        let change = format!(r#"{{"base":0,"change_id":"first","text":"{text}"}}"#);
+        let (status, answer) = self.operate(CONFIG_PATH, Some(change)).await;
+        assert_eq!(status, StatusCode::OK, "{answer}");
+        assert!(answer.contains("accepted"), "{answer}");
+    }
 }
 
 async fn accept_routing(handle: &ControlHandle) {
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -256,6 +256,16 @@
     at: SocketAddr,
     controls: Vec<SocketAddr>,
     founding: Founding,
+) -> (Control, TempDir) {
+    start_control_for_operators(free_address(), at, controls, founding).await
+}
+
+/// As [`start_control_alone`], with the address at which operators are served.
+pub async fn start_control_for_operators(
+    listen: SocketAddr,
+    at: SocketAddr,
+    controls: Vec<SocketAddr>,
+    founding: Founding,
 ) -> (Control, TempDir) {
     let data = tempfile::tempdir().unwrap();
     let controls = controls.into_iter().map(|address| Peer {
@@ -267,7 +277,7 @@
         vm: "vm".into(),
         place: "home".into(),
         region: "here".into(),
-        listen: free_address(),
+        listen,
         peer_listen: at,
         data: data.path().join("state"),
         controls: controls.collect(),
