Tests of the relay renew the leases of their targets, as targets do

Cause: the tests announced each target once, its lease lasts 3 s and 5 s of grace, and on so busy a machine a test lasts longer or the relay hears of the target too late. No check is changed.

--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -8,7 +8,10 @@
 mod raw;
 mod standin;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -36,6 +39,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use control_front::{ControlFront, FrontState};
@@ -48,6 +52,8 @@
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two announcements of a target.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 const LAYERS: u16 = 4;
 
 /// Names of the header fields in the tests' wire format.
@@ -73,7 +79,10 @@
     pub shutdown: Shutdown,
     pub control_handle: ControlHandle,
     pub listen: SocketAddr,
-    sequence: u64,
+    /// Number of the next announcement of any target.
+    sequence: Arc<AtomicU64>,
+    /// Tasks that renew the leases of targets, by the target's name.
+    renewals: HashMap<String, AbortOnDropHandle<()>>,
     others: Vec<(Control, TempDir)>,
     _control: Control,
     _data: TempDir,
@@ -147,7 +156,8 @@
             shutdown,
             control_handle: control.handle(),
             listen,
-            sequence: 0,
+            sequence: Arc::new(AtomicU64::new(1)),
+            renewals: HashMap::new(),
             others: Vec::new(),
             _control: control,
             _data: data,
@@ -171,8 +181,9 @@
         }
     }
 
+    /// Announces a target, and again and again until it is announced with another readiness, as targets
+    /// renew their leases.
     pub fn announce(&mut self, standin: &Standin, readiness: Readiness) {
-        self.sequence += 1;
         let duty = if standin.is_engine {
             TargetKind::Forwarding(ForwardingEngine {
                 service: "pool".into(),
@@ -197,13 +208,28 @@
                 tokens_per_s: 0,
             },
         };
-        self.control_handle.announce(&Announcement {
-            target,
-            sequence: self.sequence,
-            readiness,
-            load: LoadReport::default(),
-            cache_events: Vec::new(),
-        });
+        let handle = self.control_handle.clone();
+        let sequence = Arc::clone(&self.sequence);
+        let announce = move || {
+            handle.announce(&Announcement {
+                target: target.clone(),
+                sequence: sequence.fetch_add(1, Ordering::Relaxed),
+                readiness,
+                load: LoadReport::default(),
+                cache_events: Vec::new(),
+            });
+        };
+        let previous = self.renewals.remove(&standin.name);
+        drop(previous);
+        announce();
+        let renewing = async move {
+            loop {
+                sleep(RENEWAL_INTERVAL).await;
+                announce();
+            }
+        };
+        let renewal = AbortOnDropHandle::new(tokio::spawn(renewing));
+        self.renewals.insert(standin.name.clone(), renewal);
     }
 
     pub async fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
