Logs and metrics tell which targets state a rate limit, and what is sent to them

The adapter reads the limit; each entry logs a new, changed or ended limit and counts and logs each request that it sends to such a target, plain calls included. Choices are as before.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -1,13 +1,14 @@
 //! State shared by all request handlers and background tasks of a relay.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
 use mgw_route::{
-    ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, Exclusions, OtherEntriesLoad, TargetRun,
+    ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, EntryRateLimits, Exclusions,
+    OtherEntriesLoad, TargetRun,
 };
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
@@ -64,6 +65,10 @@
     pub metrics: Metrics,
     /// Targets that asked for no requests.
     pub exclusions: Mutex<Exclusions>,
+    /// Rate limits of targets.
+    pub rate_limits: Mutex<EntryRateLimits>,
+    /// Targets whose rate limit can't be read, so that this is logged once.
+    pub unreadable_limits: Mutex<HashSet<TargetRun>>,
     /// Parts of prompts that are kept from targets.
     pub quarantine: Mutex<EntryQuarantine>,
     /// Notified when a target has ended under a request, so that a control is told at once.
@@ -106,6 +111,8 @@
             chains: Mutex::default(),
             plain_balancer: Mutex::default(),
             exclusions: Mutex::default(),
+            rate_limits: Mutex::default(),
+            unreadable_limits: Mutex::default(),
             quarantine: Mutex::default(),
             evidence_changed: Notify::new(),
             probes: Mutex::default(),
--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use hyper::HeaderMap;
 use mgw_contract::target::ReportCall;
-use mgw_route::Hop;
+use mgw_route::{Hop, RequestRate};
 use mgw_routing::DecodeRouting;
 use mgw_world::{Millis, PromptPart, TargetName, WorkspaceName};
 
@@ -60,6 +60,22 @@
     pub is_leaving: bool,
     /// How long the target that answered wants no further requests from this process.
     pub pause: RequestedPause,
+    /// How many requests the target that answered takes from all entries together.
+    pub rate_limit: StatedLimit,
+}
+
+/// What an answer tells of the rate limit of the target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// Nothing; the answer may come from another target.
+    #[default]
+    Unknown,
+    /// The target has no limit.
+    None,
+    /// The target takes so many requests.
+    Rate(RequestRate),
+    /// The target has a limit that can't be read.
+    Unreadable,
 }
 
 /// How long a target that refused a request wants no further ones.
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -18,7 +18,9 @@
 mod wait_limits;
 
 pub use balance::OtherEntriesRequests;
-pub use dialect::{AnswerHead, CallerHead, Dialect, RelayAdapter, RequestedPause, TargetHead};
+pub use dialect::{
+    AnswerHead, CallerHead, Dialect, RelayAdapter, RequestedPause, StatedLimit, TargetHead,
+};
 pub use follow::{ReloadControls, RoutingSource, RoutingSources};
 pub use relay::{Relay, RunError};
 pub use request_sends::{RequestSends, SendOutcome};
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -24,6 +24,10 @@
     pub exclusions: IntCounterVec,
     /// Probes of engines that brought no report, by failure.
     pub failed_probes: IntCounterVec,
+    /// Targets with a rate limit.
+    pub limited_targets: IntGauge,
+    /// Sends to targets with a rate limit.
+    pub limited_sends: IntCounter,
     /// Parts of prompts that are kept from targets.
     pub quarantined_parts: IntGauge,
     /// Requests that were kept from targets because of a quarantined part.
@@ -85,6 +89,14 @@
                 ),
                 &["failure"],
             )?,
+            limited_targets: IntGauge::new(
+                "mgw_relay_limited_targets",
+                "Targets with a rate limit.",
+            )?,
+            limited_sends: IntCounter::new(
+                "mgw_relay_limited_sends_total",
+                "Sends to targets with a rate limit.",
+            )?,
             quarantined_parts: IntGauge::new(
                 "mgw_relay_quarantined_parts",
                 "Parts of prompts that are kept from targets.",
@@ -114,6 +126,8 @@
         registry.register(Box::new(metrics.whole_answer.clone()))?;
         registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.failed_probes.clone()))?;
+        registry.register(Box::new(metrics.limited_targets.clone()))?;
+        registry.register(Box::new(metrics.limited_sends.clone()))?;
         registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         registry.register(Box::new(metrics.quarantined_requests.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -13,6 +13,7 @@
 use mgw_route::TargetRun;
 use mgw_world::{Incarnation, Millis};
 use tokio::time::timeout;
+use tracing::info;
 
 use super::PooledConnection;
 use crate::app::App;
@@ -54,6 +55,16 @@
     pub timeout_ms: Millis,
 }
 
+impl OutboundRequest<'_> {
+    /// The run of the target that the request is for.
+    fn run(&self) -> TargetRun {
+        TargetRun {
+            name: self.head.target.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// An answer whose head was read, with the connection that delivers its body.
 #[derive(Debug)]
 pub struct Answer {
@@ -88,6 +99,7 @@
     let mut request = write_request(app, outbound).map_err(|_| SendFailure::NotSent)?;
     let ends_at = app.clock.now() + outbound.timeout_ms;
     let mut needs_new_connection = outbound.needs_new_connection;
+    count_limited_send(app, outbound);
     loop {
         let acquiring = app
             .connection_pool
@@ -114,6 +126,23 @@
     }
 }
 
+/// Counts and logs a send to a target with a rate limit.
+fn count_limited_send(app: &App, outbound: &OutboundRequest<'_>) {
+    let run = outbound.run();
+    let stated_age_ms = app.rate_limits.lock().stated_age_ms(&run, app.clock.now());
+    let Some(stated_age_ms) = stated_age_ms else {
+        return;
+    };
+    app.metrics.limited_sends.inc();
+    info!(
+        id = outbound.id,
+        target_name = %run.name,
+        incarnation = %run.incarnation,
+        stated_ms = stated_age_ms.0,
+        "request sent to a target with a rate limit"
+    );
+}
+
 fn read_head(
     app: &App,
     outbound: &OutboundRequest<'_>,
@@ -131,11 +160,7 @@
     if is_foreign {
         return Err(SendFailure::Foreign);
     }
-    let target = TargetRun {
-        name: outbound.head.target.clone(),
-        incarnation: outbound.incarnation,
-    };
-    app.record_notices(&target, &head);
+    app.record_notices(&outbound.run(), &head);
     strip_connection_fields(&mut parts.headers);
     // The server side frames the body for the caller again.
     parts.headers.remove(CONTENT_LENGTH);
--- a/crates/mgw-relay/tests/harmful_parts.rs
+++ b/crates/mgw-relay/tests/harmful_parts.rs
@@ -9,11 +9,11 @@
 use futures::future::join;
 use hyper::StatusCode;
 use mgw_contract::operator::{AUDIT_PATH, QUARANTINE_PATH};
-use support::{Fleet, HARMFUL_PART, SHARED_PART};
+use support::{Fleet, FleetSettings, HARMFUL_PART, SHARED_PART};
 use tokio::time::sleep;
 
+/// As many as [`FleetSettings`] starts.
 const ENTRIES: usize = 3;
-const ENGINES: usize = 10;
 /// Number of ends after which the entries have to know the part.
 const KNOWN_ENDS: usize = 5;
 /// Time from that end until no entry sends the part any more.
@@ -61,7 +61,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_with_a_part_that_ends_targets_are_no_longer_sent_once_it_is_known() {
-    let fleet = Fleet::start(ENTRIES, ENGINES).await;
+    let fleet = Fleet::start(FleetSettings::default()).await;
     let started = Instant::now();
     let ends_at = started + PLAY_TIME;
     let counted_from = ends_at - Duration::from_secs(2);
@@ -94,7 +94,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operator_lists_a_quarantined_part_and_lets_it_reach_targets_again() {
-    let fleet = Fleet::start(ENTRIES, ENGINES).await;
+    let fleet = Fleet::start(FleetSettings::default()).await;
     fleet.add_operator().await;
     let learnt_by = Instant::now() + SPREAD_LIMIT;
     let sound = send_sound(&fleet, learnt_by, learnt_by);
--- a/crates/mgw-relay/tests/support/fleet.rs
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,11 +62,37 @@
     pub reached: Vec<Instant>,
     /// When an engine ended under such a request.
     pub ends: Vec<Instant>,
+    /// When requests reached each target, by the target's number.
+    pub arrivals: BTreeMap<usize, Vec<Instant>>,
 }
 
-/// An engine that holds all layers.
+/// Which processes a fleet consists of.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSettings {
+    pub relays: usize,
+    pub targets: usize,
+    /// Whether the targets serve plain calls instead of streams.
+    pub is_plain: bool,
+    /// Rate limit that all targets state, as written on the wire.
+    pub limit: Option<&'static str>,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            relays: 3,
+            targets: 10,
+            is_plain: false,
+            limit: None,
+        }
+    }
+}
+
+/// A target: an engine that holds all layers, or one that serves plain calls.
 pub struct Engine {
     number: usize,
+    is_plain: bool,
+    limit: Arc<Mutex<Option<&'static str>>>,
     address: SocketAddr,
     handle: ControlHandle,
     seen: Arc<Mutex<Seen>>,
@@ -85,6 +112,19 @@
         }
     }
 
+    fn duty(&self) -> TargetKind {
+        if self.is_plain {
+            return TargetKind::Plain {
+                service: "records".into(),
+            };
+        }
+        TargetKind::Forwarding(ForwardingEngine {
+            service: "pool".into(),
+            accelerator: "card".into(),
+            layers: LayerRange::new(0, LAYERS).ok(),
+        })
+    }
+
     async fn announce(self: Arc<Self>, incarnation: u64, ended: CancellationToken) {
         let target = Target {
             name: format!("engine-{}-{incarnation}", self.number)
@@ -94,11 +134,7 @@
             vm: "vm".into(),
             place: "home".into(),
             address: self.address,
-            duty: TargetKind::Forwarding(ForwardingEngine {
-                service: "pool".into(),
-                accelerator: "card".into(),
-                layers: LayerRange::new(0, LAYERS).ok(),
-            }),
+            duty: self.duty(),
             limits: Limits {
                 max_requests: 100,
                 kv_bytes: 0,
@@ -145,7 +181,34 @@
         if request.uri().path() == "/report" {
             return Response::new(Full::from("{}").boxed_unsync());
         }
+        self.record_arrival();
+        let mut response = self.serve_request(&request, ended).await;
+        let limit = *self.limit.lock();
+        if let Some(limit) = limit {
+            let headers = response.headers_mut();
+            headers.insert(names::LIMIT, HeaderValue::from_static(limit));
+        }
+        response
+    }
+
+    fn record_arrival(&self) {
+        let mut seen = self.seen.lock();
+        let arrivals = seen.arrivals.entry(self.number).or_default();
+        arrivals.push(Instant::now());
+    }
+
+    async fn serve_request(
+        &self,
+        request: &Request<Incoming>,
+        ended: &CancellationToken,
+    ) -> Response<Body> {
         let header = |name| request.headers()[name].to_str().unwrap().to_owned();
+        let id = HeaderValue::from_str(&header(names::ID)).unwrap();
+        if self.is_plain {
+            let mut response = Response::new(Full::from("answer").boxed_unsync());
+            response.headers_mut().insert(names::ID, id);
+            return response;
+        }
         let is_harmful = header(names::PARTS)
             .split(',')
             .any(|part| part == HARMFUL_PART);
@@ -162,7 +225,6 @@
             (number <= EVENTS).then(|| (Ok(Frame::data(event(number).into())), number + 1))
         });
         let mut response = Response::new(StreamBody::new(events.boxed()).boxed_unsync());
-        let id = HeaderValue::from_str(&header(names::ID)).unwrap();
         response.headers_mut().insert(names::ID, id);
         response
     }
@@ -174,6 +236,8 @@
     /// Addresses at which the relays serve callers.
     pub entries: Vec<SocketAddr>,
     pub seen: Arc<Mutex<Seen>>,
+    /// Rate limit that all targets state from now on.
+    pub limit: Arc<Mutex<Option<&'static str>>>,
     /// Address at which the control serves operators.
     operators_at: SocketAddr,
     _control: Control,
@@ -182,15 +246,18 @@
 
 impl Fleet {
     /// Starts all processes and waits until the relays know routes and engines.
-    pub async fn start(relays: usize, engines: usize) -> Self {
+    pub async fn start(settings: FleetSettings) -> Self {
         let (at, operators_at) = (free_address(), free_address());
         let started = start_control_for_operators(operators_at, at, vec![at], Founding::Alone);
         let (control, data) = started.await;
         let handle = control.handle();
         let seen = Arc::new(Mutex::new(Seen::default()));
-        for number in 0..engines {
+        let limit = Arc::new(Mutex::new(settings.limit));
+        for number in 0..settings.targets {
             let engine = Engine {
                 number,
+                is_plain: settings.is_plain,
+                limit: Arc::clone(&limit),
                 address: free_address(),
                 handle: handle.clone(),
                 seen: Arc::clone(&seen),
@@ -201,11 +268,12 @@
             relays: Vec::new(),
             entries: Vec::new(),
             seen,
+            limit,
             operators_at,
             _control: control,
             _data: data,
         };
-        for number in 0..relays {
+        for number in 0..settings.relays {
             fleet.add_relay(number, at).await;
         }
         accept_routing(&handle).await;
@@ -229,6 +297,11 @@
         self.relays.push(relay.unwrap());
     }
 
+    /// Sends a plain request.
+    pub async fn call_plain(&self, entry: usize, id: &str) -> Answer {
+        call(self.entries[entry], request(id, "/read/x")).await
+    }
+
     /// Sends a stream request whose prompt consists of these parts and one of its own.
     pub async fn call(&self, entry: usize, id: &str, parts: &[&str]) -> Answer {
         let mut request = request(id, "/stream/x");
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -23,9 +23,10 @@
 use mgw_contract::target::{Announcement, EngineReport, LoadReport, Readiness, ReportCall};
 use mgw_control::{Control, ControlHandle, ControlSettings, Founding, Peer, start_control};
 use mgw_relay::{
-    AnswerHead, CallerHead, Dialect, Relay, RelayAdapter, RelaySettings, RequestedPause, TargetHead,
+    AnswerHead, CallerHead, Dialect, Relay, RelayAdapter, RelaySettings, RequestedPause,
+    StatedLimit, TargetHead,
 };
-use mgw_route::RetryBudgetSettings;
+use mgw_route::{RequestRate, RetryBudgetSettings};
 use mgw_routing::{
     CallKind, KeyedWorkspace, Route, RoutedService, Routing, RoutingDocument, Split,
 };
@@ -44,7 +45,7 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use control_front::{ControlFront, FrontState};
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use fleet::{Engine, Fleet, HARMFUL_PART, SHARED_PART};
+pub use fleet::{Engine, Fleet, FleetSettings, HARMFUL_PART, SHARED_PART};
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
@@ -71,6 +72,7 @@
     pub const LEAVING: &str = "x-leaving";
     pub const PAUSE: &str = "x-pause";
     pub const PARTS: &str = "x-parts";
+    pub const LIMIT: &str = "x-limit";
 }
 
 /// A running relay with its control.
@@ -423,6 +425,13 @@
             Some(Ok(pause_ms)) => RequestedPause::For(Millis(pause_ms)),
             Some(Err(_)) => RequestedPause::Unreadable,
         },
+        rate_limit: match text(headers, names::LIMIT).map(str::parse) {
+            None => StatedLimit::None,
+            Some(number) => number
+                .ok()
+                .and_then(RequestRate::from_per_s)
+                .map_or(StatedLimit::Unreadable, StatedLimit::Rate),
+        },
     }
 }
 
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -12,6 +12,7 @@
 mod path;
 mod prefix;
 mod quarantine;
+mod rate_limit;
 mod router;
 
 pub use chain::{
@@ -33,4 +34,5 @@
     EntryQuarantine, EvidenceReport, PartEvidence, QuarantineChange, QuarantineSettings,
     QuarantineTable, QuarantineUpdate, ReportedEnd, SoundPart, SuspectPart, TargetEnd,
 };
+pub use rate_limit::{EntryRateLimits, LimitChange, RequestRate};
 pub use router::{Router, RouterSettings, TargetInput, TargetView};
