Rate limits that targets state are kept by all entries together, by tokens of the control that collects their reports

Cause: the header wasn't read, and nothing bounds what all entries send to a target; what comes nearest, the pause after 503, is each entry's own. Change: an entry sends to a target with a limit only for a token. Each report of an entry earns its equal share of each limit, the shares are pooled at the control and given out as whole tokens to entries that ask. Tokens are given back with each report and void after two intervals; unspent ones are bounded. Limits and their ends travel by the time at which the target said so. Streams, plain calls, repeats, moves and probes take tokens; what they leave no room for goes to another target or is refused at once, with a Retry-After that follows the rate of the limits. Why it works: two controls that each hear a part of the entries give no more together than one, an entry without a token sends nothing, and a lost message loses tokens only.

--- a/crates/mgw-control/src/app.rs
+++ b/crates/mgw-control/src/app.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
 use mgw_member::View;
 use mgw_peer::PeerPool;
-use mgw_route::{EntryLoadTable, QuarantineTable};
+use mgw_route::{EntryLoadTable, QuarantineTable, RateLimitTable};
 use mgw_routing::TransferableRoutings;
 use mgw_serve::Shutdown;
 use mgw_world::{Clock, PromptPart};
@@ -36,6 +37,10 @@
     pub other_controls: Mutex<Vec<SocketAddr>>,
     /// Load on the targets as each entry last reported it.
     pub entry_loads: Mutex<EntryLoadTable>,
+    /// Rate limits of targets and the tokens for them.
+    pub rate_limits: Mutex<RateLimitTable>,
+    /// Number of entries that the view shows, refreshed periodically.
+    pub entries_in_view: AtomicU32,
     /// Evidence of all entries on parts of prompts.
     pub quarantine: Mutex<QuarantineTable>,
     /// Parts that are being committed to the quarantine.
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod placement;
 mod quarantine;
+mod rate_limits;
 mod replica;
 mod run;
 mod settings;
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -18,6 +18,7 @@
 
 use crate::app::App;
 use crate::quarantine::exchange_evidence;
+use crate::rate_limits::exchange_limits;
 use crate::replica::MemberChange;
 
 /// Longest time between two checks for target leases that have expired.
@@ -106,7 +107,14 @@
         let quarantine = exchange_evidence(app, entry.as_str(), &report.evidence);
         let mut entry_loads = app.entry_loads.lock();
         let load = entry_loads.exchange(entry.as_str(), report.load, now);
-        Ok(OthersReport { load, quarantine })
+        drop(entry_loads);
+        let reporting = load.entries + 1;
+        let limits = exchange_limits(app, entry.as_str(), &report.limits, reporting);
+        Ok(OthersReport {
+            load,
+            quarantine,
+            limits,
+        })
     }
 
     async fn routing(
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -1,6 +1,7 @@
 //! Start and graceful shutdown of a control.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
 use mgw_peer::{
     FoundingState, Gossip, GroupIdentity, PeerPool, bind_peer_listener, channel_handler,
@@ -269,6 +270,8 @@
         view: create_view(&settings, seed, clock.now()),
         other_controls: Mutex::default(),
         entry_loads: Mutex::default(),
+        rate_limits: Mutex::default(),
+        entries_in_view: AtomicU32::default(),
         quarantine: Mutex::default(),
         quarantining: Mutex::default(),
         transferable: Mutex::default(),
--- a/crates/mgw-control/src/watches.rs
+++ b/crates/mgw-control/src/watches.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use mgw_peer::{Watch, watch_control};
 use mgw_world::Millis;
@@ -35,6 +36,12 @@
     addresses
 }
 
+fn refresh_entry_count(app: &App) {
+    let now = app.clock.now();
+    let entries = app.view.lock().count_presumed_entries(now);
+    app.entries_in_view.store(entries, Ordering::Relaxed);
+}
+
 /// Watches each other control, also those found later, until `stop` is cancelled.
 pub async fn watch_controls(app: Arc<App>, stop: CancellationToken) {
     let watch = Watch {
@@ -48,6 +55,7 @@
     };
     let mut watched = BTreeSet::new();
     loop {
+        refresh_entry_count(&app);
         let addresses = refresh_controls(&app).await;
         for address in addresses {
             if watched.insert(address) {
--- a/crates/mgw-member/src/view/places.rs
+++ b/crates/mgw-member/src/view/places.rs
@@ -5,7 +5,7 @@
 use mgw_world::{Millis, PlaceName};
 
 use super::core::View;
-use crate::{NodeId, NodeInfo, NodePhase, VouchState};
+use crate::{NodeId, NodeInfo, NodePhase, NodeRole, VouchState};
 
 /// Status of a node in this view.
 #[derive(Debug, Clone, Copy)]
@@ -94,6 +94,16 @@
         self.count_other_nodes(now).0 == 0
     }
 
+    /// Number of entries that are presumed alive, also on the other side of a partition.
+    #[must_use]
+    pub fn count_presumed_entries(&self, now: Millis) -> u32 {
+        let nodes = self.nodes(now);
+        let entries = nodes
+            .iter()
+            .filter(|node| node.info.role == NodeRole::Entry && self.is_presumed_alive(node));
+        u32::try_from(entries.count()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn update_reachability(&mut self, now: Millis) {
         let (presumed_alive, alive) = self.count_other_nodes(now);
         if alive * 2 >= presumed_alive {
--- a/crates/mgw-peer/src/rpc.rs
+++ b/crates/mgw-peer/src/rpc.rs
@@ -5,7 +5,9 @@
 use mgw_contract::operator::DrainRequest;
 use mgw_member::{Exchange, ExchangeReply};
 use mgw_quorum::{Envelope, ReplicaId};
-use mgw_route::{EntryLoad, EvidenceReport, OtherEntriesLoad, QuarantineUpdate};
+use mgw_route::{
+    EntryLoad, EvidenceReport, LimitReport, LimitUpdate, OtherEntriesLoad, QuarantineUpdate,
+};
 use mgw_routing::{PackedRouting, PartPosition, RoutingPart};
 use mgw_state::{Command, ConfigUpdate, Digest, Reply};
 use mgw_world::{Millis, NodeName, Revision, RoutingVersion};
@@ -130,6 +132,8 @@
     pub load: EntryLoad,
     /// Ends of targets, and the parts of prompts under which they ended.
     pub evidence: EvidenceReport,
+    /// Rate limits of targets, and the tokens that the entry gives back and asks for.
+    pub limits: LimitReport,
 }
 
 /// What that control tells an entry.
@@ -139,6 +143,8 @@
     pub load: OtherEntriesLoad,
     /// Parts of prompts that are to be kept from targets.
     pub quarantine: QuarantineUpdate,
+    /// Rate limits of targets, and the entry's tokens.
+    pub limits: LimitUpdate,
 }
 
 /// Calls between processes. A process that isn't a control responds to the calls meant for controls
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -8,7 +8,7 @@
 use mgw_peer::PeerPool;
 use mgw_route::{
     ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, EntryRateLimits, Exclusions,
-    OtherEntriesLoad, TargetRun,
+    OtherEntriesLoad, ReturnTimes, TargetRun,
 };
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
@@ -67,12 +67,15 @@
     pub exclusions: Mutex<Exclusions>,
     /// Rate limits of targets.
     pub rate_limits: Mutex<EntryRateLimits>,
+    /// When callers return whose requests were refused for rate limits, by service.
+    pub return_times: Mutex<HashMap<ServiceName, ReturnTimes>>,
     /// Targets whose rate limit can't be read, so that this is logged once.
     pub unreadable_limits: Mutex<HashSet<TargetRun>>,
     /// Parts of prompts that are kept from targets.
     pub quarantine: Mutex<EntryQuarantine>,
-    /// Notified when a target has ended under a request, so that a control is told at once.
-    pub evidence_changed: Notify,
+    /// Notified when a target has ended under a request or has changed its rate limit, so that a control is told
+    /// at once.
+    pub report_due: Notify,
     /// Targets that are being probed, with the sends that wait for the outcome.
     pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
     /// Retry budgets of the services.
@@ -112,9 +115,10 @@
             plain_balancer: Mutex::default(),
             exclusions: Mutex::default(),
             rate_limits: Mutex::default(),
+            return_times: Mutex::default(),
             unreadable_limits: Mutex::default(),
             quarantine: Mutex::default(),
-            evidence_changed: Notify::new(),
+            report_due: Notify::new(),
             probes: Mutex::default(),
             retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
@@ -360,6 +364,10 @@
     fn list_targets(&self, now: Millis) -> Vec<Target> {
         let usable_targets = self.usable_targets.lock();
         let runs: Vec<TargetRun> = usable_targets.iter().map(TargetRun::from).collect();
+        self.rate_limits.lock().expire(runs.iter(), now);
+        self.unreadable_limits
+            .lock()
+            .retain(|run| runs.contains(run));
         let mut exclusions = self.exclusions.lock();
         exclusions.expire(runs.iter(), now);
         let targets = usable_targets.iter().zip(&runs);
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -127,6 +127,13 @@
         Self::retry_later("all targets asked for a pause", pause_ms)
     }
 
+    /// The rate limits of the targets leave no room for the request. They let those of this entry that were
+    /// refused before it through within `return_ms`.
+    #[must_use]
+    pub const fn limited(return_ms: Millis) -> Self {
+        Self::retry_later("the rate limits of the targets are reached", return_ms)
+    }
+
     /// All targets are full.
     #[must_use]
     pub const fn full() -> Self {
--- a/crates/mgw-relay/src/follow/load_exchange.rs
+++ b/crates/mgw-relay/src/follow/load_exchange.rs
@@ -1,10 +1,11 @@
-//! Exchanges reports with the other entries: how much of each target an entry uses, and under which
-//! parts of prompts targets have ended.
+//! Exchanges reports with the other entries: how much of each target an entry uses, under which parts of
+//! prompts targets have ended, and which rate limits targets have stated.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgw_member::NodeRole;
+use mgw_peer::{EntryReport, OthersReport};
 use mgw_route::report_interval_ms;
 use mgw_world::Millis;
 use tokio::time::{sleep, timeout};
@@ -18,7 +19,7 @@
 const MIN_INTERVAL_MS: Millis = Millis(100);
 
 /// Exchanges reports until the token is cancelled: at intervals, and soon after a target has ended under
-/// a request.
+/// a request or has changed its rate limit.
 pub async fn run_load_exchange(app: Arc<App>, ended: CancellationToken) {
     loop {
         let interval_ms = if app.quarantine.lock().is_informed() {
@@ -39,17 +40,18 @@
     }
 }
 
-/// Waits for the interval, or for new evidence but at least for the shortest interval.
+/// Waits for the interval, or until a report is due but at least for the shortest interval.
 async fn pause(app: &App, interval_ms: Millis) {
     sleep(MIN_INTERVAL_MS.to_duration()).await;
     let rest_ms = interval_ms - MIN_INTERVAL_MS;
-    // New evidence ends the pause early.
-    let _ = timeout(rest_ms.to_duration(), app.evidence_changed.notified()).await;
+    // A report that is due ends the pause early.
+    let _ = timeout(rest_ms.to_duration(), app.report_due.notified()).await;
 }
 
 async fn exchange(app: &App, control: SocketAddr) {
     let entry = app.settings.name.clone();
-    let report = app.own_report();
+    let asked_at = app.clock.now();
+    let report = own_report(app, asked_at);
     let answer = app
         .peers
         .call(control, ANSWER_TIMEOUT_MS, |client, context| async move {
@@ -59,11 +61,27 @@
     // Without an answer the last one stays valid for a while, after that the number of entries is
     // all that is known of the others.
     match answer {
-        Ok(Ok(others)) => app.apply_others_report(&others),
+        Ok(Ok(others)) => apply_report(app, &others, asked_at),
         _ => app.record_missed_exchange(),
     }
 }
 
+fn own_report(app: &App, now: Millis) -> EntryReport {
+    let mut report = EntryReport {
+        load: app.own_load(),
+        evidence: app.quarantine.lock().report(now),
+        ..EntryReport::default()
+    };
+    app.report_limits(&mut report, now);
+    report
+}
+
+fn apply_report(app: &App, others: &OthersReport, asked_at: Millis) {
+    app.set_other_entries_load(&others.load);
+    app.apply_quarantine(others);
+    app.apply_limits(others, asked_at);
+}
+
 /// The control that collects the load reports: the live control with the lowest address, so that
 /// all entries use the same one.
 fn find_load_control(app: &App) -> Option<SocketAddr> {
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod plain;
 mod quarantine;
+mod rate_limits;
 mod relay;
 mod request_sends;
 mod retries;
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -28,6 +28,8 @@
     pub limited_targets: IntGauge,
     /// Sends to targets with a rate limit.
     pub limited_sends: IntCounter,
+    /// Requests that were refused because rate limits of targets left no room for them.
+    pub limited_refusals: IntCounter,
     /// Parts of prompts that are kept from targets.
     pub quarantined_parts: IntGauge,
     /// Requests that were kept from targets because of a quarantined part.
@@ -97,6 +99,10 @@
                 "mgw_relay_limited_sends_total",
                 "Sends to targets with a rate limit.",
             )?,
+            limited_refusals: IntCounter::new(
+                "mgw_relay_limited_refusals_total",
+                "Requests that were refused because rate limits left no room for them.",
+            )?,
             quarantined_parts: IntGauge::new(
                 "mgw_relay_quarantined_parts",
                 "Parts of prompts that are kept from targets.",
@@ -128,6 +134,7 @@
         registry.register(Box::new(metrics.failed_probes.clone()))?;
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
+        registry.register(Box::new(metrics.limited_refusals.clone()))?;
         registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         registry.register(Box::new(metrics.quarantined_requests.clone()))?;
         registry.register(Box::new(metrics.targets.clone()))?;
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -130,6 +130,10 @@
             Err(NoTarget::Paused { until }) if failed.is_none() && !sends.may_have_run() => {
                 return Err(Refusal::paused(until - app.clock.now()));
             }
+            Err(NoTarget::Limited) if failed.is_none() && !sends.may_have_run() => {
+                let retry_ms = app.limited_retry_ms(&call.service, call.urgency);
+                return Err(Refusal::limited(retry_ms));
+            }
             Err(_) => break,
         };
         if sends.sent() == 0 {
@@ -185,9 +189,14 @@
 }
 
 fn choose(app: &Arc<App>, call: &Call, avoid: &[TargetName]) -> Result<ReservedTarget, NoTarget> {
+    if !app.knows_limits() {
+        return Err(NoTarget::Unknown);
+    }
     let now = app.clock.now();
-    let reservation =
-        app.with_plain_balancer(|balancer| balancer.choose(&call.service, avoid, now))?;
+    let mut limits = app.rate_limits.lock();
+    let reservation = app
+        .with_plain_balancer(|balancer| balancer.choose(&call.service, avoid, &mut limits, now))?;
+    drop(limits);
     Ok(ReservedTarget {
         app: Arc::clone(app),
         reservation,
--- a/crates/mgw-relay/src/quarantine.rs
+++ b/crates/mgw-relay/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Parts of prompts that end targets: what this entry has seen of them, and which requests it keeps from
 //! targets.
 
-use mgw_peer::{EntryReport, OthersReport};
+use mgw_peer::OthersReport;
 use mgw_route::{TargetEnd, TargetRun};
 use mgw_world::{Millis, PromptPart};
 use tracing::{info, warn};
@@ -55,7 +55,7 @@
             ended_ms = (now - send.times.ended_at).0,
             "target ended under a request that hadn't begun there"
         );
-        self.evidence_changed.notify_one();
+        self.report_due.notify_one();
     }
 
     /// Records that a stream with these parts began then and went on.
@@ -63,19 +63,8 @@
         self.quarantine.lock().record_sound(parts, begun_at);
     }
 
-    /// What this entry reports to the control that collects the reports of all entries.
-    #[must_use]
-    pub fn own_report(&self) -> EntryReport {
-        let now = self.clock.now();
-        EntryReport {
-            load: self.own_load(),
-            evidence: self.quarantine.lock().report(now),
-        }
-    }
-
-    /// Applies what that control told.
-    pub fn apply_others_report(&self, others: &OthersReport) {
-        self.set_other_entries_load(&others.load);
+    /// Applies what the control told of the quarantine.
+    pub fn apply_quarantine(&self, others: &OthersReport) {
         let now = self.clock.now();
         let (change, quarantined) = {
             let mut quarantine = self.quarantine.lock();
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::http::response::Parts;
-use mgw_route::{ChainRequest, ChainReservation, NoChain};
+use mgw_route::{Chain, ChainRequest, ChainReservation, ChainRouter, EntryRateLimits, NoChain};
 use mgw_world::Millis;
 use tokio::time::timeout;
 
@@ -143,7 +143,7 @@
             };
             let limit_ms = match no_chain {
                 _ if self.has_begun => Millis::ZERO,
-                NoChain::Quarantined => Millis::ZERO,
+                NoChain::Quarantined | NoChain::Limited => Millis::ZERO,
                 NoChain::Full | NoChain::Suspected => wait_limits.capacity_wait_ms(left_ms),
                 NoChain::Paused { until } => wait_limits.pause_wait_ms(left_ms, until - started_at),
                 NoChain::Uncovered => wait_limits.startup_wait_ms(left_ms, started_at),
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Chooses a chain. Targets to avoid are used if the others don't cover all layers.
+    /// Chooses a chain.
     fn choose(&self) -> Result<ReservedChain, NoChain> {
         if !self.app.knows_quarantine() {
             return Err(NoChain::Uncovered);
@@ -169,6 +169,7 @@
         }
         let now = self.app.clock.now();
         let service = &self.call.service;
+        let mut limits = self.app.rate_limits.lock();
         let chosen = self.app.with_chains(service, |chains| {
             let model = chains.model();
             let usual_prompt = model.usual_prompt_tokens;
@@ -180,21 +181,11 @@
                 prompt_tokens: head.prompt_tokens.unwrap_or(usual_prompt),
                 answer_tokens: answer_tokens.min(max_answer_tokens),
                 avoid: &self.avoid,
+                limits: None,
             };
-            let chosen = chains.choose(&request, now);
-            match chosen {
-                Err(NoChain::Uncovered | NoChain::Suspected | NoChain::Paused { .. })
-                    if !self.avoid.is_empty() =>
-                {
-                    let without_avoided = ChainRequest {
-                        avoid: &[],
-                        ..request
-                    };
-                    chains.choose(&without_avoided, now)
-                }
-                chosen => chosen,
-            }
+            choose_within_limits(chains, &request, &mut limits, now)
         });
+        drop(limits);
         let chain = chosen.unwrap_or(Err(NoChain::Uncovered))?;
         Ok(ReservedChain::new(
             Arc::clone(&self.app),
@@ -286,6 +277,38 @@
     }
 }
 
+/// Chooses a chain whose first target has no rate limit, or one of which this entry holds a token, and
+/// spends the token. Targets to avoid are used if the others don't do.
+fn choose_within_limits(
+    chains: &mut ChainRouter,
+    request: &ChainRequest<'_>,
+    limits: &mut EntryRateLimits,
+    now: Millis,
+) -> Result<Chain, NoChain> {
+    if !limits.is_empty()
+        && let Some(preferred) = chains.find_preferred_first(request, now)
+        && !limits.may_send(&preferred.name, preferred.incarnation, now)
+    {
+        limits.want(&preferred);
+    }
+    let within_limits = ChainRequest {
+        limits: (!limits.is_empty()).then_some(&*limits),
+        ..*request
+    };
+    let mut chosen = chains.choose(&within_limits, now);
+    if !matches!(chosen, Ok(_) | Err(NoChain::Full)) && !request.avoid.is_empty() {
+        let without_avoided = ChainRequest {
+            avoid: &[],
+            ..within_limits
+        };
+        chosen = chains.choose(&without_avoided, now);
+    }
+    if let Ok(chain) = &chosen {
+        limits.take(&chain.hops[0].run(), now);
+    }
+    chosen
+}
+
 /// Reads a failure answer whole within `left_ms`, so that it can be passed on to the caller.
 async fn pass_failure(answer: Answer, left_ms: Millis) -> OpenError {
     let body = http_body_util::Limited::new(answer.body, MAX_FAILURE_BYTES);
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -186,6 +186,10 @@
             _ if self.sends.may_have_run() => self.refusal_without_answer(),
             NoChain::Full => Refusal::full(),
             NoChain::Quarantined => Refusal::quarantined(),
+            NoChain::Limited => {
+                let service = &self.call.service;
+                Refusal::limited(self.app.limited_retry_ms(service, self.call.urgency))
+            }
             NoChain::Uncovered | NoChain::Suspected => Refusal::uncovered(),
             NoChain::Paused { until } => Refusal::paused(until - self.app.clock.now()),
         }
--- a/crates/mgw-relay/src/targets/notices.rs
+++ b/crates/mgw-relay/src/targets/notices.rs
@@ -1,12 +1,12 @@
 //! What targets say about themselves in their answers: that they are leaving, that they want no
 //! requests for a while, or only so many in a second.
 
-use mgw_route::{LimitChange, RequestRate, TargetRun};
+use mgw_route::TargetRun;
 use mgw_world::Millis;
 use tracing::{info, warn};
 
 use crate::app::App;
-use crate::dialect::{AnswerHead, RequestedPause, StatedLimit};
+use crate::dialect::{AnswerHead, RequestedPause};
 
 impl App {
     /// Leaves a target out of further choices if its answer asks for that.
@@ -26,54 +26,6 @@
         self.record_stated_limit(target, answer.rate_limit);
     }
 
-    /// Records the rate limit that an answer of a target states.
-    fn record_stated_limit(&self, target: &TargetRun, stated: StatedLimit) {
-        match stated {
-            StatedLimit::Unknown => {}
-            StatedLimit::None => self.record_limit(target, None),
-            StatedLimit::Rate(rate) => self.record_limit(target, Some(rate)),
-            StatedLimit::Unreadable => self.log_unreadable_limit(target),
-        }
-    }
-
-    fn record_limit(&self, target: &TargetRun, rate: Option<RequestRate>) {
-        let now = self.clock.now();
-        let change = {
-            let mut limits = self.rate_limits.lock();
-            limits.record_answer(target, rate, now)
-        };
-        if let Some(change) = change {
-            self.log_limit_change(&change, "answer");
-        }
-    }
-
-    /// Logs a changed limit; `source` tells who said so.
-    fn log_limit_change(&self, change: &LimitChange, source: &'static str) {
-        let from = change.from.map(tracing::field::display);
-        let to = change.to.map(tracing::field::display);
-        info!(
-            target_name = %change.run.name,
-            incarnation = %change.run.incarnation,
-            from,
-            to,
-            source,
-            "rate limit of a target changed"
-        );
-        let limited = i64::try_from(self.rate_limits.lock().len()).unwrap_or(i64::MAX);
-        self.metrics.limited_targets.set(limited);
-    }
-
-    /// Logs a limit that can't be read once for each run of a target; what was known of it stays in force.
-    fn log_unreadable_limit(&self, target: &TargetRun) {
-        if self.unreadable_limits.lock().insert(target.clone()) {
-            warn!(
-                target_name = %target.name,
-                incarnation = %target.incarnation,
-                "can't read the target's rate limit; what was known of it stays in force"
-            );
-        }
-    }
-
     /// Leaves a target out for the rest of its run. `source` tells log lines who said so.
     pub fn record_leaving(&self, target: &TargetRun, source: &'static str) {
         let now = self.clock.now();
--- a/crates/mgw-relay/src/targets/plain_balancer.rs
+++ b/crates/mgw-relay/src/targets/plain_balancer.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use mgw_route::TargetRun;
+use mgw_route::{EntryRateLimits, RequestRate, TargetRun};
 use mgw_world::{Millis, PlaceName, ServiceName, Target, TargetName};
 
 /// Time for which a failure of a target counts in the choice.
@@ -22,6 +22,22 @@
     paused_until: Millis,
 }
 
+impl PlainTarget {
+    /// In-flight calls of this process, where each recent failure counts as several.
+    fn load(&self, now: Millis) -> u32 {
+        let failures = self.failures.iter();
+        let recent = failures.filter(|failed_at| now - **failed_at < FAILURE_WINDOW_MS);
+        let failures = u32::try_from(recent.count()).unwrap_or(u32::MAX);
+        self.in_flight
+            .saturating_add(failures.saturating_mul(FAILURE_WEIGHT))
+    }
+
+    /// Whether the target's rate limit leaves room for a call.
+    fn may_get_call(&self, limits: &EntryRateLimits, now: Millis) -> bool {
+        limits.may_send(&self.run.name, self.run.incarnation, now)
+    }
+}
+
 /// The targets of plain services with this process's in-flight calls and recent failures.
 ///
 /// A call goes to the target with the fewest in-flight calls of this process, where each recent
@@ -54,6 +70,8 @@
         /// When the first of the pauses ends.
         until: Millis,
     },
+    /// the rate limits of the service's targets leave no room for the call
+    Limited,
 }
 
 impl PlainBalancer {
@@ -95,37 +113,41 @@
         }
     }
 
-    /// Chooses a target that isn't among those to avoid and counts a call in flight there.
+    /// Chooses a target that isn't among those to avoid, counts a call in flight there and spends a token
+    /// if the target has a rate limit.
     ///
     /// # Errors
-    /// When no target is left, or all that are left asked for a pause.
+    /// When no target is left, or all that are left asked for a pause or have a rate limit that is reached.
     pub fn choose(
         &mut self,
         service: &ServiceName,
         avoid: &[TargetName],
+        limits: &mut EntryRateLimits,
         now: Millis,
     ) -> Result<PlainReservation, NoTarget> {
         self.rotation = self.rotation.wrapping_add(1);
         let rotation = self.rotation;
         let targets = self.services.get_mut(service).ok_or(NoTarget::Unknown)?;
         let count = targets.len().max(1);
-        let no_target = explain(targets, avoid);
         let candidates = targets
             .iter_mut()
             .enumerate()
             .filter(|(_, target)| !avoid.contains(&target.run.name) && now >= target.paused_until);
-        let best = candidates.min_by_key(|(at, target)| {
-            let failures = target.failures.iter();
-            let failures = failures
-                .filter(|failed_at| now - **failed_at < FAILURE_WINDOW_MS)
-                .count();
-            let failures = u32::try_from(failures).unwrap_or(u32::MAX);
-            let load = target
-                .in_flight
-                .saturating_add(failures.saturating_mul(FAILURE_WEIGHT));
-            (load, !target.is_same_zone, (at + rotation) % count)
+        let mut candidates: Vec<_> = candidates.collect();
+        candidates.sort_by_cached_key(|(at, target)| {
+            let rank = (at + rotation) % count;
+            (target.load(now), !target.is_same_zone, rank)
         });
-        let (_, best) = best.ok_or(no_target)?;
+        if let Some((_, preferred)) = candidates.first()
+            && !preferred.may_get_call(limits, now)
+        {
+            limits.want(&preferred.run);
+        }
+        let mut within_limits = candidates.into_iter().map(|(_, target)| target);
+        let Some(best) = within_limits.find(|target| target.may_get_call(limits, now)) else {
+            return Err(explain(targets, avoid, now));
+        };
+        limits.take(&best.run, now);
         best.in_flight += 1;
         Ok(PlainReservation {
             service: service.clone(),
@@ -134,6 +156,14 @@
         })
     }
 
+    /// Requests a second that the rate limits of a service's targets allow together.
+    #[must_use]
+    pub fn limited_per_s(&self, service: &ServiceName, limits: &EntryRateLimits) -> f64 {
+        let targets = self.services.get(service).into_iter().flatten();
+        let rates = targets.filter_map(|it| limits.rate(&it.run.name, it.run.incarnation));
+        rates.map(RequestRate::per_s).sum()
+    }
+
     /// Ends a call in flight. A failure counts in the choice for `FAILURE_WINDOW_MS`.
     pub fn release(&mut self, reservation: &PlainReservation, failed: bool, now: Millis) {
         let targets = self.services.get_mut(&reservation.service);
@@ -150,9 +180,12 @@
     }
 }
 
-/// Why none of the targets can be chosen, if none can.
-fn explain(targets: &[PlainTarget], avoid: &[TargetName]) -> NoTarget {
+/// Why none of the targets can be chosen.
+fn explain(targets: &[PlainTarget], avoid: &[TargetName], now: Millis) -> NoTarget {
     let left = targets.iter().filter(|it| !avoid.contains(&it.run.name));
-    let first_end = left.map(|it| it.paused_until).min();
-    first_end.map_or(NoTarget::Unknown, |until| NoTarget::Paused { until })
+    match left.map(|it| it.paused_until).min() {
+        None => NoTarget::Unknown,
+        Some(until) if now < until => NoTarget::Paused { until },
+        Some(_) => NoTarget::Limited,
+    }
 }
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -13,6 +13,7 @@
 use tracing::{info, warn};
 
 use crate::app::App;
+use crate::dialect::{AnswerHead, StatedLimit};
 use crate::quarantine::BrokenSend;
 
 /// Time within which an engine must answer a probe.
@@ -103,6 +104,9 @@
     /// The report can't be decoded.
     #[display("unusable report")]
     Unusable,
+    /// The engine listens, but its rate limit leaves no room to ask it.
+    #[display("rate limit reached")]
+    Limited,
 }
 
 impl ProbeFailure {
@@ -121,6 +125,11 @@
         }
         let fetching = timeout(PROBE_TIMEOUT_MS.to_duration(), fetch_report(app, hop));
         let probed = fetching.await.unwrap_or(Err(ProbeFailure::Late));
+        if probed == Err(ProbeFailure::Limited) {
+            resolve_sends(app, &hop.run(), false);
+            info!(target_name = %hop.target, cause, repeat, "engine not probed: its rate limit is reached");
+            return;
+        }
         let now = app.clock.now();
         let outcome = match probed {
             Ok(slowness) => ProbeOutcome::Alive { slowness },
@@ -160,6 +169,9 @@
         ErrorKind::ConnectionRefused => ProbeFailure::Refused,
         _ => ProbeFailure::NotConnected,
     })?;
+    if !app.rate_limits.lock().take(&hop.run(), app.clock.now()) {
+        return Err(ProbeFailure::Limited);
+    }
     let request = Request::get(app.adapter.report.path)
         .header(hyper::header::HOST, hop.address.to_string())
         .body(Full::<Bytes>::default())
@@ -168,7 +180,7 @@
     let response = sent.map_err(|_| ProbeFailure::Broken)?;
     let read_head = app.adapter.dialect.read_answer;
     let head = read_head(response.status().as_u16(), response.headers());
-    app.record_notices(&hop.run(), &head);
+    app.record_notices(&hop.run(), &without_ended_limit(head));
     let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
     let body = body.collect().await.map_err(|_| ProbeFailure::Broken)?;
     app.connection_pool.put_back(connection);
@@ -180,3 +192,12 @@
         }
     }
 }
+
+/// A report may leave out the rate limit that answers to requests state, so its absence tells nothing.
+fn without_ended_limit(head: AnswerHead) -> AnswerHead {
+    let rate_limit = match head.rate_limit {
+        StatedLimit::None => StatedLimit::Unknown,
+        stated => stated,
+    };
+    AnswerHead { rate_limit, ..head }
+}
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -13,6 +13,7 @@
 use super::health::HealthSettings;
 use super::search::{FoundChain, Search};
 use crate::exclusions::TargetRun;
+use crate::rate_limit::{EntryRateLimits, RequestRate};
 
 new_key_type! {
     /// Identifies the capacity that a request has reserved on the targets of its chain, until
@@ -64,6 +65,8 @@
     pub answer_tokens: u32,
     /// Targets that must not be in the chain.
     pub avoid: &'a [TargetName],
+    /// Rate limits, which decide at which targets the chain may start; `None` if no target has one.
+    pub limits: Option<&'a EntryRateLimits>,
 }
 
 /// One target of a chain.
@@ -110,6 +113,8 @@
     Suspected,
     /// the targets that cover the layers have no free capacity for the request
     Full,
+    /// the rate limits of the targets that could begin the request leave no room for it
+    Limited,
     /// a part of the prompt is quarantined, because targets end under it
     Quarantined,
     /// the targets that cover the layers asked for a pause, the first of them until {until}
@@ -252,20 +257,8 @@
     /// Returns an error if no chain covers the layers, if none has free capacity, or if only a
     /// chain across zones would do and the limit on those is reached.
     pub fn choose(&mut self, request: &ChainRequest<'_>, now: Millis) -> Result<Chain, NoChain> {
-        let size = RequestSize {
-            prompt_tokens: f64::from(request.prompt_tokens),
-            answer_tokens: f64::from(request.answer_tokens),
-        };
-        let search = Search {
-            model: &self.model,
-            settings: &self.settings,
-            size,
-            avoid: request.avoid,
-            place: None,
-            ignores_pauses: false,
-            other_entries: self.other_entries(now),
-            now,
-        };
+        let search = self.search(request, now);
+        let size = search.size;
         if let Some(found) = self.search_each_place(&search) {
             return Ok(self.reserve(&found, size));
         }
@@ -284,6 +277,50 @@
         }
     }
 
+    fn search<'a>(&'a self, request: &ChainRequest<'a>, now: Millis) -> Search<'a> {
+        Search {
+            model: &self.model,
+            settings: &self.settings,
+            size: RequestSize {
+                prompt_tokens: f64::from(request.prompt_tokens),
+                answer_tokens: f64::from(request.answer_tokens),
+            },
+            avoid: request.avoid,
+            limits: request.limits,
+            place: None,
+            ignores_pauses: false,
+            other_entries: self.other_entries(now),
+            now,
+        }
+    }
+
+    /// The target that would begin a request if no target had a rate limit.
+    #[must_use]
+    pub fn find_preferred_first(
+        &self,
+        request: &ChainRequest<'_>,
+        now: Millis,
+    ) -> Option<TargetRun> {
+        let unlimited = ChainRequest {
+            limits: None,
+            ..*request
+        };
+        let search = self.search(&unlimited, now);
+        let in_place = self.search_each_place(&search);
+        let found = in_place.or_else(|| search.run(&self.fleet))?;
+        let (first, _) = found.parts.first()?;
+        Some(self.fleet.get(*first).target.run())
+    }
+
+    /// Requests a second that the rate limits of the targets that hold the first layer allow together.
+    #[must_use]
+    pub fn limited_per_s(&self, limits: &EntryRateLimits) -> f64 {
+        let targets = self.fleet.iter().map(|(_, member)| &member.target);
+        let firsts = targets.filter(|target| target.layers.first() == 0);
+        let rates = firsts.filter_map(|target| limits.rate(&target.name, target.incarnation));
+        rates.map(RequestRate::per_s).sum()
+    }
+
     fn count_crossings(&self, found: &FoundChain) -> usize {
         let places = found.parts.iter();
         let places: Vec<&PlaceName> = places
@@ -322,31 +359,37 @@
         places
     }
 
-    /// Finds out why a search failed: a lack of targets, a lack of capacity, or blocked targets
+    /// Finds out why a search failed: a lack of targets, a lack of capacity, rate limits, or blocked targets
     /// that may soon be usable again.
     fn explain(&self, search: &Search<'_>) -> NoChain {
-        let has_blocked = self.load(search.now).blocked > 0;
         let settings = ChainSettings {
             max_utilization: f64::INFINITY,
             ..self.settings
         };
-        let unlimited = Search {
+        let with_capacity = Search {
             settings: &settings,
             ..*search
         };
-        if unlimited.run(&self.fleet).is_some() {
+        if with_capacity.run(&self.fleet).is_some() {
             return NoChain::Full;
         }
+        let without_limits = Search {
+            limits: None,
+            ..with_capacity
+        };
+        if search.limits.is_some() && without_limits.run(&self.fleet).is_some() {
+            return NoChain::Limited;
+        }
         if let Some(until) = self.first_pause_end(search.now) {
             let without_pauses = Search {
                 ignores_pauses: true,
-                ..unlimited
+                ..without_limits
             };
             if without_pauses.run(&self.fleet).is_some() {
                 return NoChain::Paused { until };
             }
         }
-        if has_blocked {
+        if self.load(search.now).blocked > 0 {
             NoChain::Suspected
         } else {
             NoChain::Uncovered
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -5,6 +5,7 @@
 use super::cost::{OtherEntries, RequestSize, Utilization, request_ms, utilization_factor};
 use super::fleet::{Fleet, Member, MemberKey};
 use super::router::ChainSettings;
+use crate::rate_limit::EntryRateLimits;
 use mgw_world::{Millis, TargetName};
 
 /// Fraction of a target's requests that a further request shares a decoding batch with; the others
@@ -18,6 +19,8 @@
     pub settings: &'a ChainSettings,
     pub size: RequestSize,
     pub avoid: &'a [TargetName],
+    /// Rate limits of targets; `None` to ignore them.
+    pub limits: Option<&'a EntryRateLimits>,
     /// Zone that the chain must stay in; `None` for chains across zones.
     pub place: Option<&'a PlaceName>,
     /// Whether targets that asked for a pause may be used as well.
@@ -50,6 +53,8 @@
     member: &'a Member,
     utilization: Utilization,
     slowness: f64,
+    /// Whether its rate limit leaves room for a request that starts at it.
+    may_start: bool,
 }
 
 impl Search<'_> {
@@ -85,10 +90,17 @@
                 member,
                 utilization: Utilization::of(member, self.other_entries, self.settings),
                 slowness: member.health.slowness(self.now),
+                may_start: self.may_start(member),
             })
             .collect()
     }
 
+    fn may_start(&self, member: &Member) -> bool {
+        let target = &member.target;
+        self.limits
+            .is_none_or(|limits| limits.may_send(&target.name, target.incarnation, self.now))
+    }
+
     fn may_use(&self, member: &Member) -> bool {
         let is_place_allowed = self.place.is_none_or(|place| member.target.place == *place);
         let is_avoided = self.avoid.contains(&member.target.name);
@@ -175,9 +187,12 @@
         self.settings.crossing_factor * bytes / rate
     }
 
-    /// Cost of running the layers `from..end` on the candidate; `None` when its KV cache or its
-    /// limit of first requests would be exceeded.
+    /// Cost of running the layers `from..end` on the candidate; `None` when its KV cache or one of its
+    /// limits on first requests would be exceeded.
     fn part_ms(&self, candidate: &Candidate<'_>, from: u16, end: u16) -> Option<f64> {
+        if from == 0 && !candidate.may_start {
+            return None;
+        }
         let layers = end - from;
         let needed = self.size.kv_tokens() * f64::from(layers);
         let capacity = candidate.member.capacity_token_layers.max(1.0);
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -34,5 +34,8 @@
     EntryQuarantine, EvidenceReport, PartEvidence, QuarantineChange, QuarantineSettings,
     QuarantineTable, QuarantineUpdate, ReportedEnd, SoundPart, SuspectPart, TargetEnd,
 };
-pub use rate_limit::{EntryRateLimits, LimitChange, RequestRate};
+pub use rate_limit::{
+    EntryCounts, EntryRateLimits, LimitChange, LimitReport, LimitUpdate, LimitedTarget,
+    RateLimitTable, RequestRate, ReturnTimes, StatedRate, TokenDemand, ToldLimit,
+};
 pub use router::{Router, RouterSettings, TargetInput, TargetView};
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -18,6 +18,7 @@
     prompt_tokens: 760,
     answer_tokens: 200,
     avoid: &[],
+    limits: None,
 };
 
 fn names(chain: &Chain) -> Vec<&str> {
@@ -175,6 +176,7 @@
     let avoid = [dead.clone()];
     let avoiding = ChainRequest {
         avoid: &avoid,
+        limits: None,
         ..REQUEST
     };
     let healthy_chain = router.choose(&avoiding, Millis(0)).unwrap();
--- a/crates/mgw-route/tests/ended_targets.rs
+++ b/crates/mgw-route/tests/ended_targets.rs
@@ -12,6 +12,7 @@
     prompt_tokens: 760,
     answer_tokens: 200,
     avoid: &[],
+    limits: None,
 };
 
 /// The target in the middle ends, and those beside it only stall.
