--- a/crates/mgw-route/tests/rate_limit.rs
+++ b/crates/mgw-route/tests/rate_limit.rs
@@ -7,8 +7,8 @@
 
 use chain_support::{router, target};
 use mgw_route::{
-    ChainRequest, EntryCounts, EntryRateLimits, LimitUpdate, NoChain, RateLimitTable, RequestRate,
-    ReturnTimes, StatedRate, TargetRun, ToldLimit,
+    ChainRequest, EntryCounts, EntryRateLimits, LimitReport, LimitUpdate, NoChain, RateLimitTable,
+    RequestRate, ReturnTimes, StatedRate, TargetRun, TokenDemand, ToldLimit,
 };
 use mgw_world::{Incarnation, Millis};
 use rate_limit_support::{Play, SIZES, Size, allowed, run_of};
@@ -296,27 +296,104 @@
     assert!(!limits.take(&run, Millis(5_300)));
 }
 
+#[test]
+fn an_entry_has_no_tokens_between_its_report_and_the_update() {
+    let run = run_of(1);
+    let mut limits = EntryRateLimits::default();
+    limits.apply(
+        &update_with(Some(rate(2.0)), 3),
+        Millis(2_000),
+        Millis(2_010),
+    );
+    let report = limits.report(1, Millis(2_400));
+    assert_eq!(report.demands[0].returned, 3);
+    assert!(!limits.take(&run, Millis(2_410)));
+}
+
+#[test]
+fn an_entry_that_hears_of_a_lower_limit_drops_its_tokens() {
+    let run = run_of(1);
+    let mut limits = EntryRateLimits::default();
+    limits.apply(
+        &update_with(Some(rate(50.0)), 20),
+        Millis(2_000),
+        Millis(2_010),
+    );
+    limits.record_answer(&run, Some(rate(1.0)), Millis(2_100));
+    assert!(!limits.take(&run, Millis(2_110)));
+}
+
+/// A report about one target of a single entry.
+fn report_of(stated: Option<f64>, returned: u32, wanted: u32) -> LimitReport {
+    let run = run_of(1);
+    LimitReport {
+        entries: 0,
+        stated: Vec::from_iter(stated.map(|per_s| StatedRate {
+            run: run.clone(),
+            rate: Some(rate(per_s)),
+            age_ms: Millis(0),
+        })),
+        demands: vec![TokenDemand {
+            run,
+            returned,
+            wanted,
+        }],
+    }
+}
+
 #[test]
 fn a_control_takes_back_no_more_than_it_gave() {
     let mut table = RateLimitTable::default();
-    let mut limits = EntryRateLimits::default();
-    limits.record_answer(&run_of(1), Some(rate(1.0)), Millis(0));
+    let counts = EntryCounts {
+        reporting: 2,
+        in_view: 2,
+    };
+    table.exchange("honest", &report_of(Some(1.0), 0, 0), counts, Millis(0));
+    let mut given = 0;
+    for tick in 1..=50 {
+        let now = Millis(tick * 400);
+        let update = table.exchange("honest", &report_of(None, 0, 9), counts, now);
+        given += update.limits[0].tokens;
+        table.exchange("other", &report_of(None, 1_000, 1), counts, now);
+    }
+    assert!((10..=20).contains(&given), "{given} tokens in 20 s");
+}
+
+#[test]
+fn a_control_that_hears_of_a_lower_limit_drops_what_it_has_saved() {
+    let mut table = RateLimitTable::default();
     let counts = EntryCounts {
         reporting: 1,
         in_view: 1,
     };
-    for second in 1..=20 {
-        let now = Millis(second * 1_000);
-        limits.want(&run_of(1));
-        let mut report = limits.report(1, now);
-        for demand in &mut report.demands {
-            demand.returned = 1_000;
-            demand.wanted = 1_000;
+    for tick in 0..20 {
+        let report = report_of(Some(100.0), 0, 0);
+        table.exchange("entry", &report, counts, Millis(tick * 400));
+    }
+    let update = table.exchange("entry", &report_of(Some(1.0), 0, 99), counts, Millis(8_000));
+    assert!(update.limits[0].tokens <= 1, "{:?}", update.limits);
+}
+
+#[test]
+fn two_controls_save_no_more_together_than_one() {
+    let mut tables = [RateLimitTable::default(), RateLimitTable::default()];
+    let counts = EntryCounts {
+        reporting: 1,
+        in_view: 2,
+    };
+    for tick in 0..50 {
+        for table in &mut tables {
+            let report = report_of(Some(8.0), 0, 0);
+            table.exchange("entry", &report, counts, Millis(tick * 400));
         }
-        let update = table.exchange("entry", &report, counts, now);
-        let tokens = update.limits[0].tokens;
-        assert!(tokens <= 4, "{tokens} unspent tokens at a limit of 1/s");
     }
+    let asked = tables.iter_mut().map(|table| {
+        let update = table.exchange("entry", &report_of(None, 0, 99), counts, Millis(20_000));
+        update.limits[0].tokens
+    });
+    let given: u32 = asked.sum();
+    // Three, and what the limit allows in 1.5 s.
+    assert!((13..=15).contains(&given), "{given}");
 }
 
 fn limited(names: &[&str]) -> EntryRateLimits {
--- a/crates/mgw-route/tests/rate_limit_support/mod.rs
+++ b/crates/mgw-route/tests/rate_limit_support/mod.rs
@@ -213,10 +213,14 @@
         let Some((_, message)) = entry.in_flight.take_if(|(at, _)| *at <= self.now) else {
             return;
         };
+        let control = entry.control;
+        let reporting = self.entries.iter().filter(|it| it.control == control);
+        let reporting = reporting.count() as u32;
+        let entry = &mut self.entries[number];
         match (message, entry.control) {
             (Message::Report(report), Some(control)) => {
                 let counts = EntryCounts {
-                    reporting: self.size.entries as u32,
+                    reporting,
                     in_view: self.size.entries as u32,
                 };
                 let name = number.to_string();
