The metric of limited targets falls when such a target is gone

It was set only when a limit changed, so that it stayed above 0 after the last target with a limit had left. It is set with each update of the list of targets too.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -357,6 +357,7 @@
             .lock()
             .set_targets(plain, &self.settings.place);
         self.metrics.targets.set(to_gauge(targets.len() as u64));
+        self.update_limited_targets();
         self.apply_pauses();
     }
 
--- a/crates/mgw-relay/src/rate_limits.rs
+++ b/crates/mgw-relay/src/rate_limits.rs
@@ -70,6 +70,11 @@
             source,
             "rate limit of a target changed"
         );
+        self.update_limited_targets();
+    }
+
+    /// Sets the metric of targets with a limit.
+    pub fn update_limited_targets(&self) {
         let limited = i64::try_from(self.rate_limits.lock().len()).unwrap_or(i64::MAX);
         self.metrics.limited_targets.set(limited);
     }
