--- a/crates/mgw-route/src/quarantine/entry.rs
+++ b/crates/mgw-route/src/quarantine/entry.rs
@@ -26,16 +26,6 @@
 }
 
 impl EntryQuarantine {
-    /// Creates the quarantine of an entry that has just started.
-    #[must_use]
-    pub fn new(settings: QuarantineSettings) -> Self {
-        Self {
-            settings,
-            evidence: PartEvidence::new(settings),
-            ..Self::default()
-        }
-    }
-
     /// Whether a control has told which parts are quarantined since the entry started.
     #[must_use]
     pub const fn is_informed(&self) -> bool {
@@ -138,9 +128,8 @@
         if update.revision >= self.revision {
             self.revision = update.revision;
             let quarantined: BTreeSet<PromptPart> = update.quarantined.iter().copied().collect();
-            for lifted in self.quarantined.difference(&quarantined) {
-                self.evidence.record_sound(*lifted, now);
-            }
+            self.evidence
+                .clear_lifted(&self.quarantined, &quarantined, now);
             self.quarantined = quarantined;
         }
         let suspects = update.suspects.iter();
--- a/crates/mgw-route/src/quarantine/evidence.rs
+++ b/crates/mgw-route/src/quarantine/evidence.rs
@@ -168,6 +168,18 @@
         self.sound_streams += count;
     }
 
+    /// Clears the parts that an operator has taken out of the quarantine of the evidence so far.
+    pub(super) fn clear_lifted(
+        &mut self,
+        before: &BTreeSet<PromptPart>,
+        after: &BTreeSet<PromptPart>,
+        now: Millis,
+    ) {
+        for lifted in before.difference(after) {
+            self.record_sound(*lifted, now);
+        }
+    }
+
     /// Records that a stream with the part began then and went on.
     pub fn record_sound(&mut self, part: PromptPart, begun_at: Millis) {
         let sound_at = self.sound_at.entry(part).or_default();
--- a/crates/mgw-route/src/quarantine/table.rs
+++ b/crates/mgw-route/src/quarantine/table.rs
@@ -4,7 +4,7 @@
 
 use mgw_world::{Millis, PromptPart};
 
-use super::evidence::{PartEvidence, QuarantineSettings, TargetEnd};
+use super::evidence::{PartEvidence, TargetEnd};
 use super::report::{EvidenceReport, QuarantineUpdate};
 use crate::chain::report_interval_ms;
 
@@ -30,15 +30,6 @@
 }
 
 impl QuarantineTable {
-    /// Creates a table without evidence.
-    #[must_use]
-    pub fn new(settings: QuarantineSettings) -> Self {
-        Self {
-            evidence: PartEvidence::new(settings),
-            ..Self::default()
-        }
-    }
-
     /// Takes the list of quarantined parts that the controls have committed. Parts that were lifted
     /// since are cleared of the evidence so far.
     pub fn set_quarantined(
@@ -52,9 +43,8 @@
         }
         self.revision = revision;
         let quarantined: BTreeSet<PromptPart> = quarantined.collect();
-        for lifted in self.quarantined.difference(&quarantined) {
-            self.evidence.record_sound(*lifted, now);
-        }
+        self.evidence
+            .clear_lifted(&self.quarantined, &quarantined, now);
         self.quarantined = quarantined;
     }
 
