--- a/crates/mgw-contract/src/operator.rs
+++ b/crates/mgw-contract/src/operator.rs
@@ -288,8 +288,8 @@
 pub struct LimitsReply {
     /// The control that answers.
     pub node: NodeName,
-    /// Number of entries that report to it. All report to the live control with the lowest address, so the
-    /// others know no limits.
+    /// Number of entries that report to it. All report to the live control with the lowest address,
+    /// so the others know no limits.
     pub reporting_entries: u32,
     /// The limits in force, in order of the targets' names.
     pub limits: Vec<LimitStatus>,
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -73,8 +73,8 @@
     pub unreadable_limits: Mutex<HashSet<TargetRun>>,
     /// Parts of prompts that are kept from targets.
     pub quarantine: Mutex<EntryQuarantine>,
-    /// Notified when a target has ended under a request or has changed its rate limit, so that a control is told
-    /// at once.
+    /// Notified when a target has ended under a request or has changed its rate limit, so that a
+    /// control is told at once.
     pub report_due: Notify,
     /// Targets that are being probed, with the sends that wait for the outcome.
     pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
--- a/crates/mgw-relay/src/rate_limits.rs
+++ b/crates/mgw-relay/src/rate_limits.rs
@@ -1,5 +1,5 @@
-//! Rate limits that targets state: what this entry has heard of them, its tokens, and the requests that it
-//! refuses for want of one.
+//! Rate limits that targets state: what this entry has heard of them, its tokens, and the requests
+//! that it refuses for want of one.
 
 use mgw_peer::{EntryReport, OthersReport};
 use mgw_route::{ChainRouter, LimitChange, RequestRate, TargetRun};
@@ -79,7 +79,8 @@
         self.metrics.limited_targets.set(limited);
     }
 
-    /// Logs a limit that can't be read once for each run of a target; what was known of it stays in force.
+    /// Logs a limit that can't be read once for each run of a target; what was known of it stays in
+    /// force.
     fn log_unreadable_limit(&self, target: &TargetRun) {
         if self.unreadable_limits.lock().insert(target.clone()) {
             warn!(
--- a/crates/mgw-route/src/chain/limited.rs
+++ b/crates/mgw-route/src/chain/limited.rs
@@ -1,5 +1,5 @@
-//! Choice of chains where targets have rate limits. The target that begins a request gets it from the entry;
-//! those that it passes through don't, so only the first target's limit counts.
+//! Choice of chains where targets have rate limits. The target that begins a request gets it from
+//! the entry; those that it passes through don't, so only the first target's limit counts.
 
 use mgw_world::Millis;
 
@@ -8,8 +8,8 @@
 use crate::rate_limit::{EntryRateLimits, RequestRate};
 
 impl ChainRouter {
-    /// Chooses a chain whose first target has no rate limit, or one of which this entry holds a token, and
-    /// spends the token. Targets to avoid are used if the others don't do.
+    /// Chooses a chain whose first target has no rate limit, or one of which this entry holds a
+    /// token, and spends the token. Targets to avoid are used if the others don't do.
     ///
     /// # Errors
     /// As [`ChainRouter::choose`], and if only rate limits stand against all chains.
--- a/crates/mgw-route/src/rate_limit/entry.rs
+++ b/crates/mgw-route/src/rate_limit/entry.rs
@@ -13,8 +13,8 @@
 const END_SLACK_MS: Millis = Millis(500);
 /// How long an ended limit is remembered that no control tells any more.
 const REMEMBER_ENDED_MS: Millis = Millis(30_000);
-/// Part of the demand for a target that counts on from one report to the next, so that an entry with few requests
-/// asks for a token before the next one comes.
+/// Part of the demand for a target that counts on from one report to the next, so that an entry
+/// with few requests asks for a token before the next one comes.
 const DEMAND_KEPT: f64 = 0.7;
 /// Least demand for which a token is asked.
 const MIN_DEMAND: f64 = 0.1;
@@ -100,9 +100,9 @@
     pub age_ms: Millis,
 }
 
-/// The rate limits of targets as one entry keeps them. It sends a request to a target with a limit only for
-/// a token of the control that collects the entries' reports. Without one it sends nothing there, so that
-/// the sum over all entries is kept whatever an entry or a control doesn't know.
+/// The rate limits of targets as one entry keeps them. It sends a request to a target with a limit
+/// only for a token of the control that collects the entries' reports. Without one it sends nothing
+/// there, so that the sum over all entries is kept whatever an entry or a control doesn't know.
 #[derive(Debug, Clone, Default)]
 pub struct EntryRateLimits {
     targets: HashMap<TargetName, KnownLimit>,
@@ -303,7 +303,8 @@
         })
     }
 
-    /// Drops targets that weren't listed for long, and limits that have ended and that the control knows of.
+    /// Drops targets that weren't listed for long, and limits that have ended and that the control
+    /// knows of.
     pub fn expire<'a>(&mut self, listed: impl Iterator<Item = &'a TargetRun>, now: Millis) {
         let listed: HashSet<&TargetName> = listed.map(|run| &run.name).collect();
         self.targets.retain(|name, known| {
--- a/crates/mgw-route/src/rate_limit/returns.rs
+++ b/crates/mgw-route/src/rate_limit/returns.rs
@@ -21,7 +21,8 @@
 }
 
 impl ReturnTimes {
-    /// Time after which a refused request may return, where this entry may send `per_s` requests a second.
+    /// Time after which a refused request may return, where this entry may send `per_s` requests a
+    /// second.
     pub fn next_ms(&mut self, urgency: u8, per_s: f64, now: Millis) -> Millis {
         let urgency = usize::from(urgency).min(URGENCIES - 1);
         let slot_ms = Millis((1_000.0 / per_s.max(f64::MIN_POSITIVE)).ceil() as u64);
--- a/crates/mgw-route/src/rate_limit/table.rs
+++ b/crates/mgw-route/src/rate_limit/table.rs
@@ -12,10 +12,10 @@
 /// Rate at which tokens are given for a target that takes less: somebody has to ask it from time to time
 /// whether its limit still holds.
 const MIN_PER_S: f64 = 0.1;
-/// Most unspent tokens of a target, at the controls and at all entries together: so many ...
+/// Most unspent tokens of a target, at the controls and at all entries together, beside those of
+/// [`MAX_UNSPENT_MS`]. A target may get all of them at once.
 const MAX_UNSPENT: f64 = 3.0;
-/// ... and what the limit allows in this time. A target may get all of them at once, beside what the limit allows
-/// meanwhile.
+/// Span for which unspent tokens are saved: as many as the limit allows in it.
 const MAX_UNSPENT_MS: Millis = Millis(1_500);
 /// Report intervals after which unspent tokens are void: the next report may be late.
 const VALID_INTERVALS: u64 = 2;
@@ -64,8 +64,8 @@
         counts.sum()
     }
 
-    /// Adds what the limit allowed since the last time. Unspent tokens beyond this control's part of a small number
-    /// are lost.
+    /// Adds what the limit allowed since the last time. Unspent tokens beyond this control's part
+    /// of a small number are lost.
     fn earn(&mut self, covered_ms: f64, reporting_share: f64) {
         let earned = self.per_s() * (covered_ms - self.earned_until_ms) / 1_000.0;
         self.earned_until_ms = covered_ms;
@@ -128,9 +128,10 @@
 
 /// The limits of targets and their tokens, kept in memory by the control that collects the reports.
 ///
-/// Each report of an entry earns that entry's equal share of each limit for the time since its last report here, and
-/// the shares are pooled. Two controls that each hear a part of the entries therefore give out no more together
-/// than one that hears all of them, and a control that takes over may begin at once.
+/// Each report of an entry earns that entry's equal share of each limit for the time since its last
+/// report here, and the shares are pooled. Two controls that each hear a part of the entries
+/// therefore give out no more together than one that hears all of them, and a control that takes
+/// over may begin at once.
 #[derive(Debug, Clone, Default)]
 pub struct RateLimitTable {
     targets: BTreeMap<TargetName, SharedLimit>,
@@ -152,8 +153,8 @@
 impl RateLimitTable {
     /// Takes an entry's report and returns what the entry is to know.
     ///
-    /// The limits are shared among as many entries as anyone knows of: too high a number leaves a part of the limits
-    /// unused, too low a one breaks them.
+    /// The limits are shared among as many entries as anyone knows of: too high a number leaves a
+    /// part of the limits unused, too low a one breaks them.
     pub fn exchange(
         &mut self,
         entry: &str,
@@ -214,8 +215,8 @@
         listed.collect()
     }
 
-    /// Counts the time since the entry's last report. A report that was late counts as one in time, as the
-    /// entry may have reported to another control meanwhile.
+    /// Counts the time since the entry's last report. A report that was late counts as one in time,
+    /// as the entry may have reported to another control meanwhile.
     fn cover(&mut self, entry: &str, entries: u32, interval_ms: Millis, now: Millis) {
         let previous = self.reported_at.insert(entry.to_owned(), now);
         let since_ms = previous.map_or(Millis::ZERO, |at| now - at);
--- a/crates/mgw-route/tests/rate_limit.rs
+++ b/crates/mgw-route/tests/rate_limit.rs
@@ -30,8 +30,8 @@
     RequestRate::from_per_s(per_s).unwrap()
 }
 
-/// Plays a script at each size, with a target that states a limit from [`STATED_AT`] on; the limit has to be kept from
-/// the time at which it has settled.
+/// Plays a script at each size, with a target that states a limit from [`STATED_AT`] on; the limit
+/// has to be kept from the time at which it has settled.
 fn at_each_size(per_s: f64, script: impl Fn(&mut Play)) {
     for size in SIZES {
         let mut play = Play::new(size, 1);
--- a/crates/mgw-route/tests/rate_limit_support/mod.rs
+++ b/crates/mgw-route/tests/rate_limit_support/mod.rs
@@ -1,5 +1,5 @@
-//! Entries, two controls and one target with a rate limit in logical time. Entries report as often as they do in
-//! operation; messages and answers take time.
+//! Entries, two controls and one target with a rate limit in logical time. Entries report as often
+//! as they do in operation; messages and answers take time.
 #![allow(dead_code, reason = "each test uses a part")]
 
 use std::collections::VecDeque;
