One check whether an entry is starting, limits looked through once for each choice, a report built in one place

Found when the whole change was read again: knows_limits repeated the check of knows_quarantine, choose_within_limits looked through all limits twice, and own_report filled one field by a call of its own.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -198,6 +198,12 @@
         knows_routing && knows_targets && self.knows_quarantine() && !self.is_leaving()
     }
 
+    /// Whether the process may not have heard from a control yet.
+    #[must_use]
+    pub fn is_starting(&self) -> bool {
+        self.clock.now() < self.wait_limits.startup_ms
+    }
+
     /// Whether the process was asked to end.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/mgw-relay/src/follow/load_exchange.rs
+++ b/crates/mgw-relay/src/follow/load_exchange.rs
@@ -67,13 +67,12 @@
 }
 
 fn own_report(app: &App, now: Millis) -> EntryReport {
-    let mut report = EntryReport {
+    EntryReport {
         load: app.own_load(),
         evidence: app.quarantine.lock().report(now),
-        ..EntryReport::default()
-    };
-    app.report_limits(&mut report, now);
-    report
+        // Until the control's update the entry has no tokens.
+        limits: app.rate_limits.lock().report(app.entries(), now),
+    }
 }
 
 fn apply_report(app: &App, others: &OthersReport, asked_at: Millis) {
--- a/crates/mgw-relay/src/quarantine.rs
+++ b/crates/mgw-relay/src/quarantine.rs
@@ -22,8 +22,7 @@
     /// without that after a while.
     #[must_use]
     pub fn knows_quarantine(&self) -> bool {
-        let is_starting = self.clock.now() < self.wait_limits.startup_ms;
-        !is_starting || self.quarantine.lock().is_informed()
+        !self.is_starting() || self.quarantine.lock().is_informed()
     }
 
     /// The first of the parts that is quarantined.
--- a/crates/mgw-relay/src/rate_limits.rs
+++ b/crates/mgw-relay/src/rate_limits.rs
@@ -1,7 +1,7 @@
 //! Rate limits that targets state: what this entry has heard of them, its tokens, and the requests
 //! that it refuses for want of one.
 
-use mgw_peer::{EntryReport, OthersReport};
+use mgw_peer::OthersReport;
 use mgw_route::{ChainRouter, LimitChange, RequestRate, TargetRun};
 use mgw_world::{Millis, ServiceName};
 use tracing::{info, warn};
@@ -14,8 +14,7 @@
     /// without that after a while.
     #[must_use]
     pub fn knows_limits(&self) -> bool {
-        let is_starting = self.clock.now() < self.wait_limits.startup_ms;
-        !is_starting || self.rate_limits.lock().is_informed()
+        !self.is_starting() || self.rate_limits.lock().is_informed()
     }
 
     /// Records what an answer of a target tells of its rate limit.
@@ -40,11 +39,6 @@
         }
     }
 
-    /// Adds the rate limits to this entry's report. Until the control's update the entry has no tokens.
-    pub fn report_limits(&self, report: &mut EntryReport, now: Millis) {
-        report.limits = self.rate_limits.lock().report(self.entries(), now);
-    }
-
     /// Applies what the control told on the report of `asked_at`.
     pub fn apply_limits(&self, others: &OthersReport, asked_at: Millis) {
         let now = self.clock.now();
--- a/crates/mgw-route/src/chain/limited.rs
+++ b/crates/mgw-route/src/chain/limited.rs
@@ -19,11 +19,12 @@
         limits: &mut EntryRateLimits,
         now: Millis,
     ) -> Result<Chain, NoChain> {
-        if !limits.is_empty() {
+        let has_limits = !limits.is_empty();
+        if has_limits {
             self.want_preferred(request, limits, now);
         }
         let within_limits = ChainRequest {
-            limits: (!limits.is_empty()).then_some(&*limits),
+            limits: has_limits.then_some(&*limits),
             ..*request
         };
         let mut chosen = self.choose(&within_limits, now);
