Logs tell which calls are the same request, and whether a target's process ended under one

Callers saw calls fail one after the other; the logs named attempts, each with an id of its own, so nothing told whether one request had ended the targets (hypothesis 1), load had (2), or nothing that was sent (3). After a broken connection the target is connected to once more; a log line and mgw_relay_broken_sends_total tell whether its process ended, listens or is silent. No choice depends on either.

Not measured: the cost of digests; they are computed for failed calls only.

--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request and finds its route.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -9,12 +9,12 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
 use mgw_routing::{KeyedWorkspace, NoRoute, Route, RouteTable, Split};
-use mgw_world::{Millis, RoutingVersion, ServiceName, WorkspaceName};
+use mgw_world::{Millis, RequestDigest, RoutingVersion, ServiceName, WorkspaceName};
 use rand::Rng;
 use tokio::time::timeout;
 use tracing::info;
 
-use super::Refusal;
+use super::{Refusal, RequestIdentity};
 use crate::app::App;
 use crate::dialect::CallerHead;
 
@@ -38,6 +38,8 @@
     pub urgency: u8,
     /// HTTP method.
     pub method: Method,
+    /// Host that the caller named.
+    pub host: String,
     /// Path and query.
     pub path: String,
     /// Header fields of the request.
@@ -48,6 +50,7 @@
     pub arrived_at: Millis,
     /// Deadline of the caller or timeout of the route, whichever is first.
     pub ends_at: Millis,
+    digest: OnceLock<RequestDigest>,
 }
 
 impl Call {
@@ -84,6 +87,7 @@
             workspace: workspace.map(|it| it.name.clone()),
             routing: routing.version(),
             route: route.clone(),
+            host: host_of(&parts).to_owned(),
             method: parts.method,
             path: path.map_or("/", |path| path.as_str()).to_owned(),
             headers: parts.headers,
@@ -91,8 +95,22 @@
             arrived_at,
             ends_at: arrived_at + time_ms,
             head,
+            digest: OnceLock::new(),
         })
     }
+
+    /// Digest of the request, the same in each attempt of its caller; computed when it is first needed.
+    #[must_use]
+    pub fn digest(&self) -> RequestDigest {
+        let identity = RequestIdentity {
+            method: &self.method,
+            host: &self.host,
+            path: &self.path,
+            workspace: self.workspace.as_ref(),
+            body: &self.body,
+        };
+        *self.digest.get_or_init(|| identity.digest())
+    }
 }
 
 /// Waits for a routing document. If the request has no route or workspace in it while a control has a
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -24,6 +24,8 @@
     pub exclusions: IntCounterVec,
     /// Probes of engines that brought no report, by failure.
     pub failed_probes: IntCounterVec,
+    /// Calls whose connection to the target broke, by what a probe of the target found.
+    pub broken_sends: IntCounterVec,
     /// Targets with a rate limit.
     pub limited_targets: IntGauge,
     /// Sends to targets with a rate limit.
@@ -91,6 +93,13 @@
                 ),
                 &["failure"],
             )?,
+            broken_sends: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_broken_sends_total",
+                    "Calls whose connection to the target broke, by what a probe of the target found.",
+                ),
+                &["target"],
+            )?,
             limited_targets: IntGauge::new(
                 "mgw_relay_limited_targets",
                 "Targets with a rate limit.",
@@ -132,6 +141,7 @@
         registry.register(Box::new(metrics.whole_answer.clone()))?;
         registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.failed_probes.clone()))?;
+        registry.register(Box::new(metrics.broken_sends.clone()))?;
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
         registry.register(Box::new(metrics.limited_refusals.clone()))?;
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -15,7 +15,9 @@
 use crate::callers::{Call, Refusal, RelayBody, full_body};
 use crate::dialect::TargetHead;
 use crate::request_sends::{RequestSends, SendOutcome, says_not_run};
-use crate::targets::{NoTarget, OutboundRequest, PlainReservation, SendFailure, send};
+use crate::targets::{
+    NoTarget, OutboundRequest, PlainReservation, SendFailure, probe_plain_after_break, send,
+};
 
 /// Least time that a target gets to answer an idempotent call before another one is tried.
 const MIN_SEND_TIMEOUT_MS: Millis = Millis(250);
@@ -101,6 +103,7 @@
 fn log_failure(call: &Call, refusal: &Refusal, sends: u32, ms: u64) {
     warn!(
         id = %call.head.id,
+        request = %call.digest(),
         route = %call.route.name,
         routing = %call.routing,
         service = %call.service,
@@ -140,6 +143,7 @@
             app.count_first_send(&call.service);
         }
         avoid.push(target.reservation.run.name.clone());
+        let sent_at = app.clock.now();
         match send_once(app, call, &target.reservation, sends).await {
             SendResult::Answered(full) => return Ok(full),
             SendResult::Failed(full) => {
@@ -155,11 +159,15 @@
                     .inc();
                 warn!(
                     id = %call.head.id,
+                    request = %call.digest(),
                     target_name = %target.reservation.run.name,
                     end = %outcome,
                     cause,
                     "target gave no answer to a call"
                 );
+                if outcome == SendOutcome::TargetLost {
+                    probe_plain_after_break(app, &target.reservation, call.digest(), sent_at);
+                }
             }
         }
     }
@@ -250,7 +258,7 @@
             return SendResult::NoAnswer(SendOutcome::NotSent, "no connection");
         }
         Err(SendFailure::Broken) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "connection broke");
+            return SendResult::NoAnswer(SendOutcome::TargetLost, "connection broke");
         }
         Err(SendFailure::Late) => {
             return SendResult::NoAnswer(SendOutcome::Unknown, "no answer in time");
@@ -266,7 +274,7 @@
     let body = match timeout(left, read_answer(answer.body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "answer broke off or is too long");
+            return SendResult::NoAnswer(SendOutcome::TargetLost, "answer broke off or is too long");
         }
         Err(_) => return SendResult::NoAnswer(SendOutcome::Unknown, "answer not whole in time"),
     };
--- a/crates/mgw-world/src/lib.rs
+++ b/crates/mgw-world/src/lib.rs
@@ -8,6 +8,7 @@
 mod names;
 mod objects;
 mod pipeline;
+mod quarantine;
 mod request;
 mod versions;
 
@@ -22,5 +23,6 @@
     Vm, Workspace,
 };
 pub use pipeline::{Accelerator, PipelineModel};
+pub use quarantine::{ParseDigestError, RequestDigest};
 pub use request::{Attempt, ParseRequestIdError, Position, PromptPart, RequestId};
 pub use versions::{FenceNumber, Incarnation, Revision, RoutingVersion};
