Tests that fail: calls and streams that end each target which runs them go on reaching targets

Over sockets, three entries and one control: a request comes at the entries in turn, each 150 ms under another id, and its target ends 30 ms after it began; sound requests beside it. Later than 3 s after the third end it reached targets 30 times (three targets of a plain service; idempotent and non-idempotent, 49 targets ended each) and 54 times (a stream without parts, ten targets, 84 ended), where three are allowed.

--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -274,7 +274,10 @@
     let body = match timeout(left, read_answer(answer.body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
-            return SendResult::NoAnswer(SendOutcome::TargetLost, "answer broke off or is too long");
+            return SendResult::NoAnswer(
+                SendOutcome::TargetLost,
+                "answer broke off or is too long",
+            );
         }
         Err(_) => return SendResult::NoAnswer(SendOutcome::Unknown, "answer not whole in time"),
     };
--- a/crates/mgw-relay/tests/support/fleet.rs
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -42,6 +42,8 @@
 
 /// A part of prompts that ends each engine which begins to answer a request with it.
 pub const HARMFUL_PART: &str = "bad";
+/// End of the path of a request that ends each target which begins to run it.
+pub const HARMFUL_PATH: &str = "harmful";
 /// The first part of all prompts.
 pub const SHARED_PART: &str = "a";
 const OPERATOR: &str = "ana";
@@ -58,7 +60,7 @@
 /// What engines have seen.
 #[derive(Debug, Default)]
 pub struct Seen {
-    /// When a request with the harmful part reached an engine.
+    /// When a harmful request reached an engine.
     pub reached: Vec<Instant>,
     /// When an engine ended under such a request.
     pub ends: Vec<Instant>,
@@ -202,24 +204,23 @@
         request: &Request<Incoming>,
         ended: &CancellationToken,
     ) -> Response<Body> {
-        let header = |name| request.headers()[name].to_str().unwrap().to_owned();
-        let id = HeaderValue::from_str(&header(names::ID)).unwrap();
-        if self.is_plain {
-            let mut response = Response::new(Full::from("answer").boxed_unsync());
-            response.headers_mut().insert(names::ID, id);
-            return response;
-        }
-        let is_harmful = header(names::PARTS)
-            .split(',')
-            .any(|part| part == HARMFUL_PART);
+        let is_harmful = is_harmful(request);
         if is_harmful {
             self.seen.lock().reached.push(Instant::now());
         }
-        sleep(READING).await;
+        if is_harmful || !self.is_plain {
+            sleep(READING).await;
+        }
         if is_harmful {
             self.seen.lock().ends.push(Instant::now());
             ended.cancel();
         }
+        let id = request.headers()[names::ID].clone();
+        if self.is_plain {
+            let mut response = Response::new(Full::from("answer").boxed_unsync());
+            response.headers_mut().insert(names::ID, id);
+            return response;
+        }
         let events = unfold(1, |number| async move {
             sleep(EVENT_PAUSE).await;
             (number <= EVENTS).then(|| (Ok(Frame::data(event(number).into())), number + 1))
@@ -230,6 +231,14 @@
     }
 }
 
+/// Whether a request ends the targets that begin to run it.
+fn is_harmful(request: &Request<Incoming>) -> bool {
+    let parts = request.headers().get(names::PARTS);
+    let parts = parts.map_or("", |parts| parts.to_str().unwrap());
+    let has_harmful_part = parts.split(',').any(|part| part == HARMFUL_PART);
+    has_harmful_part || request.uri().path().ends_with(HARMFUL_PATH)
+}
+
 /// Relays and engines with one control.
 pub struct Fleet {
     pub relays: Vec<Relay>,
@@ -299,7 +308,12 @@
 
     /// Sends a plain request.
     pub async fn call_plain(&self, entry: usize, id: &str) -> Answer {
-        call(self.entries[entry], request(id, "/read/x")).await
+        self.call_path(entry, id, "/read/x").await
+    }
+
+    /// Sends a request without body to this path.
+    pub async fn call_path(&self, entry: usize, id: &str, path: &str) -> Answer {
+        call(self.entries[entry], request(id, path)).await
     }
 
     /// Sends a stream request whose prompt consists of these parts and one of its own.
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -45,7 +45,7 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use control_front::{ControlFront, FrontState};
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use fleet::{Engine, Fleet, FleetSettings, HARMFUL_PART, SHARED_PART};
+pub use fleet::{Engine, Fleet, FleetSettings, HARMFUL_PART, HARMFUL_PATH, SHARED_PART};
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
