Stand-in: a target that ends under a plain call gives no answer

Its answer left in the same turn in which the target ended, so that the caller of the harmful call got a whole answer from a target that then ended. The users' targets give none.

--- a/crates/mgw-relay/tests/support/fleet.rs
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -214,6 +215,7 @@
         if is_harmful {
             self.seen.lock().ends.push(Instant::now());
             ended.cancel();
+            return pending().await;
         }
         let id = request.headers()[names::ID].clone();
         if self.is_plain {
