A sound stream of long ago no longer takes the ground from a verdict each time that it is reported

Found when reading for the same cause elsewhere: entries report the last sound stream with each part under suspicion with every report. Each of these reports set the count of other streams back to zero, although it cleared no end. A part that had been sound before its first end, as after a new release of the weights, could therefore never gather the contrast that a verdict needs, and would have gone on ending targets. Now only a sound stream that clears an end starts the count anew. a_sound_stream_before_the_ends_doesnt_clear_a_part_each_time_that_it_is_reported fails without the change.

--- a/crates/mgw-route/src/quarantine/evidence.rs
+++ b/crates/mgw-route/src/quarantine/evidence.rs
@@ -133,7 +133,9 @@
         let Some(suspicion) = self.suspicions.get_mut(&subject) else {
             return;
         };
-        suspicion.clear_until(begun_at);
+        if !suspicion.clear_until(begun_at) {
+            return;
+        }
         suspicion.is_harmful = false;
         suspicion.streams_before = self.sound_streams;
         if suspicion.ends.is_empty() {
--- a/crates/mgw-route/tests/quarantined_requests.rs
+++ b/crates/mgw-route/tests/quarantined_requests.rs
@@ -401,6 +401,21 @@
         evidence.expire(Millis(86_400_000));
         assert!(evidence.is_harmful(PART));
     }
+
+    /// Entries report the same sound stream of long ago again and again.
+    #[test]
+    fn a_sound_stream_before_the_ends_doesnt_clear_a_part_each_time_that_it_is_reported() {
+        let mut evidence = Evidence::default();
+        evidence.record_sound(PART, Millis(10));
+        for number in 0..5 {
+            let times = end(1_000 + number * 300, 1_200 + number * 300);
+            evidence.record_end(PART, &run(number), times);
+            evidence.count_sound_streams(10);
+            evidence.record_sound(PART, Millis(10));
+        }
+        evidence.judge(SETTLED, |_| false, Millis(10_000));
+        assert!(evidence.is_harmful(PART));
+    }
 }
 
 /// The first part of the harmful stream is in sound streams of the same caller too.
