A trial that was granted lasts over further updates, and is asked for until a control answers

A sound request that had shared three ends would have been tried only if it came between two updates. a_trial_is_asked_for_until_a_control_answers_and_lasts_for_one_send fails without the change. Targets are no longer listed at each change of the view when no send waits for a successor.

--- a/crates/mgw-relay/src/quarantine.rs
+++ b/crates/mgw-relay/src/quarantine.rs
@@ -71,11 +71,13 @@
 
     /// Records the ends of targets at whose address another process serves now.
     pub fn resolve_sends_by_successors(&self, targets: &[Target]) {
+        let mut unresolved = self.unresolved_sends.lock();
+        if unresolved.is_empty() {
+            return;
+        }
         let runs: Vec<TargetRun> = targets.iter().map(TargetRun::from).collect();
         let addresses = targets.iter().map(|target| target.address);
-        let now = self.clock.now();
-        let mut unresolved = self.unresolved_sends.lock();
-        let ended = unresolved.resolve(addresses.zip(&runs), now);
+        let ended = unresolved.resolve(addresses.zip(&runs), self.clock.now());
         drop(unresolved);
         for (run, send) in ended {
             self.record_target_end(&run, &send);
--- a/crates/mgw-route/src/quarantine/entry.rs
+++ b/crates/mgw-route/src/quarantine/entry.rs
@@ -28,6 +28,7 @@
     quarantined: BTreeSet<Subject>,
     suspects: HashMap<Subject, Suspect>,
     updated_at: Option<Millis>,
+    /// Quarantined requests that callers have sent since a control last answered.
     wanted: BTreeSet<Subject>,
     /// Until when a quarantined request may be sent to a target once.
     trials: HashMap<Subject, Millis>,
@@ -166,7 +167,7 @@
             ends,
             sound: sound.collect(),
             sound_streams: self.evidence.sound_streams(),
-            wanted: std::mem::take(&mut self.wanted).into_iter().collect(),
+            wanted: self.wanted.iter().copied().collect(),
         }
     }
 
@@ -208,8 +209,11 @@
             self.evidence
                 .record_sound(sound.subject, now - sound.begun_age_ms);
         }
+        self.wanted.clear();
+        self.trials.retain(|_, until| now <= *until);
         let trials = update.trials.iter();
-        self.trials = trials.map(|it| (*it, now + TRIAL_VALID_MS)).collect();
+        self.trials
+            .extend(trials.map(|it| (*it, now + TRIAL_VALID_MS)));
         self.suspects = kept.into_iter().collect();
         let told = update.suspects.iter().map(|it| (it.subject, *it));
         self.suspects.extend(told);
--- a/crates/mgw-route/src/quarantine/report.rs
+++ b/crates/mgw-route/src/quarantine/report.rs
@@ -15,7 +15,7 @@
     pub sound: Vec<SoundSubject>,
     /// Number of sound streams since the entry started.
     pub sound_streams: u64,
-    /// Quarantined requests that callers have sent since the last report.
+    /// Quarantined requests that callers have sent since a control last answered.
     pub wanted: Vec<Subject>,
 }
 
--- a/crates/mgw-route/src/quarantine/unresolved.rs
+++ b/crates/mgw-route/src/quarantine/unresolved.rs
@@ -45,6 +45,12 @@
         self.sends.push(UnresolvedSend { address, run, send });
     }
 
+    /// Whether no send is remembered.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.sends.is_empty()
+    }
+
     /// Takes the sends whose target has ended, as a later run now has its address.
     pub fn resolve<'a>(
         &mut self,
@@ -53,9 +59,6 @@
     ) -> Vec<(TargetRun, BrokenSend)> {
         self.sends
             .retain(|it| now - it.send.times.ended_at <= VALID_MS);
-        if self.sends.is_empty() {
-            return Vec::new();
-        }
         let targets: Vec<_> = targets.collect();
         let has_ended = |it: &mut UnresolvedSend| {
             targets.iter().any(|(address, run)| {
--- a/crates/mgw-route/tests/quarantined_requests.rs
+++ b/crates/mgw-route/tests/quarantined_requests.rs
@@ -326,6 +326,32 @@
     assert_eq!(entry.find_quarantined(&[REQUEST], now), None);
 }
 
+/// Reports may be copied to other controls, and further updates follow before the request comes again.
+#[test]
+fn a_trial_is_asked_for_until_a_control_answers_and_lasts_for_one_send() {
+    let mut table = QuarantineTable::default();
+    let mut entry = EntryQuarantine::default();
+    for number in 0..3 {
+        let times = end(number * 200, number * 200 + 60);
+        entry.record_end(&[REQUEST], &run(number), times);
+    }
+    let exchange = |entry: &mut EntryQuarantine, table: &mut QuarantineTable, now| {
+        let update = table.exchange("entry", &entry.report(now), now);
+        entry.update(&update, now);
+    };
+    for at in [1_000, 3_000, 5_000] {
+        exchange(&mut entry, &mut table, Millis(at));
+    }
+    let now = Millis(5_100);
+    assert_eq!(entry.admit(&[REQUEST], now), Err(REQUEST));
+    let copied = entry.report(now);
+    assert_eq!(copied.wanted, [REQUEST]);
+    exchange(&mut entry, &mut table, now);
+    exchange(&mut entry, &mut table, Millis(5_500));
+    assert_eq!(entry.admit(&[REQUEST], Millis(6_000)), Ok(()));
+    assert_eq!(entry.admit(&[REQUEST], Millis(6_010)), Err(REQUEST));
+}
+
 /// A target that loses power refuses nothing; the next one at its address shows that it has ended.
 #[test]
 fn the_end_of_a_silent_target_is_shown_by_its_successor() {
