--- a/crates/mgw-route/tests/quarantined_requests.rs
+++ b/crates/mgw-route/tests/quarantined_requests.rs
@@ -326,6 +326,50 @@
     assert_eq!(entry.find_quarantined(&[REQUEST], now), None);
 }
 
+/// An entry that hears controls needn't wait for their word after three ends of its own, and the word is
+/// committed only once other entries can have told what speaks for the request.
+#[test]
+fn three_ends_at_one_entry_suffice_there_and_are_committed_later() {
+    let mut table = QuarantineTable::default();
+    let mut entry = EntryQuarantine::default();
+    let mut now = Millis(1_000);
+    let update = table.exchange("entry", &entry.report(now), now);
+    entry.update(&update, now);
+    for number in 0..3 {
+        let times = end(1_000 + number * 20, 1_010 + number * 20);
+        entry.record_end(&[REQUEST], &run(number), times);
+    }
+    now = Millis(1_100);
+    assert_eq!(entry.find_quarantined(&[REQUEST], now), Some(REQUEST));
+    let update = table.exchange("entry", &entry.report(now), now);
+    assert!(update.suspects[0].is_harmful);
+    assert_eq!(update.to_commit().count(), 0);
+    now = Millis(2_500);
+    let update = table.exchange("entry", &entry.report(now), now);
+    assert_eq!(update.to_commit().count(), 1);
+}
+
+/// A control that takes another one's place may not have all evidence yet.
+#[test]
+fn a_substitute_doesnt_take_back_what_the_collecting_control_told() {
+    let now = Millis(1_000);
+    let mut table = QuarantineTable::default();
+    let mut reporting = EntryQuarantine::default();
+    for number in 0..3 {
+        let times = end(number * 200, number * 200 + 60);
+        reporting.record_end(&[REQUEST], &run(number), times);
+    }
+    table.exchange("reporting", &reporting.report(now), now);
+    let mut entry = EntryQuarantine::default();
+    let update = table.exchange("entry", &entry.report(now), now);
+    assert_eq!(entry.update(&update, now).added, [REQUEST]);
+    let mut substitute = QuarantineTable::default();
+    let update = substitute.exchange("entry", &entry.report(now), now);
+    let change = entry.update_by_substitute(&update, now);
+    assert_eq!((change.added, change.lifted), (Vec::new(), Vec::new()));
+    assert_eq!(entry.find_quarantined(&[REQUEST], now), Some(REQUEST));
+}
+
 /// Reports may be copied to other controls, and further updates follow before the request comes again.
 #[test]
 fn a_trial_is_asked_for_until_a_control_answers_and_lasts_for_one_send() {
