--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 # TROUBLE=0: the same requests, which crash no worker.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/poison ] && [ -x target/release/mgw-platform-control ] || exit 2
-target/review/poison review/3/record.txt "${TROUBLE:-1}"
+target/review/poison review/3/record.txt "${TROUBLE:-1}" 2 8 200
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -1,5 +1,8 @@
-//! Case 3: a part of prompts crashes each worker that begins to write an answer on it. Simulates the
+//! Cases 3 and 5: a part of prompts crashes each worker that begins to write an answer on it. Simulates the
 //! workers of a model, callers with sound and with harmful requests, and the operator.
+//!
+//! Arguments: the record, `0` for no trouble, the number of events that a worker has written when it crashes,
+//! the number of callers with sound requests, and the pause of a caller between two requests in milliseconds.
 
 #[path = "system.rs"]
 mod system;
@@ -21,8 +24,6 @@
 const EVENTS: u64 = 20;
 /// Time between two events of a stream.
 const EVENT_MS: u64 = 25;
-/// Events that a worker has written when it crashes: it has just begun.
-const EVENTS_BEFORE_CRASH: u64 = 2;
 /// Time after which a crashed worker is back.
 const BACK_MS: u64 = 3_000;
 /// `stabilityWindowMs` of the settings.
@@ -58,7 +59,8 @@
     instance: Mutex<Instance>,
     seen: Arc<Mutex<Seen>>,
     record: Record,
-    has_trouble: bool,
+    /// Events that are written before a crash; none if nothing crashes.
+    crash_after: Option<u64>,
     next_connection: AtomicU64,
 }
 
@@ -223,7 +225,7 @@
         let last = header(head, "last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         for number in last + 1..=EVENTS {
             sleep_ms(EVENT_MS);
-            if is_harmful && self.has_trouble && number > last + EVENTS_BEFORE_CRASH {
+            if is_harmful && self.crash_after.is_some_and(|events| number > last + events) {
                 self.crash();
                 return Err(io::Error::other("crashed"));
             }
@@ -302,7 +304,9 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let record = Record::create(Path::new(&arguments[1])).expect("record");
-    let code = match run(record.clone(), arguments[2] != "0") {
+    let number = |at: usize| arguments[at].parse().expect("a number");
+    let load = Load { crash_after: (number(2) != 0).then(|| number(3)), callers: number(4), pause_ms: number(5) };
+    let code = match run(record.clone(), &load) {
         Ok(true) => 0,
         Ok(false) => 1,
         Err(error) => {
@@ -313,7 +317,14 @@
     exit(code);
 }
 
-fn run(record: Record, has_trouble: bool) -> io::Result<bool> {
+/// What callers send, and what happens to workers.
+struct Load {
+    crash_after: Option<u64>,
+    callers: u64,
+    pause_ms: u64,
+}
+
+fn run(record: Record, load: &Load) -> io::Result<bool> {
     let mut system = System::new(record.clone())?;
     let controls: Vec<usize> = (0..3).map(|_| system.add(Role::Control, "a", true)).collect();
     let entries: Vec<usize> = (0..2).map(|_| system.add(Role::Entry, "a", true)).collect();
@@ -326,13 +337,13 @@
         return Err(io::Error::other("the configuration isn't acknowledged"));
     }
     let seen = Arc::new(Mutex::new(Seen::default()));
-    start_workers(&mut system, &seen, &record, has_trouble);
+    start_workers(&mut system, &seen, &record, load.crash_after);
     let entries = system.entries();
     wait_until_served(&entries, &record)?;
     let served = Arc::new(Mutex::new((0_u32, 0_u32)));
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..8)
-        .map(|number| spawn_caller(number, &entries, &record, &stop, &served))
+    let callers: Vec<_> = (0..load.callers as usize)
+        .map(|number| spawn_caller(number, load.pause_ms, &entries, &record, &stop, &served))
         .chain([spawn_harmful_caller(&entries, &record, &stop)])
         .collect();
     sleep_ms(CALLERS_MS);
@@ -347,7 +358,12 @@
     Ok(judge(&seen.lock().unwrap(), *served.lock().unwrap(), &record))
 }
 
-fn start_workers(system: &mut System, seen: &Arc<Mutex<Seen>>, record: &Record, has_trouble: bool) {
+fn start_workers(
+    system: &mut System,
+    seen: &Arc<Mutex<Seen>>,
+    record: &Record,
+    crash_after: Option<u64>,
+) {
     for number in 0..WORKERS {
         let ip: Ipv4Addr = system.new_ip();
         let worker = Arc::new(Worker {
@@ -365,7 +381,7 @@
             }),
             seen: Arc::clone(seen),
             record: record.clone(),
-            has_trouble,
+            crash_after,
             next_connection: AtomicU64::new(0),
         });
         let beating = Arc::clone(&worker);
@@ -401,6 +417,7 @@
 /// Sends sound requests one after the other. They share the key and the first part with the harmful ones.
 fn spawn_caller(
     caller: usize,
+    pause_ms: u64,
     entries: &[SocketAddr],
     record: &Record,
     stop: &Arc<AtomicBool>,
@@ -422,7 +439,7 @@
             served.1 += 1;
             served.0 += u32::from(is_whole);
             drop(served);
-            sleep_ms(200);
+            sleep_ms(pause_ms);
         }
     })
 }
