--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -2,7 +2,8 @@
 //! workers of a model, callers with sound and with harmful requests, and the operator.
 //!
 //! Arguments: the record, `0` for no trouble, the number of events that a worker has written when it crashes,
-//! the number of callers with sound requests, and the pause of a caller between two requests in milliseconds.
+//! the number of callers with sound requests, the pause of a caller between two requests in milliseconds, and the
+//! number of workers.
 
 #[path = "system.rs"]
 mod system;
@@ -18,7 +19,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use system::{Record, Role, System, call, header, random, sleep_ms};
 
-const WORKERS: usize = 12;
 const LAYERS: u32 = 8;
 /// Events of a whole answer.
 const EVENTS: u64 = 20;
@@ -305,7 +305,7 @@
     let arguments: Vec<String> = std::env::args().collect();
     let record = Record::create(Path::new(&arguments[1])).expect("record");
     let number = |at: usize| arguments[at].parse().expect("a number");
-    let load = Load { crash_after: (number(2) != 0).then(|| number(3)), callers: number(4), pause_ms: number(5) };
+    let load = Load { crash_after: (number(2) != 0).then(|| number(3)), callers: number(4), pause_ms: number(5), workers: number(6) };
     let code = match run(record.clone(), &load) {
         Ok(true) => 0,
         Ok(false) => 1,
@@ -322,6 +322,7 @@
     crash_after: Option<u64>,
     callers: u64,
     pause_ms: u64,
+    workers: u64,
 }
 
 fn run(record: Record, load: &Load) -> io::Result<bool> {
@@ -337,7 +338,7 @@
         return Err(io::Error::other("the configuration isn't acknowledged"));
     }
     let seen = Arc::new(Mutex::new(Seen::default()));
-    start_workers(&mut system, &seen, &record, load.crash_after);
+    start_workers(&mut system, &seen, &record, load);
     let entries = system.entries();
     wait_until_served(&entries, &record)?;
     let served = Arc::new(Mutex::new((0_u32, 0_u32)));
@@ -362,9 +363,9 @@
     system: &mut System,
     seen: &Arc<Mutex<Seen>>,
     record: &Record,
-    crash_after: Option<u64>,
+    load: &Load,
 ) {
-    for number in 0..WORKERS {
+    for number in 0..load.workers as usize {
         let ip: Ipv4Addr = system.new_ip();
         let worker = Arc::new(Worker {
             number,
@@ -381,7 +382,7 @@
             }),
             seen: Arc::clone(seen),
             record: record.clone(),
-            crash_after,
+            crash_after: load.crash_after,
             next_connection: AtomicU64::new(0),
         });
         let beating = Arc::clone(&worker);
