--- a/review/standins/late_heartbeat.rs
+++ b/review/standins/late_heartbeat.rs
@@ -85,7 +85,9 @@
             bytes.extend_from_slice(&buffer[..count]);
             while let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
                 let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-                let length: usize = header(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+                let length: usize = header(&head, "content-length")
+                    .and_then(|it| it.parse().ok())
+                    .unwrap_or(0);
                 if bytes.len() < end + 4 + length {
                     break;
                 }
@@ -101,11 +103,24 @@
                 b"HTTP/1.1 421 Misdirected Request\r\nMasticgw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
             );
         }
-        let attempt = header(head, "masticgw-attempt-id").unwrap_or_default().to_owned();
+        let attempt = header(head, "masticgw-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let at = Instant::now();
-        let sent_at = self.sent.lock().unwrap().get(&attempt).copied().unwrap_or(at);
-        self.record.write(format!("worker {}: runs {attempt}", self.id));
-        self.arrivals.lock().unwrap().push(Arrival { at, sent_at, attempt: attempt.clone() });
+        let sent_at = self
+            .sent
+            .lock()
+            .unwrap()
+            .get(&attempt)
+            .copied()
+            .unwrap_or(at);
+        self.record
+            .write(format!("worker {}: runs {attempt}", self.id));
+        self.arrivals.lock().unwrap().push(Arrival {
+            at,
+            sent_at,
+            attempt: attempt.clone(),
+        });
         sleep_ms(WORK_MS);
         let body = format!("result of {attempt}");
         write!(
@@ -140,7 +155,9 @@
             };
             let _ = stream.set_nonblocking(false);
             let _ = stream.set_nodelay(true);
-            let Ok(copy) = stream.try_clone() else { continue };
+            let Ok(copy) = stream.try_clone() else {
+                continue;
+            };
             number += 1;
             let key = number;
             serving.connections.lock().unwrap().insert(key, copy);
@@ -177,10 +194,15 @@
 
 fn run(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut system = System::new(record.clone())?;
-    let controls: Vec<usize> = (0..3).map(|_| system.add(Role::Control, "a", true)).collect();
+    let controls: Vec<usize> = (0..3)
+        .map(|_| system.add(Role::Control, "a", true))
+        .collect();
     let entries: Vec<usize> = (0..2).map(|_| system.add(Role::Entry, "a", true)).collect();
     let port = system.control_port();
-    let seeds: Vec<_> = controls.iter().map(|at| (system.machines[*at].ip, port).into()).collect();
+    let seeds: Vec<_> = controls
+        .iter()
+        .map(|at| (system.machines[*at].ip, port).into())
+        .collect();
     for at in controls.iter().chain(&entries) {
         system.start(*at, &seeds)?;
     }
@@ -190,7 +212,10 @@
     let sent = Arc::new(Mutex::new(HashMap::new()));
     let mut workers = Vec::new();
     for number in 0..WORKERS {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
         let worker = Arc::new(Worker {
             id: format!("i-{number}"),
             address: (system.new_ip(), system.worker_port()).into(),
@@ -208,8 +233,9 @@
     }
     sleep_ms(8_000);
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> =
-        (0..8).map(|caller| spawn_caller(caller, system.entries(), &sent, &record, &stop)).collect();
+    let callers: Vec<_> = (0..8)
+        .map(|caller| spawn_caller(caller, system.entries(), &sent, &record, &stop))
+        .collect();
     sleep_ms(4_000);
 
     let leaving = &workers[0];
@@ -221,7 +247,12 @@
     let path = format!("/masticgw/Instances.Leave/{}", leaving.id);
     let answer = call(control, "POST", &path, "", 1_000);
     let acknowledged_at = Instant::now();
-    record.write(format!("worker {}: leave at {}: {:?}", leaving.id, control.ip(), answer.as_ref().map(|it| it.0)));
+    record.write(format!(
+        "worker {}: leave at {}: {:?}",
+        leaving.id,
+        control.ip(),
+        answer.as_ref().map(|it| it.0)
+    ));
     if answer.is_none_or(|it| it.0 != 200) {
         return Err(io::Error::other("the leave isn't acknowledged"));
     }
@@ -240,12 +271,19 @@
     wait_until(LATE_MS);
     let path = format!("/masticgw/Instances.Heartbeat/{}", leaving.id);
     let answer = call(control, "POST", &path, &late, 1_000).map(|it| it.0);
-    record.write(format!("worker {}: a late heartbeat arrives at {}: {answer:?}", leaving.id, control.ip()));
+    record.write(format!(
+        "worker {}: a late heartbeat arrives at {}: {answer:?}",
+        leaving.id,
+        control.ip()
+    ));
     wait_until(EXIT_MS);
     leaving.end();
     sleep_ms(3_000);
     stop.store(true, Ordering::Relaxed);
-    let lost: Vec<String> = callers.into_iter().flat_map(|it| it.join().unwrap_or_default()).collect();
+    let lost: Vec<String> = callers
+        .into_iter()
+        .flat_map(|it| it.join().unwrap_or_default())
+        .collect();
     Ok(judge(leaving, acknowledged_at, calm_from, &lost, &record))
 }
 
@@ -278,7 +316,10 @@
             let entry = entries[(caller + number) % entries.len()];
             sent.lock().unwrap().insert(attempt.clone(), Instant::now());
             let status = exchange(entry, request.as_bytes(), 2_500).map(|it| it.0);
-            record.write(format!("caller: {method} {attempt} at {}: {status:?}", entry.ip()));
+            record.write(format!(
+                "caller: {method} {attempt} at {}: {status:?}",
+                entry.ip()
+            ));
             if !matches!(status, Some(200 | 503)) {
                 lost.push(format!("{method} {attempt}: {status:?}"));
             }
@@ -301,8 +342,13 @@
     let in_touch_at = calm_from + Duration::from_millis(STABILITY_MS + 100);
     let from = drained_at.max(in_touch_at);
     let arrivals = worker.arrivals.lock().unwrap();
-    let late: Vec<&Arrival> = arrivals.iter().filter(|it| it.sent_at > from && it.at > from).collect();
-    record.write(format!("calls that ended with a failure that promises nothing: {lost:?}"));
+    let late: Vec<&Arrival> = arrivals
+        .iter()
+        .filter(|it| it.sent_at > from && it.at > from)
+        .collect();
+    record.write(format!(
+        "calls that ended with a failure that promises nothing: {lost:?}"
+    ));
     let word = if late.is_empty() { "held" } else { "broken" };
     let first = late.first().map(|it| {
         let ms = (it.at - acknowledged_at).as_millis();
--- a/review/standins/outages.rs
+++ b/review/standins/outages.rs
@@ -35,16 +35,26 @@
 fn run(record: Record, has_trouble: bool) -> std::io::Result<bool> {
     let mut system = System::new(record.clone())?;
     let zones = ["a", "a", "b", "b", "c"];
-    let mut controls: Vec<usize> =
-        zones.iter().map(|zone| system.add(Role::Control, zone, true)).collect();
-    let entries: Vec<usize> = ["a", "b"].iter().map(|zone| system.add(Role::Entry, zone, true)).collect();
+    let mut controls: Vec<usize> = zones
+        .iter()
+        .map(|zone| system.add(Role::Control, zone, true))
+        .collect();
+    let entries: Vec<usize> = ["a", "b"]
+        .iter()
+        .map(|zone| system.add(Role::Entry, zone, true))
+        .collect();
     let port = system.control_port();
-    let seeds: Vec<_> = controls.iter().map(|at| (system.machines[*at].ip, port).into()).collect();
+    let seeds: Vec<_> = controls
+        .iter()
+        .map(|at| (system.machines[*at].ip, port).into())
+        .collect();
     for at in controls.iter().chain(&entries) {
         system.start(*at, &seeds)?;
     }
     if !system.put(1, &configuration(1), 10_000) {
-        return Err(std::io::Error::other("the first configuration isn't acknowledged"));
+        return Err(std::io::Error::other(
+            "the first configuration isn't acknowledged",
+        ));
     }
     sleep_ms(8_000);
     for at in [3, 4] {
@@ -59,7 +69,9 @@
         sleep_ms(CALM_MS);
     }
     if !system.put(2, &configuration(2), 10_000) {
-        return Err(std::io::Error::other("the second configuration isn't acknowledged"));
+        return Err(std::io::Error::other(
+            "the second configuration isn't acknowledged",
+        ));
     }
     for at in [0, 1] {
         if has_trouble {
@@ -73,7 +85,10 @@
         }
         sleep_ms(CALM_MS);
     }
-    record.write(format!("{} controls run and are connected; version 2 was acknowledged", system.controls().len()));
+    record.write(format!(
+        "{} controls run and are connected; version 2 was acknowledged",
+        system.controls().len()
+    ));
     let version = system.read_back(READ_MS);
     for at in &controls {
         for line in system.log_lines(*at, "proposed a membership change") {
@@ -86,7 +101,9 @@
             Ok(true)
         }
         other => {
-            record.write(format!("CONFIG broken: version 2 was acknowledged, {other:?} was read back"));
+            record.write(format!(
+                "CONFIG broken: version 2 was acknowledged, {other:?} was read back"
+            ));
             Ok(false)
         }
     }
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -65,7 +65,10 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 impl Worker {
@@ -88,7 +91,10 @@
                  \"born\":{},\"kind\":\"big\",\"layers\":{{\"from\":{from},\"to\":{to},\"version\":1}}}}",
                 self.address, instance.heartbeats, instance.born
             );
-            (format!("/masticgw/Instances.Heartbeat/{}", self.id(&instance)), body)
+            (
+                format!("/masticgw/Instances.Heartbeat/{}", self.id(&instance)),
+                body,
+            )
         };
         let first = random() as usize;
         for at in 0..self.controls.len() {
@@ -132,7 +138,11 @@
         let _ = stream.set_nodelay(true);
         let number = self.next_connection.fetch_add(1, Ordering::Relaxed);
         let Ok(copy) = stream.try_clone() else { return };
-        self.instance.lock().unwrap().connections.insert(number, copy);
+        self.instance
+            .lock()
+            .unwrap()
+            .connections
+            .insert(number, copy);
         let worker = Arc::clone(self);
         thread::spawn(move || {
             let _ = worker.answer_all(stream);
@@ -160,7 +170,9 @@
     fn answer_all(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut bytes = Vec::new();
         loop {
-            let Some((head, _)) = read_request(&mut stream, &mut bytes)? else { return Ok(()) };
+            let Some((head, _)) = read_request(&mut stream, &mut bytes)? else {
+                return Ok(());
+            };
             let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
             match path.as_str() {
                 "/masticgw/report" => {
@@ -199,21 +211,31 @@
     }
 
     fn answer_stream(&self, stream: &mut TcpStream, head: &str) -> io::Result<()> {
-        let attempt = header(head, "masticgw-attempt-id").unwrap_or_default().to_owned();
+        let attempt = header(head, "masticgw-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let (id, holds) = {
             let instance = self.instance.lock().unwrap();
             (self.id(&instance), instance.layers == Some((0, LAYERS)))
         };
         let is_meant = header(head, "masticgw-expect-instance").is_none_or(|it| it == id);
         if !is_meant || !holds {
-            let fields = format!("Masticgw-Not-Executed: 1\r\nAt-Server: {}\r\n", self.address);
+            let fields = format!(
+                "Masticgw-Not-Executed: 1\r\nAt-Server: {}\r\n",
+                self.address
+            );
             return write_answer(stream, "421 Misdirected Request", &fields, "");
         }
         let prefix = header(head, "masticgw-prompt-prefix").unwrap_or_default();
         let is_harmful = prefix.split(',').any(|part| part.starts_with("bad0:"));
         if is_harmful {
-            self.seen.lock().unwrap().harmful_arrivals.push(Instant::now());
-            self.record.write(format!("worker {id}: runs {attempt} (harmful part)"));
+            self.seen
+                .lock()
+                .unwrap()
+                .harmful_arrivals
+                .push(Instant::now());
+            self.record
+                .write(format!("worker {id}: runs {attempt} (harmful part)"));
         } else {
             self.record.write(format!("worker {id}: runs {attempt}"));
         }
@@ -222,10 +244,16 @@
             "HTTP/1.1 200 OK\r\nMasticgw-Attempt-Id: {attempt}\r\nMasticgw-Response-Seal: seal-{id}\r\n\
              Masticgw-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )?;
-        let last = header(head, "last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let last = header(head, "last-event-id")
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(0);
         for number in last + 1..=EVENTS {
             sleep_ms(EVENT_MS);
-            if is_harmful && self.crash_after.is_some_and(|events| number > last + events) {
+            if is_harmful
+                && self
+                    .crash_after
+                    .is_some_and(|events| number > last + events)
+            {
                 self.crash();
                 return Err(io::Error::other("crashed"));
             }
@@ -237,12 +265,17 @@
 }
 
 /// Reads a request with its body; the head is followed by the body in the text.
-fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<Option<(String, usize)>> {
+fn read_request(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+) -> io::Result<Option<(String, usize)>> {
     let mut buffer = [0; 16_384];
     loop {
         if let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-            let length: usize = header(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+            let length: usize = header(&head, "content-length")
+                .and_then(|it| it.parse().ok())
+                .unwrap_or(0);
             if bytes.len() >= end + 4 + length {
                 let text = String::from_utf8_lossy(&bytes[..end + 4 + length]).into_owned();
                 bytes.drain(..end + 4 + length);
@@ -258,12 +291,20 @@
 }
 
 fn write_answer(stream: &mut TcpStream, status: &str, fields: &str, body: &str) -> io::Result<()> {
-    write!(stream, "HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+    write!(
+        stream,
+        "HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 fn number_after(text: &str, name: &str) -> Option<u64> {
     let (_, rest) = text.split_once(name)?;
-    rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
+    rest.chars()
+        .take_while(char::is_ascii_digit)
+        .collect::<String>()
+        .parse()
+        .ok()
 }
 
 /// Sends one request for a stream; whether its last event and its end arrived.
@@ -281,7 +322,8 @@
     });
     let text = String::from_utf8_lossy(&bytes);
     let status = text.split(' ').nth(1).unwrap_or("none").to_owned();
-    let is_whole = sent.is_ok() && text.contains(&format!("id: {EVENTS}\n")) && text.ends_with("0\r\n\r\n");
+    let is_whole =
+        sent.is_ok() && text.contains(&format!("id: {EVENTS}\n")) && text.ends_with("0\r\n\r\n");
     (status, is_whole)
 }
 
@@ -305,7 +347,12 @@
     let arguments: Vec<String> = std::env::args().collect();
     let record = Record::create(Path::new(&arguments[1])).expect("record");
     let number = |at: usize| arguments[at].parse().expect("a number");
-    let load = Load { crash_after: (number(2) != 0).then(|| number(3)), callers: number(4), pause_ms: number(5), workers: number(6) };
+    let load = Load {
+        crash_after: (number(2) != 0).then(|| number(3)),
+        callers: number(4),
+        pause_ms: number(5),
+        workers: number(6),
+    };
     let code = match run(record.clone(), &load) {
         Ok(true) => 0,
         Ok(false) => 1,
@@ -327,10 +374,15 @@
 
 fn run(record: Record, load: &Load) -> io::Result<bool> {
     let mut system = System::new(record.clone())?;
-    let controls: Vec<usize> = (0..3).map(|_| system.add(Role::Control, "a", true)).collect();
+    let controls: Vec<usize> = (0..3)
+        .map(|_| system.add(Role::Control, "a", true))
+        .collect();
     let entries: Vec<usize> = (0..2).map(|_| system.add(Role::Entry, "a", true)).collect();
     let port = system.control_port();
-    let seeds: Vec<_> = controls.iter().map(|at| (system.machines[*at].ip, port).into()).collect();
+    let seeds: Vec<_> = controls
+        .iter()
+        .map(|at| (system.machines[*at].ip, port).into())
+        .collect();
     for at in controls.iter().chain(&entries) {
         system.start(*at, &seeds)?;
     }
@@ -356,15 +408,14 @@
     if !ended.is_empty() {
         return Err(io::Error::other(format!("processes ended: {ended:?}")));
     }
-    Ok(judge(&seen.lock().unwrap(), *served.lock().unwrap(), &record))
+    Ok(judge(
+        &seen.lock().unwrap(),
+        *served.lock().unwrap(),
+        &record,
+    ))
 }
 
-fn start_workers(
-    system: &mut System,
-    seen: &Arc<Mutex<Seen>>,
-    record: &Record,
-    load: &Load,
-) {
+fn start_workers(system: &mut System, seen: &Arc<Mutex<Seen>>, record: &Record, load: &Load) {
     for number in 0..load.workers as usize {
         let ip: Ipv4Addr = system.new_ip();
         let worker = Arc::new(Worker {
@@ -435,7 +486,10 @@
             let prefix = format!("a1:100,b{}:50,c{caller:x}{number:04x}:50", number % 4);
             let path = format!("/draft/{caller}/{number}");
             let (status, is_whole) = send_stream(entry, &attempt, &path, &prefix);
-            record.write(format!("caller: {attempt} at {}: {status}, whole: {is_whole}", entry.ip()));
+            record.write(format!(
+                "caller: {attempt} at {}: {status}, whole: {is_whole}",
+                entry.ip()
+            ));
             let mut served = served.lock().unwrap();
             served.1 += 1;
             served.0 += u32::from(is_whole);
@@ -464,7 +518,10 @@
                 let prefix = format!("a1:100,bad0:50,d{number:04x}:50");
                 let path = format!("/draft/h/{number}");
                 let (status, is_whole) = send_stream(entry, &attempt, &path, &prefix);
-                record.write(format!("caller: {attempt} at {}: {status}, whole: {is_whole}", entry.ip()));
+                record.write(format!(
+                    "caller: {attempt} at {}: {status}, whole: {is_whole}",
+                    entry.ip()
+                ));
             });
             sleep_ms(1_000);
         }
@@ -474,14 +531,21 @@
 /// The rule as written: requests with the part that reach workers later than the stability window after the
 /// fifth crash.
 fn judge(seen: &Seen, served: (u32, u32), record: &Record) -> bool {
-    record.write(format!("{} of {} sound streams were whole", served.0, served.1));
+    record.write(format!(
+        "{} of {} sound streams were whole",
+        served.0, served.1
+    ));
     let crashes = seen.crashes.len();
     let Some(fifth) = seen.crashes.get(KNOWN_CRASHES - 1) else {
         record.write(format!("BUDGET held: {crashes} crashes"));
         return true;
     };
     let from = *fifth + Duration::from_millis(STABILITY_MS);
-    let late = seen.harmful_arrivals.iter().filter(|at| **at > from).count();
+    let late = seen
+        .harmful_arrivals
+        .iter()
+        .filter(|at| **at > from)
+        .count();
     let is_kept = late <= ALLOWED;
     let word = if is_kept { "held" } else { "broken" };
     record.write(format!(
--- a/review/standins/rolling.rs
+++ b/review/standins/rolling.rs
@@ -35,20 +35,32 @@
 fn run(record: Record, has_trouble: bool) -> std::io::Result<bool> {
     let mut system = System::new(record.clone())?;
     let zones = ["a", "a", "b", "b", "c"];
-    let controls: Vec<usize> =
-        zones.iter().map(|zone| system.add(Role::Control, zone, true)).collect();
-    let entries: Vec<usize> = ["a", "b"].iter().map(|zone| system.add(Role::Entry, zone, true)).collect();
+    let controls: Vec<usize> = zones
+        .iter()
+        .map(|zone| system.add(Role::Control, zone, true))
+        .collect();
+    let entries: Vec<usize> = ["a", "b"]
+        .iter()
+        .map(|zone| system.add(Role::Entry, zone, true))
+        .collect();
     let port = system.control_port();
-    let seeds: Vec<_> = controls.iter().map(|at| (system.machines[*at].ip, port).into()).collect();
+    let seeds: Vec<_> = controls
+        .iter()
+        .map(|at| (system.machines[*at].ip, port).into())
+        .collect();
     for at in controls.iter().chain(&entries) {
         system.start(*at, &seeds)?;
     }
     if !system.put(1, &configuration(1), 10_000) {
-        return Err(std::io::Error::other("the first configuration isn't acknowledged"));
+        return Err(std::io::Error::other(
+            "the first configuration isn't acknowledged",
+        ));
     }
     sleep_ms(10_000);
     if !system.put(2, &configuration(2), 10_000) {
-        return Err(std::io::Error::other("the second configuration isn't acknowledged"));
+        return Err(std::io::Error::other(
+            "the second configuration isn't acknowledged",
+        ));
     }
     for _ in 0..REPLACED {
         if has_trouble {
@@ -68,7 +80,10 @@
         sleep_ms(1_000);
     }
     sleep_ms(6_000);
-    record.write(format!("{} controls run and are connected; version 2 was acknowledged", system.controls().len()));
+    record.write(format!(
+        "{} controls run and are connected; version 2 was acknowledged",
+        system.controls().len()
+    ));
     let version = system.read_back(READ_MS);
     for at in 0..system.machines.len() {
         for line in system.log_lines(at, "proposed a membership change") {
@@ -81,7 +96,9 @@
             Ok(true)
         }
         other => {
-            record.write(format!("CONFIG broken: version 2 was acknowledged, {other:?} was read back"));
+            record.write(format!(
+                "CONFIG broken: version 2 was acknowledged, {other:?} was read back"
+            ));
             Ok(false)
         }
     }
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -24,11 +24,18 @@
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { file, start: Instant::now() })
+        Ok(Self {
+            file,
+            start: Instant::now(),
+        })
     }
 
     pub fn write(&self, text: impl AsRef<str>) {
-        let line = format!("{:9.3} s  {}\n", self.start.elapsed().as_secs_f64(), text.as_ref());
+        let line = format!(
+            "{:9.3} s  {}\n",
+            self.start.elapsed().as_secs_f64(),
+            text.as_ref()
+        );
         print!("{line}");
         let _ = self.file.lock().unwrap().write_all(line.as_bytes());
     }
@@ -75,7 +82,10 @@
 
 /// A number that differs from run to run.
 pub fn random() -> u64 {
-    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_nanos() as u64;
     let mixed = (nanos ^ (u64::from(std::process::id()) << 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed ^ (mixed >> 29)
 }
@@ -97,7 +107,14 @@
             if is_free {
                 let root = std::env::temp_dir().join(format!("mgw-review-{number:x}"));
                 fs::create_dir_all(&root)?;
-                return Ok(Self { machines: Vec::new(), record, root, network, port, next_host: 11 });
+                return Ok(Self {
+                    machines: Vec::new(),
+                    record,
+                    root,
+                    network,
+                    port,
+                    next_host: 11,
+                });
             }
         }
         Err(io::Error::other("no free loopback network"))
@@ -139,19 +156,37 @@
             Role::Control => format!("core-{}", ip.octets()[3]),
         };
         let folder = self.root.join(&name);
-        self.machines.push(Machine { name, role, ip, zone, folder, child: None, first_start });
+        self.machines.push(Machine {
+            name,
+            role,
+            ip,
+            zone,
+            folder,
+            child: None,
+            first_start,
+        });
         self.machines.len() - 1
     }
 
     /// Control addresses of the machines that run, as the operator's list holds them.
     pub fn controls(&self) -> Vec<SocketAddr> {
-        let running = self.machines.iter().filter(|it| it.role == Role::Control && it.child.is_some());
-        running.map(|it| SocketAddr::from((it.ip, self.port))).collect()
+        let running = self
+            .machines
+            .iter()
+            .filter(|it| it.role == Role::Control && it.child.is_some());
+        running
+            .map(|it| SocketAddr::from((it.ip, self.port)))
+            .collect()
     }
 
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let running = self.machines.iter().filter(|it| it.role == Role::Entry && it.child.is_some());
-        running.map(|it| SocketAddr::from((it.ip, self.front_port()))).collect()
+        let running = self
+            .machines
+            .iter()
+            .filter(|it| it.role == Role::Entry && it.child.is_some());
+        running
+            .map(|it| SocketAddr::from((it.ip, self.front_port())))
+            .collect()
     }
 
     /// Starts the process of a machine with the command of the deploy file, in the current folder,
@@ -167,7 +202,10 @@
             Role::Entry => "target/release/mgw-platform-entry",
             Role::Control => "target/release/mgw-platform-control",
         };
-        let log = OpenOptions::new().create(true).append(true).open(machine.folder.join("log"))?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(machine.folder.join("log"))?;
         let child = Command::new(program)
             .args(["--metrics-port", &METRICS_PORT.to_string()])
             .env("MASTICGW_NODE_FILE", &node_file)
@@ -175,7 +213,10 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.write(format!("platform: starts {} ({})", machine.name, machine.ip));
+        self.record.write(format!(
+            "platform: starts {} ({})",
+            machine.name, machine.ip
+        ));
         machine.child = Some(child);
         Ok(())
     }
@@ -187,27 +228,37 @@
             child.kill()?;
             child.wait()?;
         }
-        self.record.write(format!("platform: {} is down", machine.name));
+        self.record
+            .write(format!("platform: {} is down", machine.name));
         Ok(())
     }
 
     /// Asks the process of a machine to end by SIGTERM, and kills it after `grace_ms`.
     pub fn terminate(&mut self, at: usize, grace_ms: u64) -> io::Result<()> {
         let machine = &mut self.machines[at];
-        let Some(mut child) = machine.child.take() else { return Ok(()) };
-        self.record.write(format!("platform: SIGTERM to {}", machine.name));
-        Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        let Some(mut child) = machine.child.take() else {
+            return Ok(());
+        };
+        self.record
+            .write(format!("platform: SIGTERM to {}", machine.name));
+        Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status()?;
         let start = Instant::now();
         while start.elapsed() < Duration::from_millis(grace_ms) {
             if let Some(status) = child.try_wait()? {
-                self.record.write(format!("platform: {} ended ({status})", machine.name));
+                self.record
+                    .write(format!("platform: {} ended ({status})", machine.name));
                 return Ok(());
             }
             sleep_ms(20);
         }
         child.kill()?;
         child.wait()?;
-        self.record.write(format!("platform: {} was killed after the grace period", machine.name));
+        self.record.write(format!(
+            "platform: {} was killed after the grace period",
+            machine.name
+        ));
         Ok(())
     }
 
@@ -222,9 +273,18 @@
             if machine.role != Role::Control || machine.child.is_none() {
                 return false;
             }
-            let page = call((machine.ip, METRICS_PORT).into(), "GET", "/metrics", "", 1_000);
-            let text = page.map(|it| String::from_utf8_lossy(&it.1).into_owned()).unwrap_or_default();
-            text.lines().any(|line| line.starts_with("mgw_control_leads ") && line.ends_with(" 1"))
+            let page = call(
+                (machine.ip, METRICS_PORT).into(),
+                "GET",
+                "/metrics",
+                "",
+                1_000,
+            );
+            let text = page
+                .map(|it| String::from_utf8_lossy(&it.1).into_owned())
+                .unwrap_or_default();
+            text.lines()
+                .any(|line| line.starts_with("mgw_control_leads ") && line.ends_with(" 1"))
         })
     }
 
@@ -244,7 +304,10 @@
     /// Lines of a machine's log that hold a text.
     pub fn log_lines(&self, at: usize, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.machines[at].folder.join("log")).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(ToOwned::to_owned).collect()
+        log.lines()
+            .filter(|line| line.contains(text))
+            .map(ToOwned::to_owned)
+            .collect()
     }
 
     /// Sends a configuration unchanged to one control after the other until one acknowledges it.
@@ -255,9 +318,19 @@
             let controls = self.controls();
             let control = controls[at % controls.len()];
             at += 1;
-            let answer = call(control, "POST", "/masticgw/Configuration.Replace", body, 1_500);
+            let answer = call(
+                control,
+                "POST",
+                "/masticgw/Configuration.Replace",
+                body,
+                1_500,
+            );
             let status = answer.as_ref().map(|it| it.0);
-            self.record.write(format!("operator: sends version {version} to {}: {}", control.ip(), show(status)));
+            self.record.write(format!(
+                "operator: sends version {version} to {}: {}",
+                control.ip(),
+                show(status)
+            ));
             if status == Some(200) {
                 return true;
             }
@@ -275,9 +348,15 @@
             let control = controls[at % controls.len()];
             at += 1;
             let answer = call(control, "GET", "/masticgw/Configuration.Read", "", 1_500);
-            let version = answer.as_ref().filter(|it| it.0 == 200).and_then(|it| version_of(&it.1));
+            let version = answer
+                .as_ref()
+                .filter(|it| it.0 == 200)
+                .and_then(|it| version_of(&it.1));
             let status = show(answer.map(|it| it.0));
-            self.record.write(format!("operator: reads at {}: {status}, version {version:?}", control.ip()));
+            self.record.write(format!(
+                "operator: reads at {}: {status}, version {version:?}",
+                control.ip()
+            ));
             if version.is_some() {
                 return version;
             }
@@ -294,7 +373,11 @@
 fn version_of(body: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(body).ok()?;
     let (_, rest) = text.split_once("\"version\":")?;
-    let digits: String = rest.trim_start().chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = rest
+        .trim_start()
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().ok()
 }
 
@@ -328,7 +411,9 @@
             }
         }
         let left = limit.checked_sub(start.elapsed())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         let count = stream.read(&mut buffer).ok()?;
         if count == 0 {
             return None;
@@ -347,7 +432,11 @@
 
 /// The settings file of a process, with the figures of the small deployments.
 fn settings(machine: &Machine, port: u16, seeds: &[SocketAddr]) -> String {
-    let seeds: Vec<String> = seeds.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+    let seeds: Vec<String> = seeds
+        .iter()
+        .take(3)
+        .map(|seed| format!("\"{seed}\""))
+        .collect();
     let seeds = seeds.join(",");
     let (ip, zone, name) = (machine.ip, machine.zone, &machine.name);
     let data = machine.folder.join("data");
@@ -355,13 +444,20 @@
         Role::Entry => (
             "front",
             "\"front\"",
-            format!("front = \"{ip}:{}\"\nready = \"{ip}:{}\"", port + 2, port + 3),
+            format!(
+                "front = \"{ip}:{}\"\nready = \"{ip}:{}\"",
+                port + 2,
+                port + 3
+            ),
             String::new(),
         ),
         Role::Control => (
             "core",
             "\"control\",\"directory\"",
-            format!("control = \"{ip}:{port}\"\ndirectory = \"{ip}:{}\"", port + 1),
+            format!(
+                "control = \"{ip}:{port}\"\ndirectory = \"{ip}:{}\"",
+                port + 1
+            ),
             format!("dataDirectory = \"{}\"\n", data.display()),
         ),
     };
--- a/review/standins/unsigned.rs
+++ b/review/standins/unsigned.rs
@@ -22,7 +22,10 @@
 const REQUESTS: u64 = 600;
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 struct Worker {
@@ -65,7 +68,9 @@
             bytes.extend_from_slice(&buffer[..count]);
             while let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
                 let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-                let length: usize = header(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+                let length: usize = header(&head, "content-length")
+                    .and_then(|it| it.parse().ok())
+                    .unwrap_or(0);
                 if bytes.len() < end + 4 + length {
                     break;
                 }
@@ -86,7 +91,10 @@
         sleep_ms(5);
         if self.is_spoiling && number % SPOILT_EVERY == 0 {
             self.spoilt.fetch_add(1, Ordering::Relaxed);
-            self.record.write(format!("worker {}: runs {attempt}, sends bytes that are no response", self.id));
+            self.record.write(format!(
+                "worker {}: runs {attempt}, sends bytes that are no response",
+                self.id
+            ));
             return stream.write_all(SPOILT);
         }
         let body = format!("result of {attempt}");
@@ -116,10 +124,15 @@
 
 fn run(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut system = System::new(record.clone())?;
-    let controls: Vec<usize> = (0..3).map(|_| system.add(Role::Control, "a", true)).collect();
+    let controls: Vec<usize> = (0..3)
+        .map(|_| system.add(Role::Control, "a", true))
+        .collect();
     let entries: Vec<usize> = (0..2).map(|_| system.add(Role::Entry, "a", true)).collect();
     let port = system.control_port();
-    let seeds: Vec<_> = controls.iter().map(|at| (system.machines[*at].ip, port).into()).collect();
+    let seeds: Vec<_> = controls
+        .iter()
+        .map(|at| (system.machines[*at].ip, port).into())
+        .collect();
     for at in controls.iter().chain(&entries) {
         system.start(*at, &seeds)?;
     }
@@ -163,7 +176,10 @@
                         let expected = format!("result of {attempt}");
                         if seal.is_none() || body != expected.as_bytes() {
                             let text = String::from_utf8_lossy(&body).trim().to_owned();
-                            unsigned.lock().unwrap().push(format!("{attempt} got {text:?}"));
+                            unsigned
+                                .lock()
+                                .unwrap()
+                                .push(format!("{attempt} got {text:?}"));
                         }
                     }
                     sleep_ms(10);
@@ -175,9 +191,15 @@
     let spoilt = spoilt.load(Ordering::Relaxed);
     let total = successes.load(Ordering::Relaxed);
     if total < REQUESTS / 2 {
-        return Err(io::Error::other(format!("only {total} of {REQUESTS} requests succeeded")));
+        return Err(io::Error::other(format!(
+            "only {total} of {REQUESTS} requests succeeded"
+        )));
     }
-    let word = if unsigned.is_empty() { "held" } else { "broken" };
+    let word = if unsigned.is_empty() {
+        "held"
+    } else {
+        "broken"
+    };
     record.write(format!(
         "MIXED {word}: {} of {total} successes have no seal of a worker; {spoilt} answers were spoilt; first {:?}",
         unsigned.len(),
@@ -207,7 +229,11 @@
 }
 
 fn send(entry: SocketAddr, attempt: &str, is_once: bool) -> Option<system::Answer> {
-    let (method, path) = if is_once { ("POST", "/once/charge") } else { ("GET", "/read/asset") };
+    let (method, path) = if is_once {
+        ("POST", "/once/charge")
+    } else {
+        ("GET", "/read/asset")
+    };
     let length = if is_once { "Content-Length: 2\r\n" } else { "" };
     let body = if is_once { "hi" } else { "" };
     let request = format!(
