--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -1,4 +1,4 @@
-//! Cases 3 and 5: a part of prompts crashes each worker that begins to write an answer on it. Simulates the
+//! Case 5: a part of prompts crashes each worker that begins to write an answer on it. Simulates the
 //! workers of a model, callers with sound and with harmful requests, and the operator.
 //!
 //! Arguments: the record, `0` for no trouble, the number of events that a worker has written when it crashes,
--- a/review/standins/rolling.rs
+++ b/review/standins/rolling.rs
@@ -1,6 +1,9 @@
 //! Case 1: controls are replaced one after the other, as planned work, each time the one that leads. Each
 //! new machine has its time to catch up before the old one gets SIGTERM. The operator then reads the
 //! configuration.
+//!
+//! Arguments: the record, `0` for no trouble, and, for trials, the number of controls, which are then replaced
+//! in a fixed order, each once.
 
 #[path = "system.rs"]
 mod system;
@@ -21,7 +24,7 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let record = Record::create(Path::new(&arguments[1])).expect("record");
-    let code = match run(record.clone(), arguments[2] != "0") {
+    let code = match run(record.clone(), arguments[2] != "0", arguments.get(3)) {
         Ok(true) => 0,
         Ok(false) => 1,
         Err(error) => {
@@ -32,9 +35,10 @@
     exit(code);
 }
 
-fn run(record: Record, has_trouble: bool) -> std::io::Result<bool> {
+fn run(record: Record, has_trouble: bool, in_order: Option<&String>) -> std::io::Result<bool> {
     let mut system = System::new(record.clone())?;
-    let zones = ["a", "a", "b", "b", "c"];
+    let in_order: Option<usize> = in_order.map(|count| count.parse().expect("a number"));
+    let zones = &["a", "b", "c", "a", "b"][..in_order.unwrap_or(5)];
     let controls: Vec<usize> = zones
         .iter()
         .map(|zone| system.add(Role::Control, zone, true))
@@ -62,16 +66,20 @@
             "the second configuration isn't acknowledged",
         ));
     }
-    for _ in 0..REPLACED {
+    for round in 0..in_order.unwrap_or(REPLACED) {
+        let pick = |system: &System| match in_order {
+            Some(_) => Some(controls[round]),
+            None => system.leader(),
+        };
         if has_trouble {
-            let zone = system.leader().map_or("a", |at| system.machines[at].zone);
+            let zone = pick(&system).map_or("a", |at| system.machines[at].zone);
             let seeds = system.controls();
             let new = system.add(Role::Control, zone, false);
             system.start(new, &seeds)?;
         }
         sleep_ms(CATCH_UP_MS);
         if has_trouble {
-            let Some(old) = system.leader() else {
+            let Some(old) = pick(&system) else {
                 record.write("no control leads");
                 break;
             };
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -241,9 +241,9 @@
         };
         self.record
             .write(format!("platform: SIGTERM to {}", machine.name));
-        Command::new("kill")
-            .args(["-TERM", &child.id().to_string()])
-            .status()?;
+        // The shell's own command, as the standard library sends no SIGTERM.
+        let command = format!("kill -TERM {}", child.id());
+        Command::new("sh").args(["-c", &command]).status()?;
         let start = Instant::now();
         while start.elapsed() < Duration::from_millis(grace_ms) {
             if let Some(status) = child.try_wait()? {
--- a/review/standins/unsigned.rs
+++ b/review/standins/unsigned.rs
@@ -1,4 +1,4 @@
-//! Case 4: workers send bytes that are no response of theirs in place of some answers. Simulates the
+//! No case of its own, see REPORT.md: workers send bytes that are no response of theirs in place of some answers. Simulates the
 //! workers of a plain service, callers and the operator.
 
 #[path = "system.rs"]
