--- a/crates/mgw-control/src/maintenance.rs
+++ b/crates/mgw-control/src/maintenance.rs
@@ -11,7 +11,7 @@
 use mgw_state::{Action, ClaimantId, Reply};
 use mgw_world::{FenceNumber, Millis};
 use tokio::time::sleep;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use crate::app::App;
 use crate::replica::{MemberChange, ReplicaReport};
@@ -42,6 +42,10 @@
     join_requested_at: Millis,
     /// Voters that this leader can't reach, with the time at which it first couldn't.
     unreachable_since: BTreeMap<ReplicaId, Millis>,
+    /// Voters and unreachable voters as last logged.
+    logged_voters: (BTreeSet<ReplicaId>, BTreeSet<ReplicaId>),
+    /// Refusal of a membership change that was last logged.
+    logged_refusal: Option<String>,
     /// Entries with open claims, with the time at which this leader first saw such a claim.
     claimants_first_seen: BTreeMap<ClaimantId, Millis>,
 }
@@ -77,6 +81,15 @@
     metrics.term.set(to_gauge(report.term.0));
     metrics.sync_count.set(to_gauge(report.sync_count));
     metrics.is_disk_full.set(i64::from(report.is_disk_full));
+    let (voters, unreachable) = if report.role == Role::Leader {
+        let voters = &report.membership.voters;
+        let unreachable = voters.iter().filter(|id| !report.reachable.contains(id));
+        (voters.len(), unreachable.count())
+    } else {
+        (0, 0)
+    };
+    metrics.voters.set(to_gauge(voters as u64));
+    metrics.unreachable_voters.set(to_gauge(unreachable as u64));
     let state = app.replica.state.read();
     metrics.applied_index.set(to_gauge(state.applied()));
     metrics
@@ -152,6 +165,7 @@
 async fn update_membership(app: &App, report: &ReplicaReport, state: &mut MaintenanceState) {
     let now = app.clock.now();
     track_unreachable_voters(report, state, now);
+    log_changed_voters(report, state);
     let lost = app
         .settings
         .open_group
@@ -159,10 +173,38 @@
     let Some(change) = plan_member_change(report).or(lost.flatten()) else {
         return;
     };
-    match app.replica.change(change).await {
-        Ok(()) => {}
-        Err(error) => debug!(%error, "membership change isn't possible yet"),
+    match app.replica.change(change.clone()).await {
+        Ok(()) => state.logged_refusal = None,
+        Err(error) => {
+            let refusal = format!("{change:?}: {error}");
+            // A change is tried again in each round.
+            if state.logged_refusal.as_ref() != Some(&refusal) {
+                info!(?change, %error, "membership change refused");
+                state.logged_refusal = Some(refusal);
+            }
+        }
+    }
+}
+
+/// Logs the voters and those of them that don't answer, when either has changed.
+fn log_changed_voters(report: &ReplicaReport, state: &mut MaintenanceState) {
+    let unreachable = state.unreachable_since.keys().cloned().collect();
+    let current = (report.membership.voters.clone(), unreachable);
+    if current == state.logged_voters {
+        return;
     }
+    let names = |ids: &BTreeSet<ReplicaId>| {
+        let names: Vec<&str> = ids.iter().map(|id| id.name.as_str()).collect();
+        names.join(",")
+    };
+    info!(
+        term = %report.term,
+        voters = names(&current.0),
+        unreachable = names(&current.1),
+        learners = names(&report.membership.learners),
+        "voters changed"
+    );
+    state.logged_voters = current;
 }
 
 /// Records since when each voter is unreachable; forgets those that are reachable.
--- a/crates/mgw-control/src/metrics.rs
+++ b/crates/mgw-control/src/metrics.rs
@@ -17,6 +17,10 @@
     pub sync_count: IntGauge,
     /// 1 while a write waits for space on the disk, else 0.
     pub is_disk_full: IntGauge,
+    /// Voters of the group, while this control leads, else 0.
+    pub voters: IntGauge,
+    /// Voters that don't answer, while this control leads, else 0.
+    pub unreachable_voters: IntGauge,
     /// Number of ledger claims whose outcome is unknown.
     pub unknown_claims: IntGauge,
     /// Deliveries of log messages that another control didn't acknowledge in time.
@@ -41,6 +45,14 @@
                 "mgw_control_disk_full",
                 "Whether a write waits for space on the disk.",
             )?,
+            voters: IntGauge::new(
+                "mgw_control_voters",
+                "Voters of the group, as its leader knows them.",
+            )?,
+            unreachable_voters: IntGauge::new(
+                "mgw_control_voters_unreachable",
+                "Voters that don't answer the leader.",
+            )?,
             unknown_claims: IntGauge::new(
                 "mgw_ledger_unknown_claims",
                 "Ledger claims whose outcome is unknown.",
@@ -57,6 +69,8 @@
             &metrics.applied_index,
             &metrics.sync_count,
             &metrics.is_disk_full,
+            &metrics.voters,
+            &metrics.unreachable_voters,
             &metrics.unknown_claims,
         ];
         for gauge in gauges {
