A control that was removed while it was away joins again by itself

Cause: a removed voter gets nothing more of the log, so its own log still has it as a voter. It asked to join only when its log said that it isn't a member; it asked for votes for ever instead.

Ruled out: that the leader refuses it (no join request arrives), and that it can't catch up under its old identity.

Change: a control that has known no leader for 1 s asks the others to join. A leader that has it as a member changes nothing; any other adds it as a learner, and it is promoted once it has caught up. Its vote and its log are on its disk, so the old identity is safe.

control_that_was_removed_while_it_was_away_votes_again failed before (not seen: 4 voters that answer), passes after.

--- a/crates/mgw-control/src/group/join.rs
+++ b/crates/mgw-control/src/group/join.rs
@@ -12,17 +12,29 @@
 /// Timeout of a join request, and the shortest time between two rounds of them.
 const JOIN_TIMEOUT_MS: Millis = Millis(600);
 
+/// Time without a leader after which a member asks whether it still is one. Nobody sends the log to a removed
+/// member, so that its own log never holds its removal.
+const LEADERLESS_AFTER_MS: Millis = Millis(1_000);
+
 /// What a control remembers of its join requests.
 #[derive(Debug, Default)]
 pub struct JoinState {
     /// Time of the last join requests.
     requested_at: Millis,
+    /// Since when this control has known no leader.
+    leaderless_since: Option<Millis>,
 }
 
-/// Asks the other controls to be added to the group, if this control isn't a member of it.
+/// Asks the other controls to be added to the group, if this control isn't a member of it or hears from no
+/// leader. A leader that has it as a member changes nothing.
 pub async fn join_if_needed(app: &App, report: &ReplicaReport, state: &mut JoinState) {
     let now = app.clock.now();
-    let is_outside = !report.membership.is_member(&report.id);
+    if report.leader.is_some() {
+        state.leaderless_since = None;
+    }
+    let leaderless_since = *state.leaderless_since.get_or_insert(now);
+    let may_be_removed = report.leader.is_none() && now - leaderless_since >= LEADERLESS_AFTER_MS;
+    let is_outside = !report.membership.is_member(&report.id) || may_be_removed;
     if !is_outside || report.damage.is_some() || now - state.requested_at < JOIN_TIMEOUT_MS {
         return;
     }
--- a/crates/mgw-control/tests/replaced_controls.rs
+++ b/crates/mgw-control/tests/replaced_controls.rs
@@ -38,3 +38,13 @@
     }
     group.wait_for_read();
 }
+
+/// Review case 2: a voter that was removed while it was away never heard of it, and was never a voter again.
+#[test]
+fn control_that_was_removed_while_it_was_away_votes_again() {
+    let mut group = OpenGroup::start(4);
+    group.kill(3);
+    group.wait_for_voters(3);
+    group.start_again(3);
+    group.wait_for_voters(4);
+}
