A target that is leaving stays so after restarts of the controls that heard it

Cause: the leave stood in the memory of one control only, and entries took the newest vouch by its state alone. The restarted control took the old heartbeat for the target's first word; its new record replaced the one with the leave. The same holds for a target that reports that it drains.

Change: the word is committed to the log before it is acknowledged, and each control's view gets the log's list: no leaving incarnation is vouched for as ready, whichever control hears of it and when. Entries ignore a vouch that is older than what they know. A target that is told to leave without a quorum is no longer acknowledged; it says it again, and the entries are told at once all the same.

Why it works: what was acknowledged is on the disks of a quorum, so it outlasts any restart; a new incarnation is a newer one and is used at once.

--- a/crates/mgw-control/src/handle/mod.rs
+++ b/crates/mgw-control/src/handle/mod.rs
@@ -10,3 +10,4 @@
 pub use control_handle::ControlHandle;
 pub use routing::AcceptError;
 pub use submit::{leader_address, submit_anywhere};
+pub use targets::LeaveError;
--- a/crates/mgw-control/src/handle/targets.rs
+++ b/crates/mgw-control/src/handle/targets.rs
@@ -2,15 +2,42 @@
 
 use mgw_contract::target::{Announcement, Readiness};
 use mgw_member::AnnounceOutcome;
-use mgw_world::TargetName;
+use mgw_peer::PeerError;
+use mgw_world::{Incarnation, TargetName};
 use tracing::info;
 
 use super::ControlHandle;
+use crate::leaving_targets::record_leaving;
+
+/// Why a target's word that it is leaving isn't acknowledged.
+#[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
+pub enum LeaveError {
+    /// this control doesn't know the target
+    Unknown,
+    /// {0}
+    NotConfirmed(PeerError),
+}
 
 impl ControlHandle {
     /// Records a target's announcement as its home node, and wakes the nodes that watch this
     /// control if the announcement changed something.
-    pub fn announce(&self, announcement: &Announcement) -> AnnounceOutcome {
+    ///
+    /// # Errors
+    /// When the target says that it is leaving and no quorum confirmed that in time. The other nodes learn of it
+    /// all the same, but it must be announced again.
+    pub async fn announce(
+        &self,
+        announcement: &Announcement,
+    ) -> Result<AnnounceOutcome, PeerError> {
+        let outcome = self.announce_to_view(announcement);
+        if announcement.readiness == Readiness::Leaving {
+            let target = &announcement.target;
+            record_leaving(&self.app, &target.name, target.incarnation).await?;
+        }
+        Ok(outcome)
+    }
+
+    fn announce_to_view(&self, announcement: &Announcement) -> AnnounceOutcome {
         let now = self.app.clock.now();
         let (outcome, is_changed) = {
             let mut view = self.app.view.lock();
@@ -21,23 +48,40 @@
         if is_changed {
             self.app.view_changed.notify_waiters();
             log_announcement(announcement);
+        } else if let AnnounceOutcome::Outdated { newest } = outcome {
+            log_outdated(announcement, newest);
         }
         outcome
     }
 
-    /// Records that a target is leaving. Returns whether this control knows the target.
-    pub fn leave(&self, name: &TargetName) -> bool {
-        let is_known = self
-            .app
-            .view
-            .lock()
-            .mark_leaving(name, self.app.clock.now());
+    /// Records that a target is leaving, for the rest of its run.
+    ///
+    /// # Errors
+    /// When this control doesn't know the target, or no quorum confirmed in time. The target must tell another
+    /// control then, or this one again.
+    pub async fn leave(&self, name: &TargetName) -> Result<(), LeaveError> {
+        let now = self.app.clock.now();
+        let known = self.app.view.lock().mark_leaving(name, now);
         self.app.view_changed.notify_waiters();
-        info!(target_name = %name, is_known, "target is leaving");
-        is_known
+        // A target that was forgotten since may say it once more, as it got no response.
+        let recorded = || self.app.replica.state.read().leaving().incarnation_of(name);
+        let incarnation = known.or_else(recorded).ok_or(LeaveError::Unknown)?;
+        info!(target_name = %name, %incarnation, "target is leaving");
+        Ok(record_leaving(&self.app, name, incarnation).await?)
     }
 }
 
+fn log_outdated(announcement: &Announcement, newest: Incarnation) {
+    let target = &announcement.target;
+    info!(
+        target_name = %target.name,
+        incarnation = %target.incarnation,
+        sequence = announcement.sequence,
+        newest_incarnation = %newest,
+        "announcement ignored: the target said more since"
+    );
+}
+
 fn log_announcement(announcement: &Announcement) {
     let target = &announcement.target;
     let layers = target.forwarding().and_then(|engine| engine.layers);
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod founding;
 mod group;
 mod handle;
+mod leaving_targets;
 mod maintenance;
 mod metrics;
 mod operator;
@@ -20,7 +21,7 @@
 mod view;
 mod watches;
 
-pub use handle::{AcceptError, ControlHandle};
+pub use handle::{AcceptError, ControlHandle, LeaveError};
 pub use placement::{OrderCall, PlacementCalls};
 pub use run::{Control, Founding, RunError, run_control, start_control};
 pub use settings::{ControlSettings, Peer, QuorumSettings};
--- a/crates/mgw-control/src/placement/leader_loop.rs
+++ b/crates/mgw-control/src/placement/leader_loop.rs
@@ -142,7 +142,8 @@
         let targets = view.targets(now).into_iter();
         let engines = targets.filter_map(|status| {
             let engine = status.target.forwarding()?;
-            let is_ready = status.state == VouchState::Announced(Readiness::Ready);
+            let is_ready =
+                status.state == VouchState::Announced(Readiness::Ready) && !status.is_superseded;
             (is_ready && engine.service == *service).then(|| AnnouncedEngine {
                 name: status.target.name.clone(),
                 incarnation: status.target.incarnation,
--- a/crates/mgw-control/src/replica/actor.rs
+++ b/crates/mgw-control/src/replica/actor.rs
@@ -349,6 +349,7 @@
                 | Action::Undrain { .. }
                 | Action::ReplaceRouting(_)
                 | Action::ReplacePackedRouting(_)
+                | Action::TargetLeaving { .. }
         );
         let reply = self.context.state.write().apply(index.0, command);
         if let Reply::Routing { version } = &reply {
--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -24,6 +24,7 @@
 use crate::founding::check_other_logs_empty;
 use crate::group::leave_group;
 use crate::handle::ControlHandle;
+use crate::leaving_targets::follow_leaving_targets;
 use crate::maintenance::run_maintenance;
 use crate::metrics::Metrics;
 use crate::operator::handle_request;
@@ -300,6 +301,7 @@
     };
     tokio::spawn(run_gossip(gossip, stop.clone()));
     tokio::spawn(watch_controls(Arc::clone(app), stop.clone()));
+    tokio::spawn(follow_leaving_targets(Arc::clone(app), stop.clone()));
     vec![
         tokio::spawn(http_server),
         tokio::spawn(run_maintenance(Arc::clone(app))),
--- a/crates/mgw-member/src/view/announce.rs
+++ b/crates/mgw-member/src/view/announce.rs
@@ -1,6 +1,6 @@
 //! Announcements of targets, and the leases that this node grants as their home.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use mgw_contract::target::{Announcement, Readiness};
 use mgw_world::{Incarnation, Millis, Target, TargetName};
@@ -40,7 +40,7 @@
         let target = &announcement.target;
         let order = (target.incarnation, announcement.sequence);
         let newest = self.newest_order(&target.name);
-        if order < newest {
+        if order < newest || self.has_left(announcement) {
             return AnnounceOutcome::Outdated { newest: newest.0 };
         }
         let lease = Lease {
@@ -71,6 +71,36 @@
         }
     }
 
+    /// Sets the targets that are leaving by a record that outlasts this node, each with its newest leaving
+    /// incarnation. This node vouches for none of these as ready, whatever it heard of them.
+    pub fn set_leaving(&mut self, leaving: BTreeMap<TargetName, Incarnation>, now: Millis) {
+        self.leaving = leaving;
+        let leases = self.leases.iter();
+        let vouched: Vec<Target> = leases
+            .filter(|(name, lease)| {
+                let is_leaving = lease.readiness == Readiness::Leaving;
+                !is_leaving && self.is_leaving(name, lease.target.incarnation)
+            })
+            .map(|(_, lease)| lease.target.clone())
+            .collect();
+        for target in vouched {
+            self.announce_leaving(target, now);
+        }
+    }
+
+    /// Whether an announcement says less than is known of the target: that it is leaving.
+    fn has_left(&self, announcement: &Announcement) -> bool {
+        let target = &announcement.target;
+        let is_leaving = announcement.readiness == Readiness::Leaving;
+        !is_leaving && self.is_leaving(&target.name, target.incarnation)
+    }
+
+    fn is_leaving(&self, name: &TargetName, incarnation: Incarnation) -> bool {
+        self.leaving
+            .get(name)
+            .is_some_and(|newest| incarnation <= *newest)
+    }
+
     fn newest_order(&self, name: &TargetName) -> AnnouncementOrder {
         self.local
             .get(name)
--- a/crates/mgw-member/src/view/core.rs
+++ b/crates/mgw-member/src/view/core.rs
@@ -46,6 +46,8 @@
     pub(crate) leases: BTreeMap<TargetName, Lease>,
     pub(crate) local: BTreeMap<TargetName, LocalTarget>,
     pub(crate) excluded: BTreeSet<TargetName>,
+    /// Newest incarnation of each target that is leaving by the durable record.
+    pub(crate) leaving: BTreeMap<TargetName, Incarnation>,
     pub(crate) exchanges: Exchanges,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) started_at: Millis,
@@ -78,6 +80,7 @@
             leases: BTreeMap::new(),
             local: BTreeMap::new(),
             excluded: BTreeSet::new(),
+            leaving: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             started_at: now,
             complete: false,
--- a/crates/mgw-member/src/view/eligibility.rs
+++ b/crates/mgw-member/src/view/eligibility.rs
@@ -54,6 +54,9 @@
     pub state: VouchState,
     /// Age of the home's record.
     pub age_ms: Millis,
+    /// Whether this node knows a newer announcement of the target, which no node vouches for any more. The state is
+    /// then out of date.
+    pub is_superseded: bool,
     /// Load that the home published, rounded up.
     pub load: LoadReport,
     /// Why the target gets no new work from this node; `None` if it is eligible.
@@ -72,11 +75,7 @@
     ) -> Result<EligibleTarget<'_>, IneligibleReason> {
         let (id, target_record) = self.newest_vouch(name).ok_or(IneligibleReason::Unknown)?;
         let local = self.local.get(name).ok_or(IneligibleReason::Unknown)?;
-        let order = (
-            target_record.vouch.target.incarnation,
-            target_record.vouch.sequence,
-        );
-        if id != self.own_id && order < local.newest_order {
+        if self.is_superseded(name, id, target_record) {
             return Err(IneligibleReason::Unsure);
         }
         check_state(target_record.vouch.state)?;
@@ -163,6 +162,14 @@
         })
     }
 
+    /// Whether a vouch of another node is older than the newest announcement that this node knows.
+    fn is_superseded(&self, name: &TargetName, id: NodeId, target_record: &TargetRecord) -> bool {
+        let vouch = &target_record.vouch;
+        let order = (vouch.target.incarnation, vouch.sequence);
+        let newest = self.local.get(name).map(|local| local.newest_order);
+        id != self.own_id && Some(order) < newest
+    }
+
     /// Whether the lease is valid, if this node is the home; always true for another home.
     fn has_valid_lease(&self, id: NodeId, name: &TargetName, now: Millis) -> bool {
         id != self.own_id
@@ -180,6 +187,7 @@
             home: &record.info.name,
             state: target_record.vouch.state,
             age_ms: self.age_of(id, record, now),
+            is_superseded: self.is_superseded(name, id, target_record),
             load: target_record
                 .load
                 .report(&target_record.vouch.target.limits),
--- a/crates/mgw-member/src/view/watch.rs
+++ b/crates/mgw-member/src/view/watch.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use mgw_world::{Incarnation, Millis, TargetName};
+use mgw_world::{Incarnation, Millis, Target, TargetName};
 
 use super::core::View;
 use super::exchange::InFlightExchange;
@@ -90,12 +90,17 @@
     }
 
     /// Marks a target as leaving; no announcement of the same incarnation can undo that. Returns
-    /// whether the target is known.
-    pub fn mark_leaving(&mut self, name: &TargetName, now: Millis) -> bool {
-        let known_vouch = self.newest_vouch(name);
-        let Some(target) = known_vouch.map(|(_, record)| record.vouch.target.clone()) else {
-            return false;
-        };
+    /// its newest incarnation, if the target is known.
+    pub fn mark_leaving(&mut self, name: &TargetName, now: Millis) -> Option<Incarnation> {
+        let (_, record) = self.newest_vouch(name)?;
+        let target = record.vouch.target.clone();
+        let incarnation = target.incarnation;
+        self.announce_leaving(target, now);
+        Some(incarnation)
+    }
+
+    /// Makes the final announcement in place of a target.
+    pub(crate) fn announce_leaving(&mut self, target: Target, now: Millis) {
         self.announce(
             &mgw_contract::target::Announcement {
                 target,
@@ -106,7 +111,6 @@
             },
             now,
         );
-        true
     }
 
     /// Confirms the sender's record, since a node that sends a watch is alive, or requests the
--- a/crates/mgw-relay/src/targets/usable.rs
+++ b/crates/mgw-relay/src/targets/usable.rs
@@ -29,7 +29,9 @@
 impl UsableTargets {
     /// Updates the targets from their status in the view.
     pub fn update(&mut self, statuses: &[TargetStatus<'_>], now: Millis) {
-        for status in statuses {
+        // A control that restarted may vouch by an announcement that is older than its target's last word.
+        let current = statuses.iter().filter(|status| !status.is_superseded);
+        for status in current {
             let name = &status.target.name;
             if status.state == VouchState::Announced(Readiness::Ready) {
                 let target = UsableTarget {
--- a/crates/mgw-relay/tests/support/control_front.rs
+++ b/crates/mgw-relay/tests/support/control_front.rs
@@ -13,7 +13,7 @@
     PeerError, PeerPool, PeerRpc, RoutingPartRequest, RoutingPartResponse, RoutingRequest,
     WatchRequest, WatchResponse, bind_peer_listener, channel_handler, serve_peers,
 };
-use mgw_quorum::Envelope;
+use mgw_quorum::{Envelope, ReplicaId};
 use mgw_route::{EvidenceReport, QuarantineUpdate};
 use mgw_routing::PackedRouting;
 use mgw_state::{Command, Reply};
@@ -117,6 +117,10 @@
         empty_reply(&exchange)
     }
 
+    async fn leave(self, _: Context, _: ReplicaId) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
     async fn watch(self, _: Context, request: WatchRequest) -> Result<WatchResponse, PeerError> {
         if request.routing >= self.state.reported() {
             sleep(request.wait_ms.to_duration()).await;
--- a/crates/mgw-state/src/command.rs
+++ b/crates/mgw-state/src/command.rs
@@ -3,8 +3,8 @@
 use mgw_contract::operator::{ApplyReply, DrainRequest, ResolveRequest};
 use mgw_routing::{PackedRouting, RoutingDocument};
 use mgw_world::{
-    FenceNumber, NodeName, OperatorName, PromptPart, RequestId, Revision, RoutingVersion, Subject,
-    UnixMillis,
+    FenceNumber, Incarnation, NodeName, OperatorName, PromptPart, RequestId, Revision,
+    RoutingVersion, Subject, TargetName, UnixMillis,
 };
 use serde::{Deserialize, Serialize};
 
@@ -129,6 +129,13 @@
         /// The part of prompts or the request.
         subject: Subject,
     },
+    /// Records that a target said that it is leaving.
+    TargetLeaving {
+        /// Name of the target.
+        target: TargetName,
+        /// Incarnation that is leaving, and with it all earlier ones.
+        incarnation: Incarnation,
+    },
 }
 
 /// Reply to a command.
@@ -162,7 +169,7 @@
         /// Version of the current document.
         version: RoutingVersion,
     },
-    /// Reply to [`Action::NoteRefusal`] and [`Action::AdvanceTime`].
+    /// Reply to [`Action::NoteRefusal`], [`Action::AdvanceTime`] and [`Action::TargetLeaving`].
     Noted,
     /// The command's log index was already applied; nothing changed.
     AlreadyApplied {
--- a/crates/mgw-state/src/lib.rs
+++ b/crates/mgw-state/src/lib.rs
@@ -1,6 +1,6 @@
 //! The state machine of the replicated log: the accepted configuration, the ledger of calls that
 //! run at most once, the audit trail, drained entries and targets, the fencing number, the routing
-//! document and the quarantine of parts of prompts.
+//! document, the quarantine of parts of prompts and the targets that are leaving.
 //!
 //! It is deterministic: nothing here performs I/O or reads a clock, and time enters as a field of
 //! [`Command`].
@@ -11,6 +11,7 @@
 mod config;
 mod error;
 mod inventory;
+mod leaving;
 mod ledger;
 pub mod orders;
 mod quarantine;
@@ -28,6 +29,7 @@
     ExpectedDuty, ExpectedTarget, Holding, Inventory, LedgerRules, Operator, RequestRules, Rules,
     hash_key,
 };
+pub use leaving::LeavingTargets;
 pub use ledger::{
     ClaimKey, ClaimReply, ClaimRequest, ClaimantId, Ledger, OutcomeReport, RecordReply,
     RecordedResponse, ResolveReply,
--- a/crates/mgw-state/src/state.rs
+++ b/crates/mgw-state/src/state.rs
@@ -16,11 +16,13 @@
 use crate::config::ChangeResult;
 use crate::{
     Action, AuditTrail, ClaimKey, Command, ConfigChange, ConfigPatch, Configuration, Inventory,
-    Ledger, Quarantine, Refusal, Reply, ResolveReply, StateError, decode, encode,
+    LeavingTargets, Ledger, Quarantine, Refusal, Reply, ResolveReply, StateError, decode, encode,
 };
 
 /// Version of the snapshot format; incremented with each change that older programs can't read.
-const SNAPSHOT_FORMAT: u8 = 5;
+const SNAPSHOT_FORMAT: u8 = 6;
+/// Format of earlier builds, without the leaving targets.
+const WITHOUT_LEAVING_FORMAT: u8 = 5;
 /// Format of earlier builds, whose quarantine holds parts of prompts only.
 const PARTS_ONLY_FORMAT: u8 = 4;
 /// Format of earlier builds, without a quarantine.
@@ -52,6 +54,7 @@
     leader: Option<NodeName>,
     routing: PackedRouting,
     quarantine: Quarantine,
+    leaving: LeavingTargets,
 }
 
 impl State {
@@ -121,6 +124,12 @@
         &self.quarantine
     }
 
+    /// The targets that said that they are leaving.
+    #[must_use]
+    pub const fn leaving(&self) -> &LeavingTargets {
+        &self.leaving
+    }
+
     /// Encodes the whole state, preceded by the version of the format.
     #[must_use]
     pub fn snapshot(&self) -> Vec<u8> {
@@ -136,6 +145,7 @@
     pub fn restore(bytes: &[u8]) -> Result<Self, StateError> {
         match bytes.split_first() {
             Some((&SNAPSHOT_FORMAT, rest)) => decode(rest),
+            Some((&WITHOUT_LEAVING_FORMAT, rest)) => decode_without_leaving(rest),
             Some((&PARTS_ONLY_FORMAT, rest)) => decode_parts_only(rest),
             Some((&WITHOUT_QUARANTINE_FORMAT, rest)) => decode_without_quarantine(rest),
             Some((&PLAIN_ROUTING_FORMAT, rest)) => {
@@ -209,6 +219,13 @@
             Action::LiftQuarantine { operator, part } => self.lift_subject(operator, part.into()),
             Action::Quarantine { subject, evidence } => self.quarantine_subject(subject, evidence),
             Action::Lift { operator, subject } => self.lift_subject(operator, subject),
+            Action::TargetLeaving {
+                target,
+                incarnation,
+            } => {
+                self.leaving.add(target, incarnation, self.now);
+                Reply::Noted
+            }
         }
     }
 
@@ -399,19 +416,27 @@
     }
 }
 
-/// Decodes a state of a format whose last field is missing.
+/// Decodes a state that lacks its last field.
+fn decode_without_leaving(bytes: &[u8]) -> Result<State, StateError> {
+    decode_completed(bytes, &encode(&LeavingTargets::default()))
+}
+
+/// Decodes a state that lacks its last two fields.
 fn decode_without_quarantine(bytes: &[u8]) -> Result<State, StateError> {
-    let mut completed = bytes.to_vec();
-    completed.extend(encode(&Quarantine::default()));
-    decode(&completed)
+    let missing = (Quarantine::default(), LeavingTargets::default());
+    decode_completed(bytes, &encode(&missing))
 }
 
-/// Decodes a state whose quarantine, its last field, lacks the requests.
+/// Decodes a state that lacks its last field and, in the one before it, the quarantine, the requests.
 fn decode_parts_only(bytes: &[u8]) -> Result<State, StateError> {
     let no_requests = BTreeMap::<RequestDigest, ()>::new();
-    let mut completed = bytes.to_vec();
-    completed.extend(encode(&no_requests));
-    decode(&completed)
+    let missing = (no_requests, LeavingTargets::default());
+    decode_completed(bytes, &encode(&missing))
+}
+
+/// Decodes a state of an earlier build with the bytes that it lacks at its end.
+fn decode_completed(bytes: &[u8], missing: &[u8]) -> Result<State, StateError> {
+    decode(&[bytes, missing].concat())
 }
 
 /// Inserts or removes a member; returns whether the set changed.
