A request that is sent again gets a connection that holds no earlier answer of it

What callers can see: a target refuses a request and writes that refusal once more on another kept connection. The request, sent to it again there, runs; the caller is told that it didn't run.

Cause: an answer is taken by its id, and a second copy of the refusal bears the id of the very attempt that was sent again. A refusal with another id, or with none on a kept connection, was dropped already (tried, not shown: refusal_of_an_earlier_request_says_nothing_of_the_next_one passed before).

Change: every send of an attempt after its first one, and every resumed stream, gets a new connection, which can't hold an earlier answer. Non-idempotent requests have had that all along.

second_copy_of_a_refusal_says_nothing_of_a_repeat_of_the_request failed before (503 instead of 200), passes after.

--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -6,7 +6,6 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use mgw_route::{BrokenSend, TargetEnd};
-use mgw_routing::CallKind;
 use mgw_serve::http::read_answer;
 use mgw_world::{Millis, TargetName};
 use tokio::time::{sleep, timeout};
@@ -293,7 +292,7 @@
             urgency: call.urgency,
             last_event: None,
         },
-        needs_new_connection: call.route.kind == CallKind::NonIdempotent,
+        needs_new_connection: sends.needs_new_connection(),
         timeout_ms,
     };
     let ends_at = app.clock.now() + timeout_ms;
--- a/crates/mgw-relay/src/request_sends.rs
+++ b/crates/mgw-relay/src/request_sends.rs
@@ -95,6 +95,13 @@
         self.ran > 0
     }
 
+    /// Whether the next send needs a connection of its own, which holds no earlier answer: a request that may run
+    /// once only, and one that was sent before, as a second copy of its first answer bears its id.
+    #[must_use]
+    pub const fn needs_new_connection(&self) -> bool {
+        !self.may_repeat || self.sent() > 0
+    }
+
     /// Number of sends that may have reached a target.
     #[must_use]
     pub const fn sent(&self) -> u32 {
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -124,7 +124,7 @@
                 urgency: self.call.urgency,
                 last_event: self.event_order.last(),
             },
-            needs_new_connection: !self.call.route.may_repeat(),
+            needs_new_connection: self.has_begun || self.sends.needs_new_connection(),
             timeout_ms: self.time_left(),
         }
     }
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -49,7 +49,7 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use standin::{Behaviour, EVENTS, Standin};
+pub use standin::{Behaviour, EVENTS, Standin, event};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/mgw-relay/tests/support/raw.rs
+++ b/crates/mgw-relay/tests/support/raw.rs
@@ -22,6 +22,8 @@
 pub enum Piece {
     /// Sends these bytes; `{id}` stands for the id of the request.
     Send(&'static str),
+    /// Sends these bytes if the connection has carried an earlier request.
+    SendIfKept(&'static str),
     /// Sends nothing for so many milliseconds.
     Pause(u64),
     /// Sends these bytes again and again until the relay gives the connection up.
@@ -64,6 +66,7 @@
     last: &[Piece],
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut is_kept = false;
     while let Some(id) = read_request(standin, &mut stream).await? {
         let script = scripts.lock().pop_front();
         for piece in script.unwrap_or_else(|| last.to_vec()) {
@@ -72,6 +75,11 @@
                     let text = text.replace("{id}", &id);
                     stream.write_all(text.as_bytes()).await?;
                 }
+                Piece::SendIfKept(text) if is_kept => {
+                    let text = text.replace("{id}", &id);
+                    stream.write_all(text.as_bytes()).await?;
+                }
+                Piece::SendIfKept(_) => {}
                 Piece::Pause(span_ms) => sleep(Duration::from_millis(span_ms)).await,
                 Piece::Endless(text) => {
                     let block = text.replace("{id}", &id).repeat(ENDLESS_REPEATS);
@@ -92,6 +100,7 @@
                 }
             }
         }
+        is_kept = true;
     }
     Ok(())
 }
