The rest of a stream is taken only from an answer that is one

What callers can see: a stream breaks off, the next target answers 200 with an error's text, and that text stands in the middle of their stream, or an empty answer ends the stream as if it were complete.

Cause: a resumed stream checked the status of the next answer and the order of numbered events. A block without a number passed as an event, whatever it was, and so did an answer of another content type.

Ruled out by the test: error statuses, with a body, without a length, with events in them and with the word that the request didn't run, never reached the stream before either.

Change: the next answer must have the content type of the first one, and after a move only numbered events and comments are taken; anything else leaves that target like any other fault of it. An empty event stream still ends the stream: the first target may have broken off after its last event.

error_of_the_next_target_is_no_part_of_a_stream_that_has_begun failed before ('error' in the body), passes after.

--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -39,6 +39,7 @@
                 self.sends = sends;
                 self.moves += 1;
                 self.splitter = EventSplitter::default();
+                self.event_order.require_numbers();
                 self.chain_stream = Some(chain_stream);
                 self.app
                     .metrics
--- a/crates/mgw-relay/src/stream/events.rs
+++ b/crates/mgw-relay/src/stream/events.rs
@@ -16,6 +16,8 @@
         /// Number of the event that should have followed the previous one.
         expected: u64,
     },
+    /// an event without a number in the rest of a stream that numbers its events
+    Unnumbered,
     /// an event is longer than any event that targets send
     TooLong,
 }
@@ -75,13 +77,23 @@
 #[derive(Debug, Clone, Default)]
 pub struct EventOrder {
     last: Option<u64>,
+    needs_numbers: bool,
 }
 
 impl EventOrder {
     /// Continues after the event `last`; `None` accepts any number as the first.
     #[must_use]
     pub const fn after(last: Option<u64>) -> Self {
-        Self { last }
+        Self {
+            last,
+            needs_numbers: false,
+        }
+    }
+
+    /// Accepts only numbered events and comments from now on: the rest of a stream comes from another target, and
+    /// whatever else it sends isn't part of the stream.
+    pub const fn require_numbers(&mut self) {
+        self.needs_numbers = true;
     }
 
     /// Number of the last event passed on.
@@ -93,7 +105,7 @@
     /// Checks complete events and returns those that weren't passed on before.
     ///
     /// # Errors
-    /// When an event is missing.
+    /// When an event is missing, or isn't part of the stream.
     pub fn accept(&mut self, events: &Bytes) -> Result<Bytes, EventFault> {
         let mut from = 0;
         let mut start = 0;
@@ -108,6 +120,8 @@
                     }
                     _ => self.last = Some(found),
                 }
+            } else if self.needs_numbers && has_content(&events[start..end]) {
+                return Err(EventFault::Unnumbered);
             }
             start = end;
         }
@@ -129,6 +143,12 @@
     bytes.len()
 }
 
+/// Whether an event has lines other than comments.
+fn has_content(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Parses the number in the `id` line of an event.
 fn parse_event_number(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 use mgw_route::{ChainRequest, ChainReservation, NoChain};
 use mgw_world::Millis;
@@ -101,6 +102,13 @@
             }
             return Err(pass_failure(answer, self.time_left()).await);
         }
+        if self.has_begun && answer.parts.headers.get(CONTENT_TYPE) != self.content_type.as_ref() {
+            self.avoid.push(reserved.hops[0].target.clone());
+            return Err(OpenError::SendFailed(
+                SendOutcome::Unknown,
+                "answer isn't the rest of the stream",
+            ));
+        }
         let now = self.app.clock.now();
         let chain_stream = ChainStream::new(reserved, answer.body, answer.connection, now);
         Ok((Box::new(answer.parts), chain_stream))
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
 use mgw_route::NoChain;
 use mgw_world::{Millis, TargetName};
@@ -57,6 +58,8 @@
     pub(super) chain: String,
     /// Whether the caller got the first events.
     pub(super) has_begun: bool,
+    /// Content type of the answer that the caller gets, once it has begun.
+    pub(super) content_type: Option<HeaderValue>,
     /// Total time that the request waited for free capacity or targets.
     pub(super) waited_ms: Millis,
     /// How often the stream moved to another chain.
@@ -83,6 +86,7 @@
             chain_stream: None,
             chain: String::new(),
             has_begun: false,
+            content_type: None,
             waited_ms: Millis::ZERO,
             moves: 0,
             next_move_at: Millis::ZERO,
@@ -217,6 +221,7 @@
 
     fn begin(mut self, parts: Box<Parts>, first: Bytes) -> StreamStart {
         self.has_begun = true;
+        self.content_type = parts.headers.get(CONTENT_TYPE).cloned();
         let ms = self.app.clock.now() - self.call.arrived_at;
         self.app.metrics.first_event.observe(to_seconds(ms));
         info!(
--- a/crates/mgw-relay/tests/odd_answers.rs
+++ b/crates/mgw-relay/tests/odd_answers.rs
@@ -6,7 +6,7 @@
 
 use hyper::StatusCode;
 use mgw_testkit::free_address;
-use support::{Piece, Standin, System};
+use support::{Behaviour, Piece, Standin, System, event};
 
 /// A whole answer in two events, after which the connection is kept.
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\
@@ -68,3 +68,40 @@
     assert_eq!(answer.status, StatusCode::OK);
     assert!(answer.is_whole, "{}", answer.body);
 }
+
+/// A stream broke off, and what the next target answered instead of events stood in the middle of the caller's
+/// stream, or ended it as if it were complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_the_next_target_is_no_part_of_a_stream_that_has_begun() {
+    let events = "content-type: text/event-stream\r\n";
+    let answers = [
+        "HTTP/1.1 500 Oops\r\nx-id: {id}\r\ncontent-length: 8\r\n\r\nerror\n\n\n".to_owned(),
+        "HTTP/1.1 404 Oops\r\nx-id: {id}\r\n\r\nerror\n\n".to_owned(),
+        "HTTP/1.1 503 Oops\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 7\r\n\r\nerror\n\n"
+            .to_owned(),
+        format!("HTTP/1.1 500 Oops\r\nx-id: {{id}}\r\n{events}\r\nid: 3\ndata: error\n\n"),
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/plain\r\n\r\nerror\n\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/plain\r\ncontent-length: 0\r\n\r\n"
+            .to_owned(),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\nerror\n\n"),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\ndata: error\n\n"),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\nHTTP/1.1 500 error\r\n\r\n"),
+    ];
+    for text in answers {
+        let script = vec![Piece::Send(leak(text.clone())), Piece::Close];
+        let one = Standin::start("one", true, &[Behaviour::BreakAfter(2); 4]).await;
+        let two = Standin::start_raw("two", true, Vec::new(), script).await;
+        let system = System::start(&[&one, &two]).await;
+        for id in 0..4 {
+            let answer = system.call(&id.to_string(), "/stream/x").await;
+            assert!(!answer.body.contains("error"), "{text:?}: {}", answer.body);
+            if answer.status == StatusCode::OK && answer.is_whole {
+                assert!(
+                    answer.body.ends_with(&event(support::EVENTS)),
+                    "{text:?}: {}",
+                    answer.body
+                );
+            }
+        }
+    }
+}
