A target that claims layers beyond the model's is left out of the search for chains

What callers would see: one announcement with layers beyond the model's, by anyone, ends the search of each entry with an index out of bounds, for every stream of that service.

Cause: the search indexes its table by the layers that targets announce, without comparing them with the model's. The placement clamps them (Coverage::change), so that it isn't concerned.

target_with_layers_beyond_the_model_is_left_out failed before (the len is 81 but the index is 81), passes after.

--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -109,7 +109,9 @@
             Some(_) => self.ignores_pauses,
             None => !member.health.is_blocked(self.now),
         };
-        is_place_allowed && !is_avoided && is_usable
+        // A target may announce anything; one that claims other layers than the model's serves another model.
+        let is_of_model = member.target.layers.end() <= self.model.layers;
+        is_place_allowed && !is_avoided && is_usable && is_of_model
     }
 
     /// Layer boundaries at which some candidate's range starts or ends, in ascending order.
--- a/crates/mgw-route/tests/chain.rs
+++ b/crates/mgw-route/tests/chain.rs
@@ -73,6 +73,18 @@
     assert_eq!(names(&chain), ["h1", "f2"]);
 }
 
+/// A target that claims layers beyond the model's ended the search with an index out of bounds, for every request.
+#[test]
+fn target_with_layers_beyond_the_model_is_left_out() {
+    for (first, end) in [(0, 81), (40, u16::MAX), (80, 90), (200, 300)] {
+        let mut targets = two_zones();
+        targets.push(target("odd", "home", "fast", first, end));
+        let mut router = router(targets);
+        let chain = router.choose(&REQUEST, Millis(0)).unwrap();
+        assert_eq!(names(&chain), ["h1", "h2"], "{first}..{end}");
+    }
+}
+
 #[test]
 fn overlapping_layer_ranges_are_split_at_the_cheapest_boundary() {
     let mut router = router(vec![
