A target of a service that no route knows takes no address from a sound one

What callers would see: one entry with the address of a sound target, another name, a later start and a service that isn't in the routing document keeps all requests from the sound target until its lease ends.

Cause: of several targets at one address the one that started last was used, before anybody looked at its service.

Change: targets of unknown services are left out first.

target_of_an_unknown_service_takes_no_address_from_others is new; before this the list held the odd target only.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -332,9 +332,13 @@
     /// Updates the chain routers and the plain balancer from the view.
     pub fn update_targets(&self) {
         let now = self.clock.now();
+        let routing = self.routing();
+        let knows_service = |name: &ServiceName| routing.service(name).is_some();
         let known_entries = {
             let view = self.view.lock();
-            self.usable_targets.lock().update(&view.targets(now), now);
+            let mut usable_targets = self.usable_targets.lock();
+            usable_targets.update(&view.targets(now), knows_service, now);
+            drop(usable_targets);
             count_entries(&view, now)
         };
         if !self.knows_entries.load(Ordering::Relaxed) {
--- a/crates/mgw-relay/src/targets/usable.rs
+++ b/crates/mgw-relay/src/targets/usable.rs
@@ -5,7 +5,7 @@
 
 use mgw_contract::target::Readiness;
 use mgw_member::{TargetStatus, VouchState};
-use mgw_world::{Millis, Target, TargetName};
+use mgw_world::{Millis, ServiceName, Target, TargetName};
 
 /// How long a target stays usable that no node vouches for any more: a control that restarts loses
 /// its targets until they announce themselves again.
@@ -27,10 +27,19 @@
 }
 
 impl UsableTargets {
-    /// Updates the targets from their status in the view.
-    pub fn update(&mut self, statuses: &[TargetStatus<'_>], now: Millis) {
+    /// Updates the targets from their status in the view. A target of a service that isn't known gets no work, and
+    /// takes no address from others.
+    pub fn update(
+        &mut self,
+        statuses: &[TargetStatus<'_>],
+        knows_service: impl Fn(&ServiceName) -> bool,
+        now: Millis,
+    ) {
         // A control that restarted may vouch by an announcement that is older than its target's last word.
-        let current = statuses.iter().filter(|status| !status.is_superseded);
+        let current = statuses.iter().filter(|status| {
+            let service = status.target.service();
+            !status.is_superseded && service.is_none_or(&knows_service)
+        });
         for status in current {
             let name = &status.target.name;
             if status.state == VouchState::Announced(Readiness::Ready) {
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -10,7 +10,9 @@
     SendOutcome, UsableTargets, WaitLimits,
 };
 use mgw_route::{EntryRateLimits, RequestRate, TargetRun};
-use mgw_world::{Incarnation, Limits, Millis, Revision, Target, TargetKind, TargetName};
+use mgw_world::{
+    Incarnation, Limits, Millis, Revision, ServiceName, Target, TargetKind, TargetName,
+};
 
 #[test]
 fn sending_stops_if_a_non_repeatable_request_may_have_run_or_enough_targets_were_tried() {
@@ -126,11 +128,11 @@
     let mut view_before = view("control");
     announce(&mut view_before, "a", 1, Readiness::Ready, 10);
     let mut usable = UsableTargets::default();
-    usable.update(&view_before.targets(Millis(10)), Millis(10));
+    usable.update(&view_before.targets(Millis(10)), |_| true, Millis(10));
     let restarted = view("control");
-    usable.update(&restarted.targets(Millis(20)), Millis(2_000));
+    usable.update(&restarted.targets(Millis(20)), |_| true, Millis(2_000));
     assert_eq!(names(&usable), ["a"]);
-    usable.update(&restarted.targets(Millis(20)), Millis(6_000));
+    usable.update(&restarted.targets(Millis(20)), |_| true, Millis(6_000));
     assert!(names(&usable).is_empty());
 }
 
@@ -139,9 +141,9 @@
     let mut view = view("control");
     announce(&mut view, "a", 1, Readiness::Ready, 10);
     let mut usable = UsableTargets::default();
-    usable.update(&view.targets(Millis(10)), Millis(10));
+    usable.update(&view.targets(Millis(10)), |_| true, Millis(10));
     announce(&mut view, "a", 1, Readiness::Leaving, 20);
-    usable.update(&view.targets(Millis(20)), Millis(20));
+    usable.update(&view.targets(Millis(20)), |_| true, Millis(20));
     assert!(names(&usable).is_empty());
 }
 
@@ -151,10 +153,28 @@
     announce(&mut view, "new", 2, Readiness::Ready, 10);
     announce(&mut view, "old", 1, Readiness::Ready, 20);
     let mut usable = UsableTargets::default();
-    usable.update(&view.targets(Millis(20)), Millis(20));
+    usable.update(&view.targets(Millis(20)), |_| true, Millis(20));
     assert_eq!(names(&usable), ["new"]);
 }
 
+/// One odd entry with the address of a sound target kept all requests from that one.
+#[test]
+fn target_of_an_unknown_service_takes_no_address_from_others() {
+    let mut view = view("control");
+    announce(&mut view, "sound", 1, Readiness::Ready, 10);
+    announce(&mut view, "odd", 2, Readiness::Ready, 20);
+    let mut statuses = view.targets(Millis(20));
+    let mut odd = statuses[0].target.clone();
+    odd.duty = TargetKind::Plain {
+        service: "nobody knows it".into(),
+    };
+    statuses[0].target = &odd;
+    let mut usable = UsableTargets::default();
+    let knows_service = |name: &ServiceName| name.as_str() == "records";
+    usable.update(&statuses, knows_service, Millis(20));
+    assert_eq!(names(&usable), ["sound"]);
+}
+
 /// Load pattern: all processes restart, and callers that were disconnected retry at once.
 #[test]
 fn only_a_process_that_has_just_started_lets_requests_wait_for_routes() {
