Announcements that can't be true are refused before they reach the views

What callers would see: an entry with port 0, a start in the far future, the largest sequence number or a name of 100 kB is taken by one control and read by all others. The future start outranks the sound target at that address, and the largest sequence number every later word of that target.

Change: ControlHandle::announce checks address, start, sequence number and lengths, and refuses with the fault. An entry that names a sound target's address with a plausible start still takes its place until its own lease ends unrenewed (4 heartbeats): nothing but an answer at that address can tell the two apart.

--- a/crates/mgw-control/src/handle/mod.rs
+++ b/crates/mgw-control/src/handle/mod.rs
@@ -2,12 +2,14 @@
 //! protocol.
 
 mod addresses;
+mod announcement_check;
 mod control_handle;
 mod routing;
 mod submit;
 mod targets;
 
+pub use announcement_check::AnnouncementFault;
 pub use control_handle::ControlHandle;
 pub use routing::AcceptError;
 pub use submit::{leader_address, submit_anywhere};
-pub use targets::LeaveError;
+pub use targets::{AnnounceError, LeaveError};
--- a/crates/mgw-control/src/handle/targets.rs
+++ b/crates/mgw-control/src/handle/targets.rs
@@ -3,12 +3,22 @@
 use mgw_contract::target::{Announcement, Readiness};
 use mgw_member::AnnounceOutcome;
 use mgw_peer::PeerError;
-use mgw_world::{Incarnation, TargetName};
+use mgw_world::{Clock, Incarnation, TargetName};
 use tracing::info;
 
 use super::ControlHandle;
+use super::announcement_check::{AnnouncementFault, check_announcement};
 use crate::leaving_targets::record_leaving;
 
+/// Why an announcement isn't acknowledged.
+#[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
+pub enum AnnounceError {
+    /// {0}
+    Invalid(AnnouncementFault),
+    /// {0}
+    NotConfirmed(PeerError),
+}
+
 /// Why a target's word that it is leaving isn't acknowledged.
 #[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
 pub enum LeaveError {
@@ -23,12 +33,13 @@
     /// control if the announcement changed something.
     ///
     /// # Errors
-    /// When the target says that it is leaving and no quorum confirmed that in time. The other nodes learn of it
-    /// all the same, but it must be announced again.
+    /// When the announcement can't be true; it changes nothing then. Also when the target says that it is leaving and
+    /// no quorum confirmed that in time: the other nodes learn of it all the same, but it must be announced again.
     pub async fn announce(
         &self,
         announcement: &Announcement,
-    ) -> Result<AnnounceOutcome, PeerError> {
+    ) -> Result<AnnounceOutcome, AnnounceError> {
+        check_announcement(announcement, Clock::wall())?;
         let outcome = self.announce_to_view(announcement);
         if announcement.readiness == Readiness::Leaving {
             let target = &announcement.target;
--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -21,7 +21,7 @@
 mod view;
 mod watches;
 
-pub use handle::{AcceptError, ControlHandle, LeaveError};
+pub use handle::{AcceptError, AnnounceError, AnnouncementFault, ControlHandle, LeaveError};
 pub use placement::{OrderCall, PlacementCalls};
 pub use run::{Control, Founding, RunError, run_control, start_control};
 pub use settings::{ControlSettings, Peer, QuorumSettings};
--- a/crates/mgw-control/tests/late_announcements.rs
+++ b/crates/mgw-control/tests/late_announcements.rs
@@ -1,4 +1,4 @@
-//! Announcements of targets that arrive late at controls that have restarted since.
+//! Announcements of targets that arrive late at controls that have restarted since, and odd ones.
 #![allow(clippy::unwrap_used)]
 
 mod open_group;
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
+use mgw_control::AnnounceError;
 use mgw_world::{Incarnation, Limits, Target, TargetKind};
 use open_group::OpenGroup;
 
@@ -97,3 +98,28 @@
         assert_eq!(usable_targets(&group), [1; 3], "a new incarnation");
     }
 }
+
+/// One odd entry among those of the targets, as another writer may leave it: nobody ends, and the others hold.
+#[test]
+fn odd_announcement_is_refused_and_the_others_hold() {
+    let odd: [fn(&mut Announcement); 6] = [
+        |it| it.target.address.set_port(0),
+        |it| it.target.address = ([0, 0, 0, 0], 80).into(),
+        |it| it.target.incarnation = Incarnation(u64::MAX),
+        |it| it.sequence = u64::MAX,
+        |it| it.target.name = "x".repeat(100_000).as_str().into(),
+        |it| it.target.place = "x".repeat(100_000).as_str().into(),
+    ];
+    let group = OpenGroup::start(1);
+    let sound = announcement(1, 4, Readiness::Ready);
+    announce(&group, 0, &sound);
+    for change in odd {
+        let mut odd = announcement(2, 1, Readiness::Ready);
+        odd.target.name = "odd".into();
+        change(&mut odd);
+        let handle = group.handle(0);
+        let outcome = group.block_on(0, handle.announce(&odd));
+        assert!(matches!(outcome, Err(AnnounceError::Invalid(_))), "{odd:?}");
+    }
+    assert_eq!(group.usable_targets(0), 1);
+}
--- a/crates/mgw-peer/tests/group.rs
+++ b/crates/mgw-peer/tests/group.rs
@@ -65,6 +65,10 @@
         Err(PeerError::NotAControl)
     }
 
+    async fn leave(self, _: Context, _: ReplicaId) -> Result<(), PeerError> {
+        Err(PeerError::NotAControl)
+    }
+
     async fn watch(self, _: Context, _: WatchRequest) -> Result<WatchResponse, PeerError> {
         Err(PeerError::NotAControl)
     }
