A learner that is gone for a minute is removed from the group

A machine that is lost while it is a learner stayed a member for good, and each leader kept sending to it.

Change: the planner removes a learner that has been silent for 60 s, after everything else. One that comes back asks to join. Guarded by learner_that_is_gone_is_removed.

--- a/crates/mgw-control/src/group/membership.rs
+++ b/crates/mgw-control/src/group/membership.rs
@@ -16,7 +16,7 @@
 /// What a leader remembers of its voters from one round to the next.
 #[derive(Debug, Default)]
 pub struct MembershipState {
-    /// Voters that this leader can't reach, with the time at which it first couldn't.
+    /// Members that this leader can't reach, with the time at which it first couldn't.
     unreachable_since: BTreeMap<ReplicaId, Millis>,
     /// Voters and unreachable voters as last logged.
     logged_voters: (BTreeSet<ReplicaId>, BTreeSet<ReplicaId>),
@@ -27,7 +27,7 @@
 /// Makes the membership change that is due, if any.
 pub async fn update_membership(app: &App, report: &ReplicaReport, state: &mut MembershipState) {
     let now = app.clock.now();
-    track_unreachable_voters(report, state, now);
+    track_unreachable_members(report, state, now);
     log_changed_voters(report, state);
     let silent_ms = if app.settings.open_group {
         measure_silences(app, state, now)
@@ -57,17 +57,18 @@
     }
 }
 
-/// Records since when each voter is unreachable; forgets those that are reachable.
-fn track_unreachable_voters(report: &ReplicaReport, state: &mut MembershipState, now: Millis) {
+/// Records since when each member is unreachable; forgets those that are reachable.
+fn track_unreachable_members(report: &ReplicaReport, state: &mut MembershipState, now: Millis) {
     let previous = std::mem::take(&mut state.unreachable_since);
-    let voters = report.membership.voters.iter();
-    let unreachable = voters.filter(|id| !report.reachable.contains(id));
+    let membership = &report.membership;
+    let members = membership.voters.iter().chain(&membership.learners);
+    let unreachable = members.filter(|id| !report.reachable.contains(id));
     state.unreachable_since = unreachable
         .map(|id| (id.clone(), previous.get(id).copied().unwrap_or(now)))
         .collect();
 }
 
-/// How long each unreachable voter has been silent, by what this leader has seen, or by its view of the nodes,
+/// How long each unreachable member has been silent, by what this leader has seen, or by its view of the nodes,
 /// which is older than its term.
 fn measure_silences(
     app: &App,
@@ -95,8 +96,10 @@
 
 /// Logs the voters and those of them that don't answer, when either has changed.
 fn log_changed_voters(report: &ReplicaReport, state: &mut MembershipState) {
-    let unreachable = state.unreachable_since.keys().cloned().collect();
-    let current = (report.membership.voters.clone(), unreachable);
+    let voters = &report.membership.voters;
+    let unreachable = state.unreachable_since.keys();
+    let unreachable = unreachable.filter(|id| voters.contains(id));
+    let current = (voters.clone(), unreachable.cloned().collect());
     if current == state.logged_voters {
         return;
     }
--- a/crates/mgw-quorum/src/member_plan.rs
+++ b/crates/mgw-quorum/src/member_plan.rs
@@ -28,7 +28,7 @@
     pub reachable: &'a BTreeSet<ReplicaId>,
     /// Reachable learners that lack few entries of the log.
     pub caught_up: &'a BTreeSet<ReplicaId>,
-    /// How long each unreachable voter has been silent.
+    /// How long each unreachable member has been silent.
     pub silent_ms: &'a BTreeMap<ReplicaId, Millis>,
 }
 
@@ -38,6 +38,8 @@
     /// Silence after which a voter counts as lost. A removed voter that comes back joins again, so a wrong
     /// guess costs two changes.
     pub lost_after_ms: Millis,
+    /// Silence after which a learner is removed. It counts for nothing, but the leader keeps sending to it.
+    pub learner_lost_after_ms: Millis,
     /// Fewest voters that may remain after a removal of lost ones: so many disks hold each entry that
     /// a majority of them outlives the losses that the group must bear.
     pub min_voters: usize,
@@ -47,6 +49,7 @@
     fn default() -> Self {
         Self {
             lost_after_ms: Millis(2_000),
+            learner_lost_after_ms: Millis(60_000),
             min_voters: 3,
         }
     }
@@ -67,7 +70,9 @@
     /// voters that run never falls.
     #[must_use]
     pub fn next_change(&self, group: &GroupStatus<'_>) -> Option<MemberChange> {
-        plan_promotion(group).or_else(|| self.plan_removal(group))
+        plan_promotion(group)
+            .or_else(|| self.plan_removal(group))
+            .or_else(|| self.plan_learner_removal(group))
     }
 
     /// Whether a voter that stops should leave the group first: the others then bear one more loss than
@@ -93,6 +98,16 @@
         Some(MemberChange::Remove(longest.clone()))
     }
 
+    /// Plans the removal of a lost learner.
+    fn plan_learner_removal(&self, group: &GroupStatus<'_>) -> Option<MemberChange> {
+        let mut learners = group.membership.learners.iter();
+        let lost = learners.find(|id| {
+            let silent_ms = group.silent_ms.get(id);
+            silent_ms.is_some_and(|silent_ms| *silent_ms >= self.learner_lost_after_ms)
+        });
+        lost.map(|id| MemberChange::Remove(id.clone()))
+    }
+
     /// Whether the removal of lost voters makes the group bear more losses. From an even number one removal
     /// lowers the majority, from an odd number only the second one does.
     const fn may_remove(&self, voters: usize, lost: usize) -> bool {
--- a/crates/mgw-quorum/tests/member_plan.rs
+++ b/crates/mgw-quorum/tests/member_plan.rs
@@ -329,6 +329,27 @@
     }
 }
 
+/// A learner that is gone stayed a member for good.
+#[test]
+fn learner_that_is_gone_is_removed() {
+    let gone = ReplicaId::new("vm-90", 90);
+    let mut membership = Membership::of_voters((0..3).map(id_of));
+    membership.learners = [gone.clone()].into();
+    let change_after = |silent_ms| {
+        MemberPlanner::default().next_change(&GroupStatus {
+            membership: &membership,
+            reachable: &membership.voters,
+            caught_up: &BTreeSet::new(),
+            silent_ms: &[(gone.clone(), Millis(silent_ms))].into(),
+        })
+    };
+    assert_eq!(change_after(59_000), None);
+    assert_eq!(
+        change_after(60_000),
+        Some(MemberChange::Remove(gone.clone()))
+    );
+}
+
 /// A learner whose predecessor of the same name still answers held up the promotion of all others.
 #[test]
 fn learner_with_a_reachable_predecessor_holds_up_no_other() {
