--- a/crates/mgw-control/src/group/membership.rs
+++ b/crates/mgw-control/src/group/membership.rs
@@ -9,8 +9,8 @@
 use crate::app::App;
 use crate::replica::ReplicaReport;
 
-/// Time for which a leader itself has had no answer from a voter before the view's evidence counts: at the start
-/// of its term no voter has answered yet.
+/// Time for which a leader itself has had no answer from a voter before it goes by the view as well: at the start of
+/// its term no voter has answered yet.
 const MIN_OWN_EVIDENCE_MS: Millis = Millis(800);
 
 /// What a leader remembers of its voters from one round to the next.
--- a/crates/mgw-control/src/handle/targets.rs
+++ b/crates/mgw-control/src/handle/targets.rs
@@ -19,7 +19,7 @@
     NotConfirmed(PeerError),
 }
 
-/// Why a target's word that it is leaving isn't acknowledged.
+/// Why a target's notice that it is leaving isn't acknowledged.
 #[derive(Debug, displaydoc::Display, derive_more::Error, derive_more::From)]
 pub enum LeaveError {
     /// this control doesn't know the target
--- a/crates/mgw-control/src/leaving_targets.rs
+++ b/crates/mgw-control/src/leaving_targets.rs
@@ -1,5 +1,5 @@
-//! Targets that said that they are leaving: their word is committed to the log, so that it outlasts the control
-//! that heard it, and goes from the log to the view of each control.
+//! Targets that are leaving: each notice is committed to the log, so that it outlasts the control that received
+//! it, and passed from the log to the view of each control.
 
 use std::sync::Arc;
 
@@ -13,13 +13,13 @@
 use crate::app::App;
 use crate::handle::submit_anywhere;
 
-/// Time within which the word of a target must be committed: a target waits no longer for the response.
+/// Time within which a notice must be committed: a target waits no longer for the response.
 const COMMIT_LIMIT_MS: Millis = Millis(800);
 
 /// Commits that an incarnation of a target is leaving, unless it is known already.
 ///
 /// # Errors
-/// When no quorum confirmed it in time. The target must say it again, here or at another control.
+/// When no quorum confirmed it in time. The target must repeat its notice, here or at another control.
 pub async fn record_leaving(
     app: &App,
     target: &TargetName,
--- a/crates/mgw-control/tests/late_announcements.rs
+++ b/crates/mgw-control/tests/late_announcements.rs
@@ -60,7 +60,7 @@
 
 /// How a target says that it is leaving.
 #[derive(Debug, Clone, Copy)]
-enum Word {
+enum Notice {
     Leave,
     Draining,
 }
@@ -69,19 +69,19 @@
 /// announcement brought the target back into use after a restart of that control.
 #[test]
 fn late_announcement_brings_no_leaving_target_back_after_restarts() {
-    // (word of the target, controls that restart one after the other, control that gets the late announcement)
+    // (notice of the target, controls that restart one after the other, control that gets the late announcement)
     let table = [
-        (Word::Leave, vec![0], 0),
-        (Word::Leave, vec![0], 1),
-        (Word::Leave, vec![0, 1, 2], 2),
-        (Word::Draining, vec![0, 1, 2], 0),
+        (Notice::Leave, vec![0], 0),
+        (Notice::Leave, vec![0], 1),
+        (Notice::Leave, vec![0, 1, 2], 2),
+        (Notice::Draining, vec![0, 1, 2], 0),
     ];
-    for (word, restarted, late_at) in table {
+    for (notice, restarted, late_at) in table {
         let mut group = OpenGroup::start(3);
         announce(&group, 0, &announcement(1, 4, Readiness::Ready));
-        match word {
-            Word::Leave => leave(&group, 0),
-            Word::Draining => announce(&group, 0, &announcement(1, 6, Readiness::Leaving)),
+        match notice {
+            Notice::Leave => leave(&group, 0),
+            Notice::Draining => announce(&group, 0, &announcement(1, 6, Readiness::Leaving)),
         }
         for at in &restarted {
             restart(&mut group, *at);
@@ -90,7 +90,7 @@
         announce(&group, late_at, &announcement(1, 5, Readiness::Ready));
         sleep(SPREAD);
         let usable = usable_targets(&group);
-        assert_eq!(usable, [0; 3], "{word:?} {restarted:?} {late_at}");
+        assert_eq!(usable, [0; 3], "{notice:?} {restarted:?} {late_at}");
         // The answer to the leave was lost: the target says it again.
         leave(&group, late_at);
         announce(&group, late_at, &announcement(2, 1, Readiness::Ready));
--- a/crates/mgw-quorum/tests/replacements.rs
+++ b/crates/mgw-quorum/tests/replacements.rs
@@ -164,7 +164,7 @@
         self.run(CATCH_UP_MS);
     }
 
-    /// Number of controls that run, and the voters by the leader's word; none without a leader.
+    /// Number of controls that run, and the voters as the leader counts them; none without a leader.
     fn count(&mut self) -> (usize, Option<(usize, usize)>) {
         let running = self.cluster.nodes.len() - self.gone.len();
         let leader = self
@@ -183,7 +183,7 @@
     }
 }
 
-/// Review case 2: voters that were away came back as strangers, until too few were left. Review case 1: lost ones
+/// Review case 2: voters that were away weren't voters any more when they came back, until too few were left. Review case 1: lost ones
 /// stayed voters.
 #[test]
 fn random_outages_and_replacements_leave_every_running_control_a_voter() {
--- a/crates/mgw-relay/src/targets/usable.rs
+++ b/crates/mgw-relay/src/targets/usable.rs
@@ -35,7 +35,7 @@
         knows_service: impl Fn(&ServiceName) -> bool,
         now: Millis,
     ) {
-        // A control that restarted may vouch by an announcement that is older than its target's last word.
+        // A control that restarted may vouch by an announcement that is older than its target's newest one.
         let current = statuses.iter().filter(|status| {
             let service = status.target.service();
             !status.is_superseded && service.is_none_or(&knows_service)
