--- a/crates/mgw-route/tests/chain_support/mod.rs
+++ b/crates/mgw-route/tests/chain_support/mod.rs
@@ -1,8 +1,9 @@
 //! A model, targets in several zones and a router for the tests of chains.
 
+#![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::unwrap_used)]
 
-use mgw_route::{ChainRouter, ChainSettings, ChainTarget};
+use mgw_route::{Chain, ChainRequest, ChainRouter, ChainSettings, ChainTarget, TargetRun};
 use mgw_world::{Accelerator, Incarnation, LayerRange, Millis, PipelineModel};
 
 /// A model of 80 layers and two kinds of accelerators; decoding steps take four times as long on
@@ -62,3 +63,39 @@
     router.set_targets(targets, Millis(0));
     router
 }
+
+pub const REQUEST: ChainRequest<'_> = ChainRequest {
+    prompt_tokens: 760,
+    answer_tokens: 200,
+    avoid: &[],
+    limits: None,
+};
+
+pub fn names(chain: &Chain) -> Vec<&str> {
+    chain.hops.iter().map(|hop| hop.target.as_str()).collect()
+}
+
+pub fn two_zones() -> Vec<ChainTarget> {
+    vec![
+        target("h1", "home", "fast", 0, 40),
+        target("h2", "home", "fast", 40, 80),
+        target("f1", "far", "fast", 0, 30),
+        target("f2", "far", "fast", 30, 80),
+    ]
+}
+
+/// Chooses chains until there is none left; returns their number.
+pub fn fill(router: &mut ChainRouter) -> usize {
+    let mut chosen = 0;
+    while router.choose(&REQUEST, Millis(0)).is_ok() {
+        chosen += 1;
+    }
+    chosen
+}
+
+pub fn run(name: &str) -> TargetRun {
+    TargetRun {
+        name: name.into(),
+        incarnation: Incarnation(1),
+    }
+}
