Tests of open groups wait for the lock of a killed control's data folder

A kill in these tests ends a runtime; the thread that writes the data folder isn't one of its tasks and ends a moment later, where the kill of a process ends all of its threads. The start waits for the lock, within the limit of all other waits. Nothing that the tests check is changed.

--- a/crates/mgw-control/tests/open_group/mod.rs
+++ b/crates/mgw-control/tests/open_group/mod.rs
@@ -10,7 +10,8 @@
 
 use mgw_contract::operator::{STATUS_PATH, StatusReply};
 use mgw_control::{
-    Control, ControlHandle, ControlSettings, Founding, Peer, QuorumSettings, start_control,
+    Control, ControlHandle, ControlSettings, Founding, Peer, QuorumSettings, RunError,
+    start_control,
 };
 use mgw_serve::Shutdown;
 use mgw_testkit::free_address;
@@ -111,8 +112,7 @@
         };
         let mut runtime = Builder::new_multi_thread();
         let runtime = runtime.worker_threads(1).enable_all().build().unwrap();
-        let starting = start_control(settings, founding, Shutdown::default());
-        let control = runtime.block_on(starting).unwrap().unwrap();
+        let control = runtime.block_on(start_once_unlocked(settings, founding));
         machine.running = Some(Running { runtime, control });
     }
 
@@ -185,6 +185,22 @@
     }
 }
 
+/// Starts a control as soon as the thread that wrote the data folder before a kill has let go of its lock; the kill of
+/// a process ends its threads at once.
+async fn start_once_unlocked(settings: ControlSettings, founding: Founding) -> Control {
+    let started = Instant::now();
+    loop {
+        let starting = start_control(settings.clone(), founding.clone(), Shutdown::default());
+        match starting.await {
+            Err(RunError::Data { message }) if message.contains("held by another process") => {
+                assert!(started.elapsed() < WAIT_LIMIT, "{message}");
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+            control => return control.unwrap().unwrap(),
+        }
+    }
+}
+
 /// Response to a request, head included; empty without a response.
 fn read_page(listen: SocketAddr, path: &str) -> String {
     let read = || -> std::io::Result<String> {
