Interfaces of the parts for hard load: full targets, demand by urgency, admission levels, objectives

Cause: under hard load no process knows what the others know of full targets and of demand (docs/design/hard-load.md). Change: types only, with doc comments: EntryLoad.full and .demand, OtherEntriesLoad.full and .admission, Objective of a ChainRequest, target_latency_ms of a Route. Measured: cargo check of all targets; no behaviour changes.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -239,6 +239,8 @@
                 .collect(),
             leaving: self.exclusions.lock().leaving_to_report(now),
             sends: self.retries.lock().own_sends(),
+            full: Vec::new(),
+            demand: Vec::new(),
         }
     }
 
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -189,6 +189,7 @@
                 answer_tokens: answer_tokens.min(max_answer_tokens),
                 avoid: &self.avoid,
                 limits: None,
+                objective: self.call.objective(),
             };
             chains.choose_within_limits(&request, &mut limits, now)
         });
--- a/crates/mgw-relay/tests/support/wire.rs
+++ b/crates/mgw-relay/tests/support/wire.rs
@@ -135,6 +135,7 @@
         is_public: false,
         is_resumable: kind == CallKind::Stream,
         max_event_pause_ms: Millis(200),
+        target_latency_ms: Millis(500),
     };
     let mut routes = vec![
         route("/stream/", CallKind::Stream, "pool"),
--- a/crates/mgw-route/src/chain/entry_load.rs
+++ b/crates/mgw-route/src/chain/entry_load.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exclusions::TargetRun;
-use crate::limit::{SendWindow, ServiceSends};
+use crate::limit::{AdmissionLevel, SendWindow, ServiceDemand, ServiceSends};
 
 /// Shortest time between two load reports of an entry.
 const MIN_REPORT_INTERVAL_MS: Millis = Millis(400);
@@ -48,6 +48,15 @@
     pub received: u32,
 }
 
+/// A target that refused a request because it had no room for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FullTarget {
+    /// Address at which the target accepts calls.
+    pub address: SocketAddr,
+    /// Time since the latest refusal.
+    pub age_ms: Millis,
+}
+
 /// One entry's report of its load.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryLoad {
@@ -61,6 +70,11 @@
     pub leaving: Vec<TargetRun>,
     /// Sends by service since the entry started.
     pub sends: Vec<ServiceSends>,
+    /// Targets that recently refused a request of the entry because they had no room.
+    pub full: Vec<FullTarget>,
+    /// Requests by service and urgency since the entry started; only of services whose routes or
+    /// workspaces differ in urgency.
+    pub demand: Vec<ServiceDemand>,
 }
 
 /// Sum of the reports of all entries but the one that receives it.
@@ -82,6 +96,10 @@
     /// Sends of all entries, including the receiving one, in the last seconds; empty until a whole
     /// window was observed.
     pub sends: Vec<ServiceSends>,
+    /// Targets that recently refused a request of any of the entries because they had no room.
+    pub full: Vec<FullTarget>,
+    /// Services of which entries admit a part of the requests only.
+    pub admission: Vec<AdmissionLevel>,
 }
 
 #[derive(Debug, Clone)]
@@ -168,6 +186,8 @@
             // One report suffices, as it repeats the target's own word.
             leaving: self.leaving.keys().cloned().collect(),
             sends: self.sends.totals(now),
+            full: Vec::new(),
+            admission: Vec::new(),
         }
     }
 
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -11,11 +11,13 @@
 mod search;
 
 pub use entry_load::{
-    EntryLoad, EntryLoadTable, OtherEntriesLoad, TargetLoad, report_interval_ms, report_valid_ms,
+    EntryLoad, EntryLoadTable, FullTarget, OtherEntriesLoad, TargetLoad, report_interval_ms,
+    report_valid_ms,
 };
 pub use fleet::ChainTarget;
 pub use health::{HealthSettings, ProbeOutcome};
 pub use health_checks::SilentTargets;
 pub use router::{
     Chain, ChainLoad, ChainRequest, ChainReservation, ChainRouter, ChainSettings, Hop, NoChain,
+    Objective,
 };
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -17,16 +17,17 @@
 
 pub use chain::{
     Chain, ChainLoad, ChainRequest, ChainReservation, ChainRouter, ChainSettings, ChainTarget,
-    EntryLoad, EntryLoadTable, HealthSettings, Hop, NoChain, OtherEntriesLoad, ProbeOutcome,
-    SilentTargets, TargetLoad, report_interval_ms, report_valid_ms,
+    EntryLoad, EntryLoadTable, FullTarget, HealthSettings, Hop, NoChain, Objective,
+    OtherEntriesLoad, ProbeOutcome, SilentTargets, TargetLoad, report_interval_ms, report_valid_ms,
 };
 pub use error::NoPath;
 pub use exclusions::{ExclusionSettings, Exclusions, TargetRun};
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
-    Admission, AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event,
-    LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, SendWindow, ServiceSends,
-    StepWindow, StepWindowSettings, compute_retry_grant,
+    Admission, AdmissionCapacity, AdmissionLevel, AdmissionRequest, AdmissionSettings, Decision,
+    Event, LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, SendWindow,
+    ServiceDemand, ServiceSends, StepWindow, StepWindowSettings, UrgencyDemand,
+    compute_retry_grant,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- /dev/null
+++ b/crates/mgw-route/src/limit/level.rs
@@ -0,0 +1,37 @@
+//! What entries and the collecting control tell each other about demand that exceeds the room on targets.
+
+use mgw_world::ServiceName;
+use serde::{Deserialize, Serialize};
+
+/// Requests of one urgency at one entry since the entry started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UrgencyDemand {
+    /// Rank, where 0 is the most urgent.
+    pub urgency: u8,
+    /// Requests that callers sent.
+    pub offered: u64,
+    /// Requests whose answer has begun.
+    pub begun: u64,
+    /// Requests that were refused for lack of room, by targets or by the entry.
+    pub full: u64,
+}
+
+/// Requests for one service at one entry, by urgency.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// One item for each urgency that was seen.
+    pub by_urgency: Vec<UrgencyDemand>,
+}
+
+/// Which requests of a service entries admit while not all of them find room.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdmissionLevel {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Requests that are more urgent are admitted; those that are less urgent are refused.
+    pub urgency: u8,
+    /// Fraction of the requests of exactly this urgency that is admitted, in thousandths.
+    pub share_permille: u16,
+}
--- a/crates/mgw-routing/src/objects.rs
+++ b/crates/mgw-routing/src/objects.rs
@@ -50,6 +50,8 @@
     pub is_resumable: bool,
     /// Longest pause between two events of an answer that still counts as in time; zero for no limit.
     pub max_event_pause_ms: Millis,
+    /// Time until the first event, or the whole answer, within which it is in time; zero for no limit.
+    pub target_latency_ms: Millis,
 }
 
 impl Route {
--- a/crates/mgw-routing/src/table.rs
+++ b/crates/mgw-routing/src/table.rs
@@ -32,6 +32,7 @@
 ///     is_public: true,
 ///     is_resumable: false,
 ///     max_event_pause_ms: Millis(0),
+///     target_latency_ms: Millis(0),
 /// };
 /// let table = RouteTable::new(Routing { routes: vec![route], ..Routing::default() });
 /// assert_eq!(table.find("drills.example:80", "/v1/plan").unwrap().name, "drills");
--- a/crates/mgw-routing/tests/check.rs
+++ b/crates/mgw-routing/tests/check.rs
@@ -21,6 +21,7 @@
         is_public: false,
         is_resumable: false,
         max_event_pause_ms: Millis(0),
+        target_latency_ms: Millis(500),
     }
 }
 
--- a/crates/mgw-routing/tests/table.rs
+++ b/crates/mgw-routing/tests/table.rs
@@ -19,6 +19,7 @@
         is_public: name == "public",
         is_resumable: true,
         max_event_pause_ms: Millis(200),
+        target_latency_ms: Millis(500),
     }
 }
 
