Futures of a control's shutdown are boxed

Cause: load reports grew by two lists, so that the future of a call between processes is over the linter's bound. Change: the two futures that hold it are boxed. Measured: clippy -p mgw-control clean.

--- a/crates/mgw-control/src/run.rs
+++ b/crates/mgw-control/src/run.rs
@@ -111,7 +111,9 @@
         app.shutdown
             .unless_forced(transfer_leadership(&app.replica))
             .await;
-        app.shutdown.unless_forced(leave_group(&app)).await;
+        app.shutdown
+            .unless_forced(Box::pin(leave_group(&app)))
+            .await;
         for task in self.tasks {
             app.shutdown.unless_forced(task).await;
         }
@@ -133,7 +135,7 @@
         Founding::Join
     };
     if let Some(control) = start_control(settings, founding, shutdown).await? {
-        control.run_until_ended().await;
+        Box::pin(control.run_until_ended()).await;
     }
     Ok(())
 }
