--- a/crates/mgw-control/src/group/leave.rs
+++ b/crates/mgw-control/src/group/leave.rs
@@ -3,12 +3,13 @@
 //! Whether the control will be back isn't known here. One that is back joins again.
 
 use mgw_peer::PeerError;
-use mgw_quorum::{MemberChange, MemberPlanner, ReplicaId};
+use mgw_quorum::{MemberChange, ReplicaId};
 use mgw_state::Action;
 use mgw_world::Millis;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use super::membership::member_planner;
 use crate::app::App;
 use crate::handle::leader_address;
 use crate::replica::ReplicaReport;
@@ -71,6 +72,5 @@
 }
 
 fn should_leave(app: &App, replica: &ReplicaId, report: &ReplicaReport) -> bool {
-    let planner = MemberPlanner::for_losses(app.settings.tolerated_losses);
-    app.settings.open_group && planner.should_leave(replica, &report.membership)
+    app.settings.open_group && member_planner(app).should_leave(replica, &report.membership)
 }
--- a/crates/mgw-control/src/group/membership.rs
+++ b/crates/mgw-control/src/group/membership.rs
@@ -34,8 +34,7 @@
     } else {
         BTreeMap::new()
     };
-    let planner = MemberPlanner::for_losses(app.settings.tolerated_losses);
-    let change = planner.next_change(&GroupStatus {
+    let change = member_planner(app).next_change(&GroupStatus {
         membership: &report.membership,
         reachable: &report.reachable,
         caught_up: &report.caught_up,
@@ -57,6 +56,11 @@
     }
 }
 
+/// The planner of changes to the group that this control belongs to.
+pub(super) fn member_planner(app: &App) -> MemberPlanner {
+    MemberPlanner::for_losses(app.settings.tolerated_losses)
+}
+
 /// Records since when each member is unreachable; forgets those that are reachable.
 fn track_unreachable_members(report: &ReplicaReport, state: &mut MembershipState, now: Millis) {
     let previous = std::mem::take(&mut state.unreachable_since);
@@ -75,6 +79,9 @@
     state: &MembershipState,
     now: Millis,
 ) -> BTreeMap<ReplicaId, Millis> {
+    if state.unreachable_since.is_empty() {
+        return BTreeMap::new();
+    }
     let view = app.view.lock();
     let nodes = view.nodes(now);
     let age_of = |id: &ReplicaId| {
