--- a/crates/mgw-route/src/chain/entry_load.rs
+++ b/crates/mgw-route/src/chain/entry_load.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exclusions::TargetRun;
-use crate::limit::{AdmissionLevel, SendWindow, ServiceDemand, ServiceSends};
+use crate::limit::{AdmissionLevel, AdmissionTable, SendWindow, ServiceDemand, ServiceSends};
 
 /// Shortest time between two load reports of an entry.
 const MIN_REPORT_INTERVAL_MS: Millis = Millis(400);
@@ -152,6 +152,7 @@
     requests: u32,
     started_at: Option<Millis>,
     sends: SendWindow,
+    admission: AdmissionTable,
 }
 
 impl EntryLoadTable {
@@ -161,11 +162,35 @@
         self.sends.record(entry, &load.sends, now);
         self.remove(entry);
         self.expire(now);
-        let others = self.others(now);
+        let mut others = self.others(now);
+        self.exchange_admission(entry, &load.demand, &mut others, now);
         self.insert(entry, load, now);
         others
     }
 
+    /// Records an entry's demand and adds the admission levels, once all entries have reported.
+    fn exchange_admission(
+        &mut self,
+        entry: &str,
+        demand: &[ServiceDemand],
+        others: &mut OtherEntriesLoad,
+        now: Millis,
+    ) {
+        let entries = others.entries + 1;
+        self.admission
+            .record(entry, demand, report_valid_ms(entries), now);
+        if others.is_complete {
+            let interval_ms = report_interval_ms(entries);
+            others.admission = self.admission.levels(interval_ms, now).to_vec();
+        }
+    }
+
+    /// Admission of all services, as the control sees it.
+    #[must_use]
+    pub const fn admission(&self) -> &AdmissionTable {
+        &self.admission
+    }
+
     fn others(&self, now: Millis) -> OtherEntriesLoad {
         let uses = self.sums.iter().map(|(address, sum)| TargetLoad {
             address: *address,
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -24,10 +24,11 @@
 pub use exclusions::{ExclusionSettings, Exclusions, TargetRun};
 pub use graph::{Bound, BoundaryShare, Graph, GraphTarget, TargetShare, compute_bound};
 pub use limit::{
-    Admission, AdmissionCapacity, AdmissionLevel, AdmissionRequest, AdmissionSettings, Decision,
-    Event, LatencyLimit, LatencyLimitSettings, RetryBudget, RetryBudgetSettings, SendWindow,
-    ServiceDemand, ServiceSends, StepWindow, StepWindowSettings, UrgencyDemand,
-    compute_retry_grant,
+    Admission, AdmissionCapacity, AdmissionGate, AdmissionLevel, AdmissionRateSettings,
+    AdmissionRefusal, AdmissionRequest, AdmissionSettings, AdmissionTable, Decision, Event,
+    GateRequest, LatencyLimit, LatencyLimitSettings, LevelChange, RetryBudget, RetryBudgetSettings,
+    SendWindow, ServiceDemand, ServiceSends, StepWindow, StepWindowSettings, UrgencyDemand,
+    UrgencyRate, compute_retry_grant,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- /dev/null
+++ b/crates/mgw-route/src/limit/admission_table.rs
@@ -0,0 +1,167 @@
+//! Admission levels of all services, worked out by the control that collects the entries' reports.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use mgw_world::{Millis, ServiceName};
+
+use super::admission_rate::{AdmissionRate, Observed, UrgencyRate};
+use super::level::{AdmissionLevel, ServiceDemand, UrgencyDemand};
+
+/// Time between two decisions.
+const STEP_MS: Millis = Millis(400);
+/// Shortest span over which demand is summed.
+const MIN_WINDOW_MS: Millis = Millis(1_200);
+
+/// Latest counts of an entry.
+#[derive(Debug)]
+struct Reported {
+    at: Millis,
+    demand: Vec<ServiceDemand>,
+}
+
+/// What one report added to the counts of one service and urgency.
+#[derive(Debug)]
+struct Increment {
+    at: Millis,
+    service: ServiceName,
+    demand: UrgencyDemand,
+}
+
+/// Demand of all entries in the last seconds, and the levels that follow from it; memory only.
+#[derive(Debug, Default)]
+pub struct AdmissionTable {
+    reported: BTreeMap<String, Reported>,
+    increments: VecDeque<Increment>,
+    rates: BTreeMap<ServiceName, AdmissionRate>,
+    levels: Vec<AdmissionLevel>,
+    decided_at: Option<Millis>,
+}
+
+impl AdmissionTable {
+    /// Records an entry's counts. Those of an entry that was away for longer than `valid_ms`, or that has
+    /// restarted, only begin a new series.
+    pub fn record(&mut self, entry: &str, demand: &[ServiceDemand], valid_ms: Millis, now: Millis) {
+        if demand.is_empty() && !self.reported.contains_key(entry) {
+            return;
+        }
+        let current = Reported {
+            at: now,
+            demand: demand.to_vec(),
+        };
+        let Some(previous) = self.reported.insert(entry.to_owned(), current) else {
+            return;
+        };
+        if now - previous.at > valid_ms {
+            return;
+        }
+        for service in demand {
+            for counts in &service.by_urgency {
+                let before = find(&previous.demand, &service.service, counts.urgency);
+                if let Some(added) = subtract(counts, &before) {
+                    self.increments.push_back(Increment {
+                        at: now,
+                        service: service.service.clone(),
+                        demand: added,
+                    });
+                }
+            }
+        }
+    }
+
+    /// The levels now, decided anew at intervals. `report_interval_ms` is the time between two reports of an
+    /// entry.
+    pub fn levels(&mut self, report_interval_ms: Millis, now: Millis) -> &[AdmissionLevel] {
+        let is_due = self.decided_at.is_none_or(|at| now - at >= STEP_MS);
+        if is_due {
+            let is_first = self.decided_at.replace(now).is_none();
+            self.decide(report_interval_ms, is_first, now);
+        }
+        &self.levels
+    }
+
+    /// The rate at which requests of a service are admitted; `None` while everything is admitted.
+    #[must_use]
+    pub fn admitted_per_s(&self, service: &ServiceName) -> Option<f64> {
+        self.rates.get(service).and_then(AdmissionRate::per_s)
+    }
+
+    /// What callers sent lately, and what came of it.
+    #[must_use]
+    pub fn rates(
+        &self,
+        service: &ServiceName,
+        report_interval_ms: Millis,
+        now: Millis,
+    ) -> Vec<UrgencyRate> {
+        let window_ms = window_ms(report_interval_ms);
+        let mut sums: BTreeMap<u8, UrgencyDemand> = BTreeMap::new();
+        let recent = self.increments.iter().rev();
+        let recent = recent.take_while(|it| now - it.at < window_ms);
+        for increment in recent.filter(|it| it.service == *service) {
+            let sum = sums.entry(increment.demand.urgency).or_default();
+            sum.offered += increment.demand.offered;
+            sum.begun += increment.demand.begun;
+            sum.full += increment.demand.full;
+            sum.below += increment.demand.below;
+        }
+        let per_s = |count: u64| count as f64 * 1_000.0 / window_ms.0 as f64;
+        let rates = sums.into_iter().map(|(urgency, sum)| UrgencyRate {
+            urgency,
+            offered_per_s: per_s(sum.offered),
+            begun_per_s: per_s(sum.begun),
+            full_per_s: per_s(sum.full),
+            below_per_s: per_s(sum.below),
+        });
+        rates.collect()
+    }
+
+    fn decide(&mut self, report_interval_ms: Millis, is_first: bool, now: Millis) {
+        let window_ms = window_ms(report_interval_ms);
+        while self
+            .increments
+            .front()
+            .is_some_and(|it| now - it.at >= window_ms)
+        {
+            self.increments.pop_front();
+        }
+        for increment in &self.increments {
+            self.rates.entry(increment.service.clone()).or_default();
+        }
+        let services: Vec<ServiceName> = self.rates.keys().cloned().collect();
+        self.levels.clear();
+        for service in services {
+            let rates = self.rates(&service, report_interval_ms, now);
+            let rate = self.rates.entry(service.clone()).or_default();
+            let observed = Observed {
+                rates: &rates,
+                settle_ms: report_interval_ms + window_ms,
+                is_first,
+            };
+            rate.step(&observed, now);
+            self.levels.extend(rate.level(&service, &rates, now));
+        }
+    }
+}
+
+/// Spans a whole number of reports of each entry, so that each counts as often as the others.
+fn window_ms(report_interval_ms: Millis) -> Millis {
+    let reports = MIN_WINDOW_MS.0.div_ceil(report_interval_ms.0.max(1));
+    report_interval_ms.times(reports)
+}
+
+fn find(demand: &[ServiceDemand], service: &ServiceName, urgency: u8) -> UrgencyDemand {
+    let of_service = demand.iter().find(|it| it.service == *service);
+    let counts = of_service.and_then(|it| it.by_urgency.iter().find(|it| it.urgency == urgency));
+    counts.copied().unwrap_or_default()
+}
+
+/// What was added since; `None` if counts fell, as the entry has restarted.
+fn subtract(current: &UrgencyDemand, before: &UrgencyDemand) -> Option<UrgencyDemand> {
+    Some(UrgencyDemand {
+        urgency: current.urgency,
+        offered: current.offered.checked_sub(before.offered)?,
+        begun: current.begun.checked_sub(before.begun)?,
+        full: current.full.checked_sub(before.full)?,
+        below: current.below.checked_sub(before.below)?,
+    })
+}
--- a/crates/mgw-route/src/limit/level.rs
+++ b/crates/mgw-route/src/limit/level.rs
@@ -1,8 +1,15 @@
 //! What entries and the collecting control tell each other about demand that exceeds the room on targets.
 
-use mgw_world::ServiceName;
+use std::cmp::Ordering;
+
+use mgw_world::{Millis, ServiceName};
 use serde::{Deserialize, Serialize};
 
+/// All requests, in thousandths.
+pub const WHOLE_PERMILLE: u16 = 1_000;
+/// Cycle over which the returns of refused requests are spread.
+pub const RETURN_CYCLE_MS: Millis = Millis(3_000);
+
 /// Requests of one urgency at one entry since the entry started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UrgencyDemand {
@@ -14,6 +21,8 @@
     pub begun: u64,
     /// Requests that were refused for lack of room, by targets or by the entry.
     pub full: u64,
+    /// Requests that were refused before any send, as they were below the admission level.
+    pub below: u64,
 }
 
 /// Requests for one service at one entry, by urgency.
@@ -34,4 +43,21 @@
     pub urgency: u8,
     /// Fraction of the requests of exactly this urgency that is admitted, in thousandths.
     pub share_permille: u16,
+    /// Fraction of less urgent requests that is admitted all the same, in thousandths.
+    pub least_permille: u16,
+    /// Position in the cycle of return times, the same at all entries.
+    pub phase_ms: Millis,
+}
+
+impl AdmissionLevel {
+    /// Fraction of the requests of an urgency that is admitted.
+    #[must_use]
+    pub fn share(&self, urgency: u8) -> f64 {
+        let permille = match urgency.cmp(&self.urgency) {
+            Ordering::Less => WHOLE_PERMILLE,
+            Ordering::Equal => self.share_permille,
+            Ordering::Greater => self.least_permille,
+        };
+        f64::from(permille) / f64::from(WHOLE_PERMILLE)
+    }
 }
--- a/crates/mgw-route/src/limit/mod.rs
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -1,6 +1,10 @@
 //! Limits on concurrent requests, on steps in flight and on retries.
 
 mod admission;
+mod admission_gate;
+mod admission_rate;
+mod admission_table;
+mod admission_turns;
 mod budget;
 mod estimate;
 mod fair_queue;
@@ -11,6 +15,9 @@
 mod step_window;
 
 pub use admission::Admission;
+pub use admission_gate::{AdmissionGate, AdmissionRefusal, GateRequest, LevelChange};
+pub use admission_rate::{AdmissionRateSettings, UrgencyRate};
+pub use admission_table::AdmissionTable;
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use latency::{LatencyLimit, LatencyLimitSettings};
 pub use level::{AdmissionLevel, ServiceDemand, UrgencyDemand};
