--- a/crates/mgw-route/src/limit/admission_rate.rs
+++ b/crates/mgw-route/src/limit/admission_rate.rs
@@ -40,10 +40,14 @@
     pub full_fraction: f64,
     /// Fewest refusals a second that count: a single one is no evidence.
     pub min_full_per_s: f64,
-    /// Growth per second, as a fraction of the rate.
+    /// Growth per second, as a fraction of the rate, while few are refused for lack of room.
     pub growth_per_s: f64,
+    /// Largest growth per second, reached where hardly any are refused for long.
+    pub max_growth_per_s: f64,
     /// Largest cut at once while a level is in force, as a fraction of the rate.
     pub max_cut: f64,
+    /// Largest correction of the rate when fewer are admitted than it says.
+    pub max_correction: f64,
     /// Admitted fraction of less urgent requests, against that of all; a kind of request may not be
     /// served less than a quarter as often as all.
     pub least_fraction: f64,
@@ -59,7 +63,9 @@
             full_fraction: 0.03,
             min_full_per_s: 2.0,
             growth_per_s: 0.03,
-            max_cut: 0.15,
+            max_growth_per_s: 0.3,
+            max_cut: 0.08,
+            max_correction: 1.3,
             least_fraction: 0.35,
             drop_margin: 0.05,
             best_valid_ms: Millis(3_000),
@@ -82,6 +88,8 @@
     best: Best,
     changed_at: Millis,
     stepped_at: Millis,
+    /// When a noticeable part was last refused for lack of room.
+    refused_at: Millis,
 }
 
 /// Sums over all urgencies.
@@ -94,6 +102,11 @@
 }
 
 impl Totals {
+    /// Requests that had their answer or a refusal of targets.
+    fn admitted(self) -> f64 {
+        self.begun + self.full
+    }
+
     fn of(rates: &[UrgencyRate]) -> Self {
         rates.iter().fold(Self::default(), |sum, rate| Self {
             offered: sum.offered + rate.offered_per_s,
@@ -115,6 +128,9 @@
         let totals = Totals::of(observed.rates);
         let elapsed_ms = now - self.stepped_at;
         self.stepped_at = now;
+        if totals.full > totals.admitted() * self.settings.full_fraction / 2.0 {
+            self.refused_at = now;
+        }
         let is_settled = now - self.changed_at >= observed.settle_ms;
         self.per_s = match self.per_s {
             None => self.begin(totals, observed.is_first, now),
@@ -124,7 +140,10 @@
                 Some(totals.begun.max(floor).min(per_s))
             }
             Some(per_s) if self.is_too_full(totals) || !is_settled => Some(per_s),
-            Some(per_s) => self.grow(per_s, totals, elapsed_ms),
+            Some(per_s) => {
+                let quiet_ms = now - self.refused_at - observed.settle_ms;
+                self.grow(per_s, totals, quiet_ms, elapsed_ms)
+            }
         };
         self.record_best(totals, now);
     }
@@ -136,8 +155,9 @@
         rates: &[UrgencyRate],
         now: Millis,
     ) -> Option<AdmissionLevel> {
-        let per_s = self.per_s?;
-        let offered = Totals::of(rates).offered;
+        let totals = Totals::of(rates);
+        let per_s = self.budget_per_s(self.per_s?, totals);
+        let offered = totals.offered;
         if offered <= per_s {
             return None;
         }
@@ -163,6 +183,13 @@
         })
     }
 
+    /// The rate to divide: more than the admitted one if fewer were admitted lately, since what is offered
+    /// falls faster than reports tell. The root keeps reports of different age from adding up.
+    fn budget_per_s(&self, per_s: f64, totals: Totals) -> f64 {
+        let ratio = per_s / totals.admitted().max(f64::MIN_POSITIVE);
+        per_s * ratio.sqrt().clamp(1.0, self.settings.max_correction)
+    }
+
     /// Begins a level where too much is refused for lack of room. A control that has just begun to
     /// observe may find that entries admit a part only, by a level that another control has told.
     fn begin(&mut self, totals: Totals, is_first: bool, now: Millis) -> Option<f64> {
@@ -174,16 +201,25 @@
         Some(totals.begun.max(self.best.begun_per_s))
     }
 
-    fn grow(&self, per_s: f64, totals: Totals, elapsed_ms: Millis) -> Option<f64> {
+    /// Grows faster the longer there was room.
+    fn grow(
+        &self,
+        per_s: f64,
+        totals: Totals,
+        quiet_ms: Millis,
+        elapsed_ms: Millis,
+    ) -> Option<f64> {
         let elapsed_s = elapsed_ms.0.min(RETURN_CYCLE_MS.0) as f64 / 1_000.0;
-        let grown = per_s * (1.0 + self.settings.growth_per_s * elapsed_s);
+        let quiet_s = quiet_ms.0 as f64 / 1_000.0;
+        let growth_per_s = self.settings.growth_per_s * (1.0 + quiet_s).powi(2);
+        let growth_per_s = growth_per_s.min(self.settings.max_growth_per_s);
+        let grown = per_s * (1.0 + growth_per_s * elapsed_s);
         let is_enough = grown > totals.offered * (1.0 + self.settings.drop_margin);
         (!is_enough).then_some(grown)
     }
 
     fn is_too_full(&self, totals: Totals) -> bool {
-        let admitted = totals.begun + totals.full;
-        totals.full > admitted * self.settings.full_fraction
+        totals.full > totals.admitted() * self.settings.full_fraction
             && totals.full >= self.settings.min_full_per_s
     }
 
--- a/crates/mgw-route/src/limit/admission_table.rs
+++ b/crates/mgw-route/src/limit/admission_table.rs
@@ -10,7 +10,12 @@
 /// Time between two decisions.
 const STEP_MS: Millis = Millis(400);
 /// Shortest span over which demand is summed.
-const MIN_WINDOW_MS: Millis = Millis(1_200);
+const MIN_WINDOW_MS: Millis = Millis(800);
+
+/// Ratio of what was offered in the two halves of the window from which on it counts as falling.
+const CHANCE_RATIO: f64 = 0.88;
+/// Least part of what was offered that may still be expected.
+const MIN_TREND: f64 = 0.4;
 
 /// Latest counts of an entry.
 #[derive(Debug)]
@@ -105,9 +110,10 @@
             sum.below += increment.demand.below;
         }
         let per_s = |count: u64| count as f64 * 1_000.0 / window_ms.0 as f64;
+        let trend = self.offered_trend(service, window_ms, now);
         let rates = sums.into_iter().map(|(urgency, sum)| UrgencyRate {
             urgency,
-            offered_per_s: per_s(sum.offered),
+            offered_per_s: per_s(sum.offered) * trend,
             begun_per_s: per_s(sum.begun),
             full_per_s: per_s(sum.full),
             below_per_s: per_s(sum.below),
@@ -115,6 +121,25 @@
         rates.collect()
     }
 
+    /// What is offered by the end of the window, against the whole window, where it falls by more than
+    /// chance: reports are old, and a level by what was offered then would refuse too many.
+    fn offered_trend(&self, service: &ServiceName, window_ms: Millis, now: Millis) -> f64 {
+        let mut newer = 0.0;
+        let mut older = 0.0;
+        for increment in self.increments.iter().filter(|it| it.service == *service) {
+            let age_ms = now - increment.at;
+            if age_ms.times(2) < window_ms {
+                newer += increment.demand.offered as f64;
+            } else if age_ms < window_ms {
+                older += increment.demand.offered as f64;
+            }
+        }
+        if newer >= older * CHANCE_RATIO {
+            return 1.0;
+        }
+        ((2.0 * newer - older) * 2.0 / (newer + older)).max(MIN_TREND)
+    }
+
     fn decide(&mut self, report_interval_ms: Millis, is_first: bool, now: Millis) {
         let window_ms = window_ms(report_interval_ms);
         while self
--- a/crates/mgw-route/src/limit/admission_turns.rs
+++ b/crates/mgw-route/src/limit/admission_turns.rs
@@ -7,11 +7,11 @@
 use super::level::RETURN_CYCLE_MS;
 
 /// How long a turn lasts: a caller comes back within it after `Retry-After`.
-const TURN_MS: Millis = Millis(500);
+const TURN_MS: Millis = Millis(400);
 /// Shortest time until a caller comes back.
 const MIN_RETURN_MS: Millis = Millis(300);
 /// Most cycles that less urgent requests wait in addition.
-const MAX_EXTRA_CYCLES: u64 = 2;
+const MAX_EXTRA_CYCLES: u64 = 1;
 /// Requests after which counts are halved, so that they follow the load.
 const COUNTED_REQUESTS: f64 = 64.0;
 /// Requests that the usual fraction of turns weighs at the start.
--- a/crates/mgw-route/tests/admission_level.rs
+++ b/crates/mgw-route/tests/admission_level.rs
@@ -94,3 +94,22 @@
     play.run_until(OVER, 0.95);
     assert_eq!(play.results().refused(Millis::ZERO, OVER), 0);
 }
+
+#[test]
+fn zz_print() {
+    for entries in [9, 77, 291] {
+        for seed in 1..7 {
+            for fault in 0..3 {
+            let faults = match fault { 0 => vec![], 1 => vec![Fault::ControlLost { at: Millis(16_000) }], _ => vec![Fault::EntryCut{entry:1,from:Millis(14_000),until:Millis(32_000)},Fault::EntryFrozen{entry:2,from:Millis(12_000),until:Millis(20_000)}]};
+            let mut play = Play::new(entries, seed, faults);
+            play.run_until(BEGINS, CALM);
+            play.run_until(ENDS, HEAVY);
+            play.run_until(OVER, CALM);
+            let r = play.results();
+            let ws = r.served_by_workspace(BEGINS, ENDS);
+            let min = ws.iter().copied().fold(1.0, f64::min);
+            println!(":{entries} f{fault} good {:.3} urg {:.2?} all {:.3} first {:.3} wsmin {:.2} refused after {} +1s {}", r.goodput(BEGINS, ENDS), r.served_by_urgency(BEGINS, ENDS), r.served(BEGINS, ENDS), r.first(BEGINS,ENDS), min, r.refused(ENDS+RECOVERY_MS, OVER), r.refused(ENDS+RECOVERY_MS+Millis(1000), OVER));
+            }
+        }
+    }
+}
