--- a/crates/mgw-route/src/limit/level.rs
+++ b/crates/mgw-route/src/limit/level.rs
@@ -8,7 +8,7 @@
 /// All requests, in thousandths.
 pub const WHOLE_PERMILLE: u16 = 1_000;
 /// Cycle over which the returns of refused requests are spread.
-pub const RETURN_CYCLE_MS: Millis = Millis(1_800);
+pub const RETURN_CYCLE_MS: Millis = Millis(1_500);
 
 /// Requests of one urgency at one entry since the entry started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
