--- a/crates/mgw-control/src/lib.rs
+++ b/crates/mgw-control/src/lib.rs
@@ -1,6 +1,7 @@
 //! `mgw-control`: the process that holds a replica of the durable state (configuration, ledger and
 //! audit trail) on a machine with a disk.
 
+mod admission;
 mod app;
 mod data_folder;
 mod founding;
--- a/crates/mgw-control/src/peers.rs
+++ b/crates/mgw-control/src/peers.rs
@@ -17,6 +17,7 @@
 use tarpc::context::Context;
 use tokio::time::{sleep, timeout};
 
+use crate::admission::log_level_step;
 use crate::app::App;
 use crate::group::handle_leave;
 use crate::quarantine::{copy_evidence, exchange_evidence};
@@ -112,7 +113,9 @@
         let quarantine = exchange_evidence(app, entry.as_str(), &report.evidence);
         let mut entry_loads = app.entry_loads.lock();
         let load = entry_loads.exchange(entry.as_str(), report.load, now);
+        let steps = entry_loads.take_level_steps();
         drop(entry_loads);
+        steps.iter().for_each(log_level_step);
         let reporting = load.entries + 1;
         let limits = exchange_limits(app, entry.as_str(), &report.limits, reporting);
         Ok(OthersReport {
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use crate::admission::StreamAdmission;
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
 use crate::follow::RoutingUpdates;
@@ -81,6 +82,8 @@
     pub report_due: Notify,
     /// Targets that are being probed, with the sends that wait for the outcome.
     pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
+    /// Admission of new streams by urgency.
+    pub admission: Mutex<StreamAdmission>,
     /// Retry budgets of the services.
     pub retries: Mutex<ServiceRetries>,
     routing: RwLock<Arc<RouteTable>>,
@@ -125,6 +128,7 @@
             unresolved_sends: Mutex::default(),
             report_due: Notify::new(),
             probes: Mutex::default(),
+            admission: Mutex::new(StreamAdmission::new(&settings.name)),
             retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
             knows_entries: AtomicBool::new(false),
@@ -156,6 +160,7 @@
         }
         self.metrics.routing_version.set(to_gauge(version.0));
         self.update_models();
+        self.update_admission(&self.routing());
         self.update_targets();
         self.routing_set.notify_waiters();
     }
@@ -240,7 +245,7 @@
             leaving: self.exclusions.lock().leaving_to_report(now),
             sends: self.retries.lock().own_sends(),
             full: Vec::new(),
-            demand: Vec::new(),
+            demand: self.admission.lock().gate().demand(),
         }
     }
 
@@ -255,6 +260,7 @@
             self.knows_entries.store(true, Ordering::Relaxed);
         }
         self.retries.lock().set_shared(other_entries);
+        self.apply_admission(other_entries);
         for target in &other_entries.leaving {
             self.record_leaving(target, "another entry");
         }
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -40,6 +40,8 @@
     pub reason: &'static str,
     /// Time after which the caller may retry; only for requests that didn't run.
     pub retry_after_ms: Option<Millis>,
+    /// Whether that time already differs between callers that were refused together.
+    pub is_spread: bool,
 }
 
 impl Refusal {
@@ -49,6 +51,7 @@
             status,
             reason,
             retry_after_ms: None,
+            is_spread: false,
         }
     }
 
@@ -58,6 +61,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason,
             retry_after_ms: Some(retry_after_ms),
+            is_spread: false,
         }
     }
 
@@ -137,6 +141,21 @@
         Self::retry_later("the rate limits of the targets are reached", return_ms)
     }
 
+    /// The request is below the admission level, and goes before new ones of its urgency after `return_ms`.
+    #[must_use]
+    pub const fn below_level(return_ms: Millis) -> Self {
+        Self {
+            is_spread: true,
+            ..Self::retry_later("more urgent requests take the room", return_ms)
+        }
+    }
+
+    /// Whether targets or the entry had no room for the request.
+    #[must_use]
+    pub fn is_for_room(&self) -> bool {
+        [Self::full().reason, Self::not_accepted().reason].contains(&self.reason)
+    }
+
     /// All targets are full.
     #[must_use]
     pub const fn full() -> Self {
@@ -182,7 +201,8 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if let Some(after_ms) = self.retry_after_ms {
-            let jitter_ms = rand::rng().random_range(0..=after_ms.0 / 2);
+            let max_jitter_ms = if self.is_spread { 0 } else { after_ms.0 / 2 };
+            let jitter_ms = rand::rng().random_range(0..=max_jitter_ms);
             let seconds = (after_ms + Millis(jitter_ms)).0 as f64 / 1_000.0;
             if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
                 headers.insert(RETRY_AFTER, value);
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -1,5 +1,6 @@
 //! Reverse proxy that passes callers' requests on to targets and their answers back.
 
+mod admission;
 mod app;
 mod balance;
 mod callers;
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a relay.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 11] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0];
@@ -32,6 +34,12 @@
     pub limited_sends: IntCounter,
     /// Requests that were refused because rate limits of targets left no room for them.
     pub limited_refusals: IntCounter,
+    /// Urgency of the admission level, by service.
+    pub level_urgency: IntGaugeVec,
+    /// Fraction of the requests of that urgency that is admitted, by service.
+    pub level_share: IntGaugeVec,
+    /// Requests that were refused as below the admission level, by urgency.
+    pub below_level_refusals: IntCounterVec,
     /// Parts of prompts that are kept from targets.
     pub quarantined_parts: IntGauge,
     /// Whole requests that are kept from targets.
@@ -114,6 +122,27 @@
                 "mgw_relay_limited_refusals_total",
                 "Requests that were refused because rate limits left no room for them.",
             )?,
+            level_urgency: IntGaugeVec::new(
+                Opts::new(
+                    "mgw_relay_admission_urgency",
+                    "Urgency of which a part is admitted; 10 while everything is.",
+                ),
+                &["service"],
+            )?,
+            level_share: IntGaugeVec::new(
+                Opts::new(
+                    "mgw_relay_admission_share_permille",
+                    "Fraction of the requests of that urgency that is admitted, in thousandths.",
+                ),
+                &["service"],
+            )?,
+            below_level_refusals: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_below_level_refusals_total",
+                    "Requests refused as below the admission level, by urgency.",
+                ),
+                &["urgency"],
+            )?,
             quarantined_parts: IntGauge::new(
                 "mgw_relay_quarantined_parts",
                 "Parts of prompts that are kept from targets.",
@@ -151,6 +180,9 @@
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
         registry.register(Box::new(metrics.limited_refusals.clone()))?;
+        registry.register(Box::new(metrics.level_urgency.clone()))?;
+        registry.register(Box::new(metrics.level_share.clone()))?;
+        registry.register(Box::new(metrics.below_level_refusals.clone()))?;
         registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         registry.register(Box::new(metrics.quarantined_digests.clone()))?;
         registry.register(Box::new(metrics.quarantined_requests.clone()))?;
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -92,6 +92,10 @@
             next_move_at: Millis::ZERO,
             end: None,
         };
+        if let Err(refusal) = stream.app.admit_stream(&stream.call) {
+            stream.end = Some(refusal.reason);
+            return StreamStart::Refused(refusal);
+        }
         let refusal = loop {
             if stream.time_left() <= MIN_SEND_TIME_MS || !stream.may_send() {
                 break stream.refusal_without_answer();
@@ -101,6 +105,7 @@
                 Ok((parts, chain_stream)) => {
                     stream.chain_stream = Some(chain_stream);
                     if let Some(first) = stream.wait_for_first_events().await {
+                        stream.app.record_admitted_stream(&stream.call);
                         return stream.begin(parts, first);
                     }
                     if stream.time_left() <= MIN_SEND_TIME_MS {
@@ -122,6 +127,7 @@
                 }
             }
         };
+        stream.app.record_refused_stream(&stream.call, refusal);
         stream.end = Some(refusal.reason);
         StreamStart::Refused(refusal)
     }
--- a/crates/mgw-route/src/chain/entry_load.rs
+++ b/crates/mgw-route/src/chain/entry_load.rs
@@ -7,7 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exclusions::TargetRun;
-use crate::limit::{AdmissionLevel, AdmissionTable, SendWindow, ServiceDemand, ServiceSends};
+use crate::limit::{
+    AdmissionLevel, AdmissionTable, LevelStep, SendWindow, ServiceDemand, ServiceSends,
+};
 
 /// Shortest time between two load reports of an entry.
 const MIN_REPORT_INTERVAL_MS: Millis = Millis(400);
@@ -185,10 +187,9 @@
         }
     }
 
-    /// Admission of all services, as the control sees it.
-    #[must_use]
-    pub const fn admission(&self) -> &AdmissionTable {
-        &self.admission
+    /// Takes the changes of admission levels since the last call, for log lines.
+    pub fn take_level_steps(&mut self) -> Vec<LevelStep> {
+        self.admission.take_steps()
     }
 
     fn others(&self, now: Millis) -> OtherEntriesLoad {
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -26,9 +26,9 @@
 pub use limit::{
     Admission, AdmissionCapacity, AdmissionGate, AdmissionLevel, AdmissionRateSettings,
     AdmissionRefusal, AdmissionRequest, AdmissionSettings, AdmissionTable, Decision, Event,
-    GateRequest, LatencyLimit, LatencyLimitSettings, LevelChange, RetryBudget, RetryBudgetSettings,
-    SendWindow, ServiceDemand, ServiceSends, StepWindow, StepWindowSettings, UrgencyDemand,
-    UrgencyRate, compute_retry_grant,
+    GateRequest, LatencyLimit, LatencyLimitSettings, LevelChange, LevelStep, RetryBudget,
+    RetryBudgetSettings, SendWindow, ServiceDemand, ServiceSends, StepWindow, StepWindowSettings,
+    UrgencyDemand, UrgencyRate, compute_retry_grant,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- a/crates/mgw-route/src/limit/admission_gate.rs
+++ b/crates/mgw-route/src/limit/admission_gate.rs
@@ -25,8 +25,6 @@
     pub urgency: u8,
     /// Workspace of the caller.
     pub workspace: Option<&'a WorkspaceName>,
-    /// Digest, the same in each attempt of the caller.
-    pub digest: RequestDigest,
 }
 
 /// A request is below the admission level.
@@ -86,17 +84,24 @@
         self.demand.clone()
     }
 
-    /// Counts a new request and decides whether it is admitted.
+    /// Counts a new request and decides whether it is admitted. Its digest, which is the same in each
+    /// attempt of the caller, is asked for only while a level is in force.
     ///
     /// # Errors
     /// When the request is below the level.
-    pub fn admit(&mut self, request: &GateRequest, now: Millis) -> Result<(), AdmissionRefusal> {
+    pub fn admit(
+        &mut self,
+        request: &GateRequest<'_>,
+        digest: impl FnOnce() -> RequestDigest,
+        now: Millis,
+    ) -> Result<(), AdmissionRefusal> {
         self.counts(request.service, request.urgency).offered += 1;
         self.record_own(now);
         let Some(effective) = self.effective(request, now) else {
             return Ok(());
         };
-        let has_turn = has_turn(&request.digest, effective.phase_ms);
+        let digest = digest();
+        let has_turn = has_turn(&digest, effective.phase_ms);
         let key = (request.service.clone(), request.urgency);
         let seed = self.seed.wrapping_add(u64::from(request.urgency));
         let fair = self
@@ -108,7 +113,7 @@
         }
         self.counts(request.service, request.urgency).below += 1;
         Err(AdmissionRefusal {
-            return_ms: return_ms(&request.digest, effective.phase_ms, effective.ranks),
+            return_ms: return_ms(&digest, effective.phase_ms, effective.ranks),
         })
     }
 
--- a/crates/mgw-route/src/limit/admission_rate.rs
+++ b/crates/mgw-route/src/limit/admission_rate.rs
@@ -31,6 +31,8 @@
     pub(super) settle_ms: Millis,
     /// Whether nothing was observed before, so that entries may still obey another control's level.
     pub(super) is_first: bool,
+    /// Whether clearly less is offered than before.
+    pub(super) is_falling: bool,
 }
 
 /// Settings of the admitted rate.
@@ -142,7 +144,9 @@
             Some(per_s) if self.is_too_full(totals) || !is_settled => Some(per_s),
             Some(per_s) => {
                 let quiet_ms = now - self.refused_at - observed.settle_ms;
-                self.grow(per_s, totals, quiet_ms, elapsed_ms)
+                let growth_per_s = self.growth_per_s(quiet_ms, observed.is_falling);
+                let elapsed_ms = elapsed_ms.min(RETURN_CYCLE_MS);
+                self.grow(per_s, totals, growth_per_s * elapsed_ms.0 as f64 / 1_000.0)
             }
         };
         self.record_best(totals, now);
@@ -201,19 +205,19 @@
         Some(totals.begun.max(self.best.begun_per_s))
     }
 
-    /// Grows faster the longer there was room.
-    fn grow(
-        &self,
-        per_s: f64,
-        totals: Totals,
-        quiet_ms: Millis,
-        elapsed_ms: Millis,
-    ) -> Option<f64> {
-        let elapsed_s = elapsed_ms.0.min(RETURN_CYCLE_MS.0) as f64 / 1_000.0;
+    /// Faster the longer there was room, and at once where the load falls.
+    fn growth_per_s(&self, quiet_ms: Millis, is_falling: bool) -> f64 {
+        if is_falling {
+            return self.settings.max_growth_per_s;
+        }
         let quiet_s = quiet_ms.0 as f64 / 1_000.0;
         let growth_per_s = self.settings.growth_per_s * (1.0 + quiet_s).powi(2);
-        let growth_per_s = growth_per_s.min(self.settings.max_growth_per_s);
-        let grown = per_s * (1.0 + growth_per_s * elapsed_s);
+        growth_per_s.min(self.settings.max_growth_per_s)
+    }
+
+    /// Drops the level once the rate exceeds what is offered.
+    fn grow(&self, per_s: f64, totals: Totals, growth: f64) -> Option<f64> {
+        let grown = per_s * (1.0 + growth);
         let is_enough = grown > totals.offered * (1.0 + self.settings.drop_margin);
         (!is_enough).then_some(grown)
     }
--- a/crates/mgw-route/src/limit/admission_table.rs
+++ b/crates/mgw-route/src/limit/admission_table.rs
@@ -17,6 +17,12 @@
 /// Least part of what was offered that may still be expected.
 const MIN_TREND: f64 = 0.4;
 
+/// Most changes that are kept for log lines.
+const MAX_STEPS: usize = 16;
+
+/// How long the counts of an entry that is gone are kept.
+const KEPT_MS: Millis = Millis(60_000);
+
 /// Latest counts of an entry.
 #[derive(Debug)]
 struct Reported {
@@ -32,6 +38,21 @@
     demand: UrgencyDemand,
 }
 
+/// A level that has begun, ended or moved to another urgency, with what it was worked out from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LevelStep {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Level until now.
+    pub from: Option<AdmissionLevel>,
+    /// Level from now on.
+    pub to: Option<AdmissionLevel>,
+    /// Rate at which requests are admitted; `None` while all are.
+    pub admitted_per_s: Option<f64>,
+    /// What callers sent lately, by urgency.
+    pub rates: Vec<UrgencyRate>,
+}
+
 /// Demand of all entries in the last seconds, and the levels that follow from it; memory only.
 #[derive(Debug, Default)]
 pub struct AdmissionTable {
@@ -39,6 +60,7 @@
     increments: VecDeque<Increment>,
     rates: BTreeMap<ServiceName, AdmissionRate>,
     levels: Vec<AdmissionLevel>,
+    steps: Vec<LevelStep>,
     decided_at: Option<Millis>,
 }
 
@@ -77,6 +99,7 @@
     /// entry.
     pub fn levels(&mut self, report_interval_ms: Millis, now: Millis) -> &[AdmissionLevel] {
         let is_due = self.decided_at.is_none_or(|at| now - at >= STEP_MS);
+        self.steps.truncate(MAX_STEPS);
         if is_due {
             let is_first = self.decided_at.replace(now).is_none();
             self.decide(report_interval_ms, is_first, now);
@@ -84,15 +107,13 @@
         &self.levels
     }
 
-    /// The rate at which requests of a service are admitted; `None` while everything is admitted.
-    #[must_use]
-    pub fn admitted_per_s(&self, service: &ServiceName) -> Option<f64> {
-        self.rates.get(service).and_then(AdmissionRate::per_s)
+    /// Takes the changes since the last call, for log lines.
+    pub fn take_steps(&mut self) -> Vec<LevelStep> {
+        std::mem::take(&mut self.steps)
     }
 
     /// What callers sent lately, and what came of it.
-    #[must_use]
-    pub fn rates(
+    fn rates(
         &self,
         service: &ServiceName,
         report_interval_ms: Millis,
@@ -149,21 +170,36 @@
         {
             self.increments.pop_front();
         }
+        self.reported
+            .retain(|_, reported| now - reported.at <= KEPT_MS);
         for increment in &self.increments {
             self.rates.entry(increment.service.clone()).or_default();
         }
         let services: Vec<ServiceName> = self.rates.keys().cloned().collect();
-        self.levels.clear();
+        let mut former = std::mem::take(&mut self.levels);
         for service in services {
             let rates = self.rates(&service, report_interval_ms, now);
-            let rate = self.rates.entry(service.clone()).or_default();
             let observed = Observed {
                 rates: &rates,
                 settle_ms: report_interval_ms + window_ms,
                 is_first,
+                is_falling: self.offered_trend(&service, window_ms, now) < 1.0,
             };
+            let rate = self.rates.entry(service.clone()).or_default();
             rate.step(&observed, now);
-            self.levels.extend(rate.level(&service, &rates, now));
+            let level = rate.level(&service, &rates, now);
+            let from = former.iter().position(|it| it.service == service);
+            let from = from.map(|index| former.swap_remove(index));
+            if urgency_of(from.as_ref()) != urgency_of(level.as_ref()) {
+                self.steps.push(LevelStep {
+                    service,
+                    from,
+                    to: level.clone(),
+                    admitted_per_s: rate.per_s(),
+                    rates,
+                });
+            }
+            self.levels.extend(level);
         }
     }
 }
@@ -174,6 +210,10 @@
     report_interval_ms.times(reports)
 }
 
+fn urgency_of(level: Option<&AdmissionLevel>) -> Option<u8> {
+    level.map(|level| level.urgency)
+}
+
 fn find(demand: &[ServiceDemand], service: &ServiceName, urgency: u8) -> UrgencyDemand {
     let of_service = demand.iter().find(|it| it.service == *service);
     let counts = of_service.and_then(|it| it.by_urgency.iter().find(|it| it.urgency == urgency));
--- a/crates/mgw-route/src/limit/mod.rs
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -17,7 +17,7 @@
 pub use admission::Admission;
 pub use admission_gate::{AdmissionGate, AdmissionRefusal, GateRequest, LevelChange};
 pub use admission_rate::{AdmissionRateSettings, UrgencyRate};
-pub use admission_table::AdmissionTable;
+pub use admission_table::{AdmissionTable, LevelStep};
 pub use budget::{RetryBudget, RetryBudgetSettings};
 pub use latency::{LatencyLimit, LatencyLimitSettings};
 pub use level::{AdmissionLevel, ServiceDemand, UrgencyDemand};
--- a/crates/mgw-routing/src/objects.rs
+++ b/crates/mgw-routing/src/objects.rs
@@ -1,5 +1,7 @@
 //! The typed form of a routing document.
 
+use std::collections::BTreeSet;
+
 use mgw_world::{Millis, PipelineModel, RoutingVersion, ServiceName, WorkspaceName};
 
 /// How often a call may run, and how it is answered.
@@ -128,6 +130,23 @@
 }
 
 impl Routing {
+    /// Whether requests to a service may differ in urgency, by their routes or workspaces.
+    #[must_use]
+    pub fn differs_in_urgency(&self, service: &ServiceName) -> bool {
+        let leads_there = |route: &&Route| {
+            let mut splits = route.splits.iter();
+            splits.any(|split| split.service == *service && split.weight > 0)
+        };
+        let urgencies = self.routes.iter().filter(leads_there).flat_map(|route| {
+            let of_workspaces = self.workspaces.iter();
+            let of_workspaces = of_workspaces.map(|it| it.priority.unwrap_or(route.priority));
+            let without_workspace = route.is_public || self.workspaces.is_empty();
+            of_workspaces.chain(without_workspace.then_some(route.priority))
+        });
+        let urgencies: BTreeSet<u8> = urgencies.collect();
+        urgencies.len() > 1
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&RoutedService> {
--- a/crates/mgw-routing/src/table.rs
+++ b/crates/mgw-routing/src/table.rs
@@ -92,6 +92,12 @@
         self.routing.service(name)
     }
 
+    /// Whether requests to a service may differ in urgency, by their routes or workspaces.
+    #[must_use]
+    pub fn differs_in_urgency(&self, service: &ServiceName) -> bool {
+        self.routing.differs_in_urgency(service)
+    }
+
     /// Finds the route of a host with the longest prefix of `path`. A port in `host` is ignored.
     ///
     /// # Errors
