--- a/crates/mgw-route/src/limit/admission_table.rs
+++ b/crates/mgw-route/src/limit/admission_table.rs
@@ -13,7 +13,7 @@
 const MIN_WINDOW_MS: Millis = Millis(800);
 
 /// Ratio of what was offered in the two halves of the window from which on it counts as falling.
-const CHANCE_RATIO: f64 = 0.88;
+const CHANCE_RATIO: f64 = 0.92;
 /// Least part of what was offered that may still be expected.
 const MIN_TREND: f64 = 0.4;
 
--- a/crates/mgw-route/tests/admission_support/mod.rs
+++ b/crates/mgw-route/tests/admission_support/mod.rs
@@ -83,6 +83,11 @@
         refused.filter(|at| within(**at, from, until)).count()
     }
 
+    pub fn sent(&self, from: Millis, until: Millis) -> usize {
+        let sent = self.requests.iter();
+        sent.filter(|it| within(it.sent_at, from, until)).count()
+    }
+
     fn served_of(&self, from: Millis, until: Millis, of: impl Fn(&Request) -> bool) -> f64 {
         let sent = self.requests.iter();
         let sent = sent.filter(|it| within(it.sent_at, from, until) && of(it));
