--- a/crates/mgw-relay/src/admission.rs
+++ b/crates/mgw-relay/src/admission.rs
@@ -122,6 +122,13 @@
         }
     }
 
+    /// Rank by which a request waits for room; the same for all requests of a service that don't differ.
+    #[must_use]
+    pub fn waiting_urgency(&self, call: &Call) -> u8 {
+        let differs = self.admission.lock().covers(&call.service);
+        if differs { call.urgency } else { 0 }
+    }
+
     fn is_counted(&self, call: &Call) -> bool {
         call.head.last_event.is_none() && self.admission.lock().covers(&call.service)
     }
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -28,6 +28,7 @@
 use crate::stream::PauseLimits;
 use crate::targets::{ConnectionPool, PlainBalancer, UsableTargets};
 use crate::wait_limits::WaitLimits;
+use crate::waiters::CapacityWaiters;
 
 /// A change of the number of entries is logged if it is larger than this part of it.
 const LOGGED_CHANGE: u32 = 10;
@@ -51,8 +52,8 @@
     pub connection_pool: ConnectionPool,
     /// Limits on the time that requests wait before they are sent.
     pub wait_limits: WaitLimits,
-    /// Notified when a stream releases its chain; wakes one waiter at a time, the oldest first.
-    pub capacity_freed: Notify,
+    /// Requests that wait until a stream releases its chain.
+    pub waiters: Arc<CapacityWaiters>,
     /// Notified when a routing document has come into force.
     pub routing_set: Notify,
     /// Versions of the routing document that controls have.
@@ -110,7 +111,7 @@
             peers: Arc::new(PeerPool::new(None)),
             pause_limits: PauseLimits::default(),
             wait_limits: WaitLimits::default(),
-            capacity_freed: Notify::new(),
+            waiters: Arc::default(),
             routing_set: Notify::new(),
             routing_updates: RoutingUpdates::default(),
             targets_changed: Arc::new(Notify::new()),
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod stream;
 mod targets;
 mod wait_limits;
+mod waiters;
 
 pub use balance::OtherEntriesRequests;
 pub use dialect::{
--- a/crates/mgw-relay/src/stream/chain_stream.rs
+++ b/crates/mgw-relay/src/stream/chain_stream.rs
@@ -58,7 +58,8 @@
         let reservation = self.reservation;
         self.app
             .with_chains(&self.service, |chains| chains.release(reservation));
-        self.app.capacity_freed.notify_one();
+        let now = self.app.clock.now();
+        self.app.waiters.notify_freed(&self.service, now);
     }
 }
 
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -143,9 +143,16 @@
         let started_at = self.app.clock.now();
         let left_ms = self.call.ends_at - started_at;
         let wait_limits = self.app.wait_limits;
+        let service = &self.call.service;
+        let urgency = self.app.waiting_urgency(&self.call);
+        let mut waiter = None;
         loop {
-            let freed = self.app.capacity_freed.notified();
-            let chosen = self.choose();
+            let may_try = self.has_begun || self.app.waiters.may_try(service, urgency);
+            let chosen = if may_try {
+                self.choose()
+            } else {
+                Err(NoChain::Full)
+            };
             let Err(no_chain) = chosen else {
                 return chosen;
             };
@@ -157,15 +164,37 @@
                 NoChain::Uncovered => wait_limits.startup_wait_ms(left_ms, started_at),
             };
             let waited_ms = self.app.clock.now() - started_at;
-            if waited_ms >= limit_ms {
+            if waited_ms >= limit_ms || !self.may_be_in_time(urgency, limit_ms - waited_ms) {
                 return chosen;
             }
+            let Some(waiter) = &waiter else {
+                // Tries once more, as room may have been released before it joined.
+                waiter = Some(self.app.waiters.join(service, urgency));
+                continue;
+            };
             let check_interval_ms = (limit_ms - waited_ms).min(CHECK_INTERVAL_MS);
             // Checks again after a notification as well as after the timeout.
-            let _ = timeout(check_interval_ms.to_duration(), freed).await;
+            let _ = timeout(check_interval_ms.to_duration(), waiter.freed()).await;
         }
     }
 
+    /// Whether the more urgent requests that wait leave room for this one within the time that it may wait,
+    /// and while its answer is still in time.
+    fn may_be_in_time(&self, urgency: u8, limit_ms: Millis) -> bool {
+        let expected_ms = self
+            .app
+            .waiters
+            .expected_wait_ms(&self.call.service, urgency);
+        let objective_ms = self.call.objective().first_event_ms;
+        let since_ms = self.app.clock.now() - self.call.arrived_at;
+        let in_time_ms = if objective_ms == Millis::ZERO {
+            limit_ms
+        } else {
+            limit_ms.min(objective_ms - since_ms)
+        };
+        expected_ms.is_none_or(|expected_ms| expected_ms <= in_time_ms)
+    }
+
     /// Chooses a chain.
     fn choose(&self) -> Result<ReservedChain, NoChain> {
         if !self.app.knows_quarantine() {
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -28,7 +28,7 @@
     AdmissionRefusal, AdmissionRequest, AdmissionSettings, AdmissionTable, Decision, Event,
     GateRequest, LatencyLimit, LatencyLimitSettings, LevelChange, LevelStep, RetryBudget,
     RetryBudgetSettings, SendWindow, ServiceDemand, ServiceSends, StepWindow, StepWindowSettings,
-    UrgencyDemand, UrgencyRate, compute_retry_grant,
+    UrgencyDemand, UrgencyQueue, UrgencyRate, WaiterKey, compute_retry_grant,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
 pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
--- a/crates/mgw-route/src/limit/mod.rs
+++ b/crates/mgw-route/src/limit/mod.rs
@@ -13,6 +13,7 @@
 mod request;
 mod shared_budget;
 mod step_window;
+mod urgency_queue;
 
 pub use admission::Admission;
 pub use admission_gate::{AdmissionGate, AdmissionRefusal, GateRequest, LevelChange};
@@ -24,3 +25,4 @@
 pub use request::{AdmissionCapacity, AdmissionRequest, AdmissionSettings, Decision, Event};
 pub use shared_budget::{SendWindow, ServiceSends, compute_retry_grant};
 pub use step_window::{StepWindow, StepWindowSettings};
+pub use urgency_queue::{UrgencyQueue, WaiterKey};
