--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use crate::admission::StreamAdmission;
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
 use crate::follow::RoutingUpdates;
@@ -27,6 +28,7 @@
 use crate::stream::PauseLimits;
 use crate::targets::{ConnectionPool, PlainBalancer, UsableTargets};
 use crate::wait_limits::WaitLimits;
+use crate::waiters::CapacityWaiters;
 
 /// A change of the number of entries is logged if it is larger than this part of it.
 const LOGGED_CHANGE: u32 = 10;
@@ -50,8 +52,8 @@
     pub connection_pool: ConnectionPool,
     /// Limits on the time that requests wait before they are sent.
     pub wait_limits: WaitLimits,
-    /// Notified when a stream releases its chain; wakes one waiter at a time, the oldest first.
-    pub capacity_freed: Notify,
+    /// Requests that wait until a stream releases its chain.
+    pub waiters: Arc<CapacityWaiters>,
     /// Notified when a routing document has come into force.
     pub routing_set: Notify,
     /// Versions of the routing document that controls have.
@@ -81,6 +83,8 @@
     pub report_due: Notify,
     /// Targets that are being probed, with the sends that wait for the outcome.
     pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
+    /// Admission of new streams by urgency.
+    pub admission: Mutex<StreamAdmission>,
     /// Retry budgets of the services.
     pub retries: Mutex<ServiceRetries>,
     routing: RwLock<Arc<RouteTable>>,
@@ -107,7 +111,7 @@
             peers: Arc::new(PeerPool::new(None)),
             pause_limits: PauseLimits::default(),
             wait_limits: WaitLimits::default(),
-            capacity_freed: Notify::new(),
+            waiters: Arc::default(),
             routing_set: Notify::new(),
             routing_updates: RoutingUpdates::default(),
             targets_changed: Arc::new(Notify::new()),
@@ -125,6 +129,7 @@
             unresolved_sends: Mutex::default(),
             report_due: Notify::new(),
             probes: Mutex::default(),
+            admission: Mutex::new(StreamAdmission::new(&settings.name)),
             retries: Mutex::new(ServiceRetries::new(settings.retries)),
             entry_count: Mutex::new(1),
             knows_entries: AtomicBool::new(false),
@@ -156,6 +161,7 @@
         }
         self.metrics.routing_version.set(to_gauge(version.0));
         self.update_models();
+        self.update_admission(&self.routing());
         self.update_targets();
         self.routing_set.notify_waiters();
     }
@@ -240,7 +246,7 @@
             leaving: self.exclusions.lock().leaving_to_report(now),
             sends: self.retries.lock().own_sends(),
             full: Vec::new(),
-            demand: Vec::new(),
+            demand: self.admission.lock().gate().demand(),
         }
     }
 
@@ -255,6 +261,7 @@
             self.knows_entries.store(true, Ordering::Relaxed);
         }
         self.retries.lock().set_shared(other_entries);
+        self.apply_admission(other_entries);
         for target in &other_entries.leaving {
             self.record_leaving(target, "another entry");
         }
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -1,5 +1,6 @@
 //! Reverse proxy that passes callers' requests on to targets and their answers back.
 
+mod admission;
 mod app;
 mod balance;
 mod callers;
@@ -17,6 +18,7 @@
 mod stream;
 mod targets;
 mod wait_limits;
+mod waiters;
 
 pub use balance::OtherEntriesRequests;
 pub use dialect::{
