A success without the target's seal is no answer; heads without end are given up

Cause (unsigned): read_head refused an answer without an id only on a connection that was used before, and nothing looked at the seal, so that bytes with neither reached callers as a success. Cause (interim responses): hyper's client skips 1xx responses in a loop of its own for as long as bytes arrive, without a bound on their number and with up to 128 reads of up to 400 KiB in one turn. Change: the adapter says whether an answer is signed; an unsigned success counts as a send of unknown outcome. Targets' connections are read through GuardedStream: 64 KiB in one turn, 64 KiB before the head of an answer. The stand-ins of the tests seal their answers, as the tests' wire format has a seal.

--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -52,6 +52,9 @@
 pub struct AnswerHead {
     /// Id of the request that is answered.
     pub id: Option<String>,
+    /// Whether the answer bears the target's seal, without which a success is no answer of the target.
+    /// Always set in a wire format that has none.
+    pub is_signed: bool,
     /// Whether the target states that it didn't run the request.
     pub not_run: bool,
     /// Address of the target on the chain that caused a failure.
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -307,9 +307,15 @@
         Err(SendFailure::Late) => {
             return SendResult::NoAnswer(SendOutcome::Unknown, "no answer in time");
         }
+        Err(SendFailure::Endless) => {
+            return SendResult::NoAnswer(SendOutcome::Unknown, "no end of the answer's head");
+        }
         Err(SendFailure::Foreign) => {
             return SendResult::NoAnswer(SendOutcome::Unknown, "answer of another request");
         }
+        Err(SendFailure::Unsigned) => {
+            return SendResult::NoAnswer(SendOutcome::Unknown, "success without the target's seal");
+        }
     };
     if answer.head.not_run {
         return SendResult::NoAnswer(SendOutcome::NotRun, "turned away");
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -135,7 +135,9 @@
                 StreamFault::ConnectionBroke.as_str(),
             ),
             SendFailure::Late => (SendOutcome::Unknown, "no answer in time"),
+            SendFailure::Endless => (SendOutcome::Unknown, "no end of the answer's head"),
             SendFailure::Foreign => (SendOutcome::Unknown, "answer of another request"),
+            SendFailure::Unsigned => (SendOutcome::Unknown, "success without the target's seal"),
         };
         self.record_first_target_disconnect(reserved, outcome);
         OpenError::SendFailed(outcome, cause)
--- a/crates/mgw-relay/src/targets/connection_pool.rs
+++ b/crates/mgw-relay/src/targets/connection_pool.rs
@@ -6,8 +6,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use mgw_serve::{AwaitedHead, GuardedStream, MAX_HEAD_BYTES};
 use mgw_world::{Clock, Millis};
 use parking_lot::Mutex;
 use socket2::SockRef;
@@ -34,9 +38,24 @@
     /// Whether the connection has carried an earlier request.
     pub is_reused: bool,
     pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Tells the connection that the head of an answer is awaited.
+    pub(super) awaited_head: AwaitedHead,
     task: AbortHandle,
 }
 
+impl PooledConnection {
+    /// Sends a request and waits for the head of its answer, of which a bounded number of bytes is read.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.awaited_head.begin();
+        let response = self.sender.try_send_request(request).await?;
+        self.awaited_head.end();
+        Ok(response)
+    }
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -131,7 +150,11 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let stream = GuardedStream::new(stream);
+    let awaited_head = stream.awaited_head();
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     // Errors of the connection are reported by the sender and by the bodies of answers.
     let task = tokio::spawn(async move {
@@ -141,6 +164,7 @@
         address,
         is_reused: false,
         sender,
+        awaited_head,
         task: task.abort_handle(),
     })
 }
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -178,8 +178,14 @@
         .header(hyper::header::HOST, hop.address.to_string())
         .body(Full::<Bytes>::default())
         .map_err(|_| ProbeFailure::Unusable)?;
-    let sent = connection.sender.try_send_request(request).await;
-    let response = sent.map_err(|_| ProbeFailure::Broken)?;
+    let sent = connection.send(request).await;
+    let response = sent.map_err(|_| {
+        if connection.awaited_head.is_exceeded() {
+            ProbeFailure::Unusable
+        } else {
+            ProbeFailure::Broken
+        }
+    })?;
     let read_head = app.adapter.dialect.read_answer;
     let head = read_head(response.status().as_u16(), response.headers());
     app.record_notices(&hop.run(), &without_ended_limit(head));
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -87,8 +87,12 @@
     Broken,
     /// the target didn't answer in time, the request may run
     Late,
+    /// more bytes came than an answer's head may have, the request may have run
+    Endless,
     /// the answer carries the id of another request, this one may have run
     Foreign,
+    /// the success lacks the target's seal, the request may have run
+    Unsigned,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -106,7 +110,7 @@
             .acquire(outbound.address, needs_new_connection);
         let mut connection = acquiring.await.map_err(|_| SendFailure::NotSent)?;
         let left = (ends_at - app.clock.now()).to_duration();
-        let answered = timeout(left, connection.sender.try_send_request(request)).await;
+        let answered = timeout(left, connection.send(request)).await;
         match answered {
             Ok(Ok(response)) => return read_head(app, outbound, response, connection),
             Ok(Err(mut error)) => match error.take_message() {
@@ -116,6 +120,7 @@
                     needs_new_connection = true;
                 }
                 Some(_) => return Err(SendFailure::NotSent),
+                None if connection.awaited_head.is_exceeded() => return Err(SendFailure::Endless),
                 None => return Err(SendFailure::Broken),
             },
             Err(_) => {
@@ -160,6 +165,9 @@
     if is_foreign {
         return Err(SendFailure::Foreign);
     }
+    if parts.status.is_success() && !head.is_signed {
+        return Err(SendFailure::Unsigned);
+    }
     app.record_notices(&outbound.run(), &head);
     strip_connection_fields(&mut parts.headers);
     // The server side frames the body for the caller again.
--- a/crates/mgw-relay/tests/endless_bytes.rs
+++ b/crates/mgw-relay/tests/endless_bytes.rs
@@ -13,10 +13,10 @@
 const MAX_SENT_BYTES: usize = 32 * 1024 * 1024;
 /// Time that the caller gives, in milliseconds.
 const TIME_MS: &str = "1000";
-const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\n";
+const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\n";
 const STREAM_HEAD: &str =
-    "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n";
-const FAILURE_HEAD: &str = "HTTP/1.1 404 Not Found\r\nx-id: {id}\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/event-stream\r\n\r\n";
+const FAILURE_HEAD: &str = "HTTP/1.1 404 Not Found\r\nx-id: {id}\r\nx-seal: raw\r\n\r\n";
 
 /// Beginning of an answer and what is sent behind it without end.
 type Endless = (&'static str, &'static str);
@@ -30,13 +30,13 @@
 ];
 
 const PLAIN_BODIES: [Endless; 4] = [
-    ("HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n", "x"),
+    ("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\n\r\n", "x"),
     (
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 99999999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-length: 99999999999\r\n\r\n",
         "x",
     ),
     (
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ntransfer-encoding: chunked\r\n\r\n",
         "4\r\nmore\r\n",
     ),
     (FAILURE_HEAD, "x"),
@@ -46,7 +46,7 @@
     (STREAM_HEAD, "x"),
     (STREAM_HEAD, "id: 1\ndata: a\n\n"),
     (
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\nid: 1\ndata: a\n\n",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\n\r\nid: 1\ndata: a\n\n",
         ": x\n\n",
     ),
     (STREAM_HEAD, "\0\u{1}\n\n"),
--- a/crates/mgw-relay/tests/odd_answers.rs
+++ b/crates/mgw-relay/tests/odd_answers.rs
@@ -9,10 +9,10 @@
 use support::{Behaviour, Piece, Standin, System, event};
 
 /// A whole answer in two events, after which the connection is kept.
-const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/event-stream\r\n\
                      transfer-encoding: chunked\r\n\r\n\
                      1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-const OWN: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 3\r\n\r\nown";
+const OWN: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-length: 3\r\n\r\nown";
 
 fn leak(text: String) -> &'static str {
     Box::leak(text.into_boxed_str())
@@ -50,7 +50,7 @@
     // Nothing listens there; it is only named as the one at fault.
     let two = Standin::new("two", free_address(), true, &[]);
     let refusal = leak(format!(
-        "HTTP/1.1 503 Unavailable\r\nx-id: {{id}}\r\nx-not-run: 1\r\nx-at-fault: {}\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 Unavailable\r\nx-id: {{id}}\r\nx-seal: raw\r\nx-not-run: 1\r\nx-at-fault: {}\r\ncontent-length: 0\r\n\r\n",
         two.address
     ));
     let warm = vec![Piece::Pause(300), Piece::Send(WHOLE)];
@@ -75,17 +75,17 @@
 async fn error_of_the_next_target_is_no_part_of_a_stream_that_has_begun() {
     let events = "content-type: text/event-stream\r\n";
     let answers = [
-        "HTTP/1.1 500 Oops\r\nx-id: {id}\r\ncontent-length: 8\r\n\r\nerror\n\n\n".to_owned(),
-        "HTTP/1.1 404 Oops\r\nx-id: {id}\r\n\r\nerror\n\n".to_owned(),
-        "HTTP/1.1 503 Oops\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 7\r\n\r\nerror\n\n"
+        "HTTP/1.1 500 Oops\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-length: 8\r\n\r\nerror\n\n\n".to_owned(),
+        "HTTP/1.1 404 Oops\r\nx-id: {id}\r\nx-seal: raw\r\n\r\nerror\n\n".to_owned(),
+        "HTTP/1.1 503 Oops\r\nx-id: {id}\r\nx-seal: raw\r\nx-not-run: 1\r\ncontent-length: 7\r\n\r\nerror\n\n"
             .to_owned(),
-        format!("HTTP/1.1 500 Oops\r\nx-id: {{id}}\r\n{events}\r\nid: 3\ndata: error\n\n"),
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/plain\r\n\r\nerror\n\n".to_owned(),
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/plain\r\ncontent-length: 0\r\n\r\n"
+        format!("HTTP/1.1 500 Oops\r\nx-id: {{id}}\r\nx-seal: raw\r\n{events}\r\nid: 3\ndata: error\n\n"),
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/plain\r\n\r\nerror\n\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/plain\r\ncontent-length: 0\r\n\r\n"
             .to_owned(),
-        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\nerror\n\n"),
-        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\ndata: error\n\n"),
-        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{events}\r\nHTTP/1.1 500 error\r\n\r\n"),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-seal: raw\r\n{events}\r\nerror\n\n"),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-seal: raw\r\n{events}\r\ndata: error\n\n"),
+        format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-seal: raw\r\n{events}\r\nHTTP/1.1 500 error\r\n\r\n"),
     ];
     for text in answers {
         let script = vec![Piece::Send(leak(text.clone())), Piece::Close];
--- a/crates/mgw-relay/tests/raw_answers.rs
+++ b/crates/mgw-relay/tests/raw_answers.rs
@@ -12,9 +12,10 @@
 use support::{Piece, Standin, System, request};
 use tokio::time::sleep;
 
-const OWN_ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 3\r\n\r\nown";
+const OWN_ANSWER: &str =
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-length: 3\r\n\r\nown";
 const STREAM_HEAD: &str =
-    "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/event-stream\r\n\r\n";
 
 fn own() -> Vec<Piece> {
     vec![Piece::Send(OWN_ANSWER)]
@@ -61,7 +62,7 @@
 /// Every way in which an answer can break off halfway; the last one has no length and is reset.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_breaks_off_never_looks_complete() {
-    let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\n";
+    let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\n";
     let cases: [(&str, Piece); 5] = [
         ("content-length: 9\r\n\r\nhalf", Piece::Close),
         ("content-length: 9\r\n\r\nhalf", Piece::Reset),
--- a/crates/mgw-relay/tests/support/fleet.rs
+++ b/crates/mgw-relay/tests/support/fleet.rs
@@ -222,6 +222,8 @@
         if self.is_plain {
             let mut response = Response::new(Full::from("answer").boxed_unsync());
             response.headers_mut().insert(names::ID, id);
+            let seal = HeaderValue::from_static("fleet");
+            response.headers_mut().insert(names::SEAL, seal);
             return response;
         }
         let events = unfold(1, |number| async move {
@@ -230,6 +232,8 @@
         });
         let mut response = Response::new(StreamBody::new(events.boxed()).boxed_unsync());
         response.headers_mut().insert(names::ID, id);
+        let seal = HeaderValue::from_static("fleet");
+        response.headers_mut().insert(names::SEAL, seal);
         response
     }
 }
--- a/crates/mgw-relay/tests/support/wire.rs
+++ b/crates/mgw-relay/tests/support/wire.rs
@@ -93,6 +93,7 @@
 fn read_answer(_: u16, headers: &HeaderMap) -> AnswerHead {
     AnswerHead {
         id: text(headers, names::ID).map(ToOwned::to_owned),
+        is_signed: text(headers, names::SEAL).is_some_and(|it| !it.is_empty()),
         not_run: headers.contains_key(names::NOT_RUN),
         at_fault: text(headers, names::AT_FAULT).and_then(|at| at.parse().ok()),
         is_leaving: headers.contains_key(names::LEAVING),
--- a/crates/mgw-relay/tests/unframed_answers.rs
+++ b/crates/mgw-relay/tests/unframed_answers.rs
@@ -9,10 +9,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\n";
+const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\n\r\n";
 const STREAM_HEAD: &str =
-    "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n";
-const FRAMED: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 3\r\n\r\nown";
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-type: text/event-stream\r\n\r\n";
+const FRAMED: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: raw\r\ncontent-length: 3\r\n\r\nown";
 const ONE: &str = "id: 1\ndata: a\n\n";
 const TWO: &str = "id: 2\ndata: b\n\n";
 
