--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -8,7 +8,7 @@
 use mgw_peer::PeerPool;
 use mgw_route::{
     BrokenSend, ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, EntryRateLimits, Exclusions,
-    OtherEntriesLoad, ReturnTimes, TargetRun, UnresolvedSends,
+    FullTarget, OtherEntriesLoad, ReturnTimes, TargetRun, UnresolvedSends,
 };
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
@@ -76,8 +76,8 @@
     pub has_new_ends: AtomicBool,
     /// Sends whose target went silent.
     pub unresolved_sends: Mutex<UnresolvedSends>,
-    /// Notified when a target has ended under a request or has changed its rate limit, so that a
-    /// control is told at once.
+    /// Notified when a target has ended under a request, has changed its rate limit or has refused
+    /// a request for lack of room, so that a control is told at once.
     pub report_due: Notify,
     /// Targets that are being probed, with the sends that wait for the outcome.
     pub probes: Mutex<HashMap<TargetRun, Vec<BrokenSend>>>,
@@ -235,11 +235,14 @@
             requests,
             uses: routers.clone().flat_map(ChainRouter::own_loads).collect(),
             lost: routers
+                .clone()
                 .flat_map(|router| router.own_lost_targets(now))
                 .collect(),
+            full: routers
+                .flat_map(|router| router.own_full_targets(now))
+                .collect(),
             leaving: self.exclusions.lock().leaving_to_report(now),
             sends: self.retries.lock().own_sends(),
-            full: Vec::new(),
             demand: Vec::new(),
         }
     }
@@ -250,6 +253,7 @@
         for router in self.chains.lock().values_mut() {
             router.set_other_entries_load(&other_entries.uses, &other_entries.lost, now);
         }
+        self.learn_full_targets(&other_entries.full);
         if other_entries.is_complete {
             self.set_entries(other_entries.entries + 1);
             self.knows_entries.store(true, Ordering::Relaxed);
@@ -265,6 +269,26 @@
         });
     }
 
+    /// Lowers the room of targets that refused requests of other entries.
+    fn learn_full_targets(&self, full: &[FullTarget]) {
+        let now = self.clock.now();
+        let mut chains = self.chains.lock();
+        let routers = chains.values_mut();
+        let learnt: usize = routers
+            .map(|router| router.learn_full_targets(full, now))
+            .sum();
+        let routers = chains.values();
+        let limited: usize = routers.map(|router| router.count_full_targets(now)).sum();
+        drop(chains);
+        self.metrics.set_full_targets(learnt, limited);
+        if learnt > 0 {
+            info!(
+                learnt,
+                limited, "room of targets lowered by refusals of other entries"
+            );
+        }
+    }
+
     /// Records that the other entries' load didn't arrive. Once the last one is stale, budgets earn
     /// retries by their own requests again.
     pub fn record_missed_exchange(&self) {
--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
 use mgw_contract::target::ReportCall;
 use mgw_route::{Hop, RequestRate};
 use mgw_routing::DecodeRouting;
@@ -64,6 +64,16 @@
     pub rate_limit: StatedLimit,
 }
 
+impl AnswerHead {
+    /// Whether the target at fault refused the request because it had no room for it, as far as the
+    /// answer tells: a target that is leaving or wants a pause says so.
+    #[must_use]
+    pub fn refuses_for_room(&self, status: StatusCode) -> bool {
+        let is_refusal = self.not_run && status == StatusCode::SERVICE_UNAVAILABLE;
+        is_refusal && !self.is_leaving && self.pause == RequestedPause::None
+    }
+}
+
 /// What an answer tells of the rate limit of the target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StatedLimit {
--- a/crates/mgw-relay/src/follow/load_exchange.rs
+++ b/crates/mgw-relay/src/follow/load_exchange.rs
@@ -24,7 +24,7 @@
 const SUBSTITUTES: usize = 2;
 
 /// Exchanges reports until the token is cancelled: at intervals, and soon after a target has ended under
-/// a request or has changed its rate limit.
+/// a request, has changed its rate limit or has refused a request for lack of room.
 pub async fn run_load_exchange(app: Arc<App>, ended: CancellationToken) {
     loop {
         let interval_ms = if app.quarantine.lock().is_informed() {
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -32,6 +32,10 @@
     pub limited_sends: IntCounter,
     /// Requests that were refused because rate limits of targets left no room for them.
     pub limited_refusals: IntCounter,
+    /// Refusals of targets for lack of room, by who got them: this entry or another one.
+    pub full_refusals: IntCounterVec,
+    /// Targets that are believed to have less room than their memory, after a refusal.
+    pub full_targets: IntGauge,
     /// Parts of prompts that are kept from targets.
     pub quarantined_parts: IntGauge,
     /// Whole requests that are kept from targets.
@@ -114,6 +118,17 @@
                 "mgw_relay_limited_refusals_total",
                 "Requests that were refused because rate limits left no room for them.",
             )?,
+            full_refusals: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_full_refusals_total",
+                    "Refusals of targets for lack of room, by who got them.",
+                ),
+                &["entry"],
+            )?,
+            full_targets: IntGauge::new(
+                "mgw_relay_full_targets",
+                "Targets that are believed to have less room than their memory.",
+            )?,
             quarantined_parts: IntGauge::new(
                 "mgw_relay_quarantined_parts",
                 "Parts of prompts that are kept from targets.",
@@ -151,6 +166,8 @@
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
         registry.register(Box::new(metrics.limited_refusals.clone()))?;
+        registry.register(Box::new(metrics.full_refusals.clone()))?;
+        registry.register(Box::new(metrics.full_targets.clone()))?;
         registry.register(Box::new(metrics.quarantined_parts.clone()))?;
         registry.register(Box::new(metrics.quarantined_digests.clone()))?;
         registry.register(Box::new(metrics.quarantined_requests.clone()))?;
@@ -165,6 +182,19 @@
         self.failed_probes.with_label_values(&[failure]).inc();
     }
 
+    /// Counts a refusal for lack of room that this entry got.
+    pub fn count_full_refusal(&self) {
+        self.full_refusals.with_label_values(&["own"]).inc();
+    }
+
+    /// Counts refusals learnt from other entries and sets the number of targets with less room.
+    pub fn set_full_targets(&self, learnt: usize, limited: usize) {
+        let refusals = self.full_refusals.with_label_values(&["other"]);
+        refusals.inc_by(learnt as u64);
+        self.full_targets
+            .set(i64::try_from(limited).unwrap_or(i64::MAX));
+    }
+
     /// Counts a fetch of a routing document by its outcome.
     pub fn count_routing_fetch(&self, outcome: &str) {
         self.routing_fetches.with_label_values(&[outcome]).inc();
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -74,11 +74,11 @@
     }
 
     /// Whether the stream may resume on another chain, given `sends` that include the failed one.
-    /// Takes the retry from the budget.
+    /// Takes nothing from the budget.
     fn may_move(&self, sends: RequestSends) -> bool {
         let can_resume = self.call.route.is_resumable && self.event_order.last().is_some();
         let has_time = self.time_left() > MIN_SEND_TIME_MS;
-        can_resume && has_time && sends.may_send() && self.app.try_retry(&self.call.service)
+        can_resume && has_time && sends.may_send() && self.app.has_retry(&self.call.service)
     }
 
     /// Whether the stream could move to another chain now. Takes nothing from the budget.
@@ -145,16 +145,26 @@
     pub(super) fn block_target_at_fault(&mut self, reserved: &ReservedChain, answer: &Answer) {
         let now = self.app.clock.now();
         let first = &reserved.hops[0].target;
+        let is_full = answer.head.refuses_for_room(answer.parts.status);
+        let full = answer.head.at_fault.filter(|_| is_full);
         let blocked = self.app.with_chains(&self.call.service, |chains| {
             let named = answer.head.at_fault.and_then(|at| chains.name_at(at));
             let name = named.unwrap_or_else(|| first.clone());
             chains.block(&name, now);
+            if let Some(address) = full {
+                chains.record_full(address, now);
+            }
             name
         });
+        if full.is_some() {
+            self.app.metrics.count_full_refusal();
+            self.app.report_due.notify_one();
+        }
         info!(
             id = %self.call.head.id,
             status = answer.parts.status.as_u16(),
             at_fault = blocked.as_ref().map(tracing::field::display),
+            is_full,
             "chain refused the request without running it"
         );
     }
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -28,6 +28,8 @@
 pub(super) enum OpenError {
     /// The router found no chain.
     NoChain(NoChain),
+    /// A chain was found, but the retry budget is spent.
+    NoRetry,
     /// The send failed, with its outcome and the cause for log lines.
     SendFailed(SendOutcome, &'static str),
     /// The target answered with a status that isn't a success.
@@ -51,6 +53,10 @@
         let chosen = self.choose_with_wait().await;
         self.waited_ms += self.app.clock.now() - started_at;
         let mut reserved = chosen.map_err(OpenError::NoChain)?;
+        let is_retry = self.has_begun || self.sends.sent() > 0;
+        if is_retry && !self.app.try_retry(&self.call.service) {
+            return Err(OpenError::NoRetry);
+        }
         self.chain = reserved.describe();
         if self.sends.sent() == 0 {
             self.app.count_first_send(&self.call.service);
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -117,6 +117,7 @@
                     }
                     break stream.refusal_for(no_chain);
                 }
+                Err(OpenError::NoRetry) => break stream.refusal_without_answer(),
                 Err(OpenError::SendFailed(outcome, cause)) => {
                     stream.record_failed_send(outcome, cause);
                 }
@@ -162,15 +163,16 @@
         self.call.ends_at - self.app.clock.now()
     }
 
-    /// Whether another send is allowed. Takes a retry from the budget unless it is the first send.
-    pub(super) fn may_send(&self) -> bool {
+    /// Whether another send is allowed. Takes nothing from the budget: that is done once a chain is
+    /// found, so that retries are left for the requests that can use them.
+    fn may_send(&self) -> bool {
         let is_first = self.sends.sent() == 0;
         if is_first {
             return self.sends.may_send();
         }
         self.sends.may_send()
             && self.app.may_repeat(&self.call)
-            && self.app.try_retry(&self.call.service)
+            && self.app.has_retry(&self.call.service)
     }
 
     /// The refusal for a request that no target answered.
--- a/crates/mgw-route/src/chain/cost.rs
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -44,6 +44,11 @@
 }
 
 impl Utilization {
+    /// The larger of the two fractions: the one that lets the target refuse a request first.
+    pub fn max_share(&self) -> f64 {
+        self.kv_share.max(self.received_share)
+    }
+
     /// Adds this entry's load to that of the other entries. The entries of this zone are assumed to
     /// have chosen as this one did since their last report. Without a recent report, every other
     /// entry is assumed to load the target as much as this one does.
--- a/crates/mgw-route/src/chain/crossing.rs
+++ b/crates/mgw-route/src/chain/crossing.rs
@@ -56,13 +56,18 @@
 /// Credit of an entry after a reset: a few of all entries may cross at once, the others follow one
 /// by one. The clocks of entries start at different times, which spreads their initial credit.
 fn initial_credit(entries: u32, now: Millis) -> f64 {
-    /// Odd number near 2^32 divided by the golden ratio; multiplying by it scatters nearby times.
-    const SCATTER: u64 = 2_654_435_769;
-    let scattered = now.0.wrapping_mul(SCATTER) & u64::from(u32::MAX);
-    let credit = scattered as f64 / f64::from(u32::MAX);
+    let credit = scatter(now);
     if credit * f64::from(entries) < INITIAL_CROSSINGS {
         MAX_CREDIT
     } else {
         credit
     }
 }
+
+/// A number from 0 to 1 that differs between nearby times.
+pub(super) fn scatter(now: Millis) -> f64 {
+    /// Odd number near 2^32 divided by the golden ratio; multiplying by it scatters nearby times.
+    const SCATTER: u64 = 2_654_435_769;
+    let scattered = now.0.wrapping_mul(SCATTER) & u64::from(u32::MAX);
+    scattered as f64 / f64::from(u32::MAX)
+}
--- a/crates/mgw-route/src/chain/entry_load.rs
+++ b/crates/mgw-route/src/chain/entry_load.rs
@@ -19,6 +19,9 @@
 /// Number of report intervals for which a report is valid, so that one may be lost.
 const REPORT_VALID_INTERVALS: u64 = 3;
 
+/// Most refusals for lack of room that are kept; the oldest are dropped first.
+const MAX_FULL: usize = 1_024;
+
 /// Number of entries that must report a target as lost before the report is passed on to the
 /// others: a single entry may itself be cut off from the network.
 const MIN_LOST_REPORTS: usize = 2;
@@ -149,6 +152,8 @@
     lost: BTreeMap<SocketAddr, usize>,
     /// Number of entries that report each target as leaving.
     leaving: BTreeMap<TargetRun, usize>,
+    /// When each target last refused a request for lack of room.
+    full: BTreeMap<SocketAddr, Millis>,
     requests: u32,
     started_at: Option<Millis>,
     sends: SendWindow,
@@ -159,6 +164,7 @@
     pub fn exchange(&mut self, entry: &str, load: EntryLoad, now: Millis) -> OtherEntriesLoad {
         self.started_at.get_or_insert(now);
         self.sends.record(entry, &load.sends, now);
+        self.record_full(&load.full, now);
         self.remove(entry);
         self.expire(now);
         let others = self.others(now);
@@ -186,11 +192,40 @@
             // One report suffices, as it repeats the target's own word.
             leaving: self.leaving.keys().cloned().collect(),
             sends: self.sends.totals(now),
-            full: Vec::new(),
+            full: self.full_targets(now),
             admission: Vec::new(),
         }
     }
 
+    /// Keeps the newest refusal of each target for as long as reports are valid.
+    fn record_full(&mut self, full: &[FullTarget], now: Millis) {
+        let entries = u32::try_from(self.reports.len()).unwrap_or(u32::MAX);
+        let valid_ms = report_valid_ms(entries);
+        for target in full.iter().take(MAX_FULL) {
+            let refused_at = now - target.age_ms;
+            let newest = self.full.entry(target.address).or_insert(refused_at);
+            *newest = refused_at.max(*newest);
+        }
+        self.full
+            .retain(|_, refused_at| now - *refused_at <= valid_ms);
+        while self.full.len() > MAX_FULL {
+            let oldest = self.full.iter().min_by_key(|(_, refused_at)| **refused_at);
+            let Some(address) = oldest.map(|(address, _)| *address) else {
+                return;
+            };
+            self.full.remove(&address);
+        }
+    }
+
+    fn full_targets(&self, now: Millis) -> Vec<FullTarget> {
+        let full = self.full.iter();
+        full.map(|(address, refused_at)| FullTarget {
+            address: *address,
+            age_ms: now - *refused_at,
+        })
+        .collect()
+    }
+
     fn insert(&mut self, entry: &str, load: EntryLoad, now: Millis) {
         for target_load in &load.uses {
             self.sums
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -10,6 +10,7 @@
 
 use super::TargetLoad;
 use super::health::TargetHealth;
+use super::room::Room;
 use super::router::Hop;
 use crate::exclusions::TargetRun;
 
@@ -86,6 +87,7 @@
     /// Load by all other entries together, as last reported.
     pub others_load: OthersLoad,
     pub health: TargetHealth,
+    pub room: Room,
 }
 
 /// Targets that are listed now or still used by requests.
@@ -128,6 +130,7 @@
                         token_layers_since_report: 0.0,
                         others_load: OthersLoad::default(),
                         health: TargetHealth::new(now),
+                        room: Room::new(now),
                         target,
                     });
                 }
@@ -164,6 +167,11 @@
         newest.map(|(at, _)| MemberKey(at))
     }
 
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        let members = self.members.iter_mut();
+        members.filter(|member| member.is_listed)
+    }
+
     /// One incarnation of a target.
     pub fn find_run(&mut self, run: &TargetRun) -> Option<&mut Member> {
         let mut members = self.members.iter_mut();
--- a/crates/mgw-route/src/chain/health_checks.rs
+++ b/crates/mgw-route/src/chain/health_checks.rs
@@ -18,6 +18,7 @@
 impl ChainRouter {
     /// Records that a token arrived through a chain.
     pub fn record_token(&mut self, reservation: ChainReservation, now: Millis) {
+        self.record_begun(reservation);
         let Some(reserved) = self.reservations.get(reservation) else {
             return;
         };
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -7,6 +7,8 @@
 mod health;
 mod health_checks;
 mod limited;
+mod refusals;
+mod room;
 mod router;
 mod search;
 
--- /dev/null
+++ b/crates/mgw-route/src/chain/refusals.rs
@@ -0,0 +1,93 @@
+//! What this entry and the others know of refusals for lack of room.
+
+use std::net::SocketAddr;
+
+use mgw_world::Millis;
+
+use super::FullTarget;
+use super::cost::Utilization;
+use super::entry_load::{report_interval_ms, report_valid_ms};
+use super::router::{ChainReservation, ChainRouter};
+
+/// Report intervals after which a sum of reports holds none from before a refusal: one until each
+/// entry has reported, and one until this entry asks for the sum.
+const SETTLED_INTERVALS: u64 = 2;
+
+impl ChainRouter {
+    /// Records that a target refused a request of this entry for lack of room: what it holds now by
+    /// estimate is all that it can hold.
+    pub fn record_full(&mut self, address: SocketAddr, now: Millis) {
+        let (settings, other_entries) = (self.settings, self.other_entries(now));
+        for member in self.fleet.at_address(address) {
+            let utilization = Utilization::of(member, other_entries, &settings);
+            member.room.record_own_refusal(utilization.max_share(), now);
+        }
+    }
+
+    /// Lowers the room of targets that refused requests of any entry; returns how many of the
+    /// refusals were unknown.
+    pub fn learn_full_targets(&mut self, full: &[FullTarget], now: Millis) -> usize {
+        let (settings, other_entries) = (self.settings, self.other_entries(now));
+        let valid_ms = report_valid_ms(settings.entries);
+        let mut learnt = 0;
+        for target in full.iter().filter(|target| target.age_ms <= valid_ms) {
+            let refused_at = now - target.age_ms;
+            for member in self.fleet.at_address(target.address) {
+                let utilization = Utilization::of(member, other_entries, &settings).max_share();
+                let is_new = member.room.learn_refusal(utilization, refused_at, now);
+                learnt += usize::from(is_new);
+            }
+        }
+        learnt
+    }
+
+    /// Targets that recently refused a request of this entry for lack of room.
+    #[must_use]
+    pub fn own_full_targets(&self, now: Millis) -> Vec<FullTarget> {
+        let valid_ms = report_valid_ms(self.settings.entries);
+        let listed = self.fleet.iter();
+        let full = listed.filter_map(|(_, member)| {
+            let age_ms = member.room.own_refusal_age_ms(valid_ms, now)?;
+            Some(FullTarget {
+                address: member.target.address,
+                age_ms,
+            })
+        });
+        full.collect()
+    }
+
+    /// Number of targets that are believed to have less room than their memory, after a refusal.
+    #[must_use]
+    pub fn count_full_targets(&self, now: Millis) -> usize {
+        let max_utilization = self.settings.max_utilization;
+        let listed = self.fleet.iter();
+        let limited = listed.filter(|(_, member)| member.room.is_limited(max_utilization, now));
+        limited.count()
+    }
+
+    /// Raises the room of targets that hold more by newer reports than at their refusal.
+    pub(super) fn raise_room(&mut self, now: Millis) {
+        let (settings, other_entries) = (self.settings, self.other_entries(now));
+        let report_ms = report_interval_ms(settings.entries).times(SETTLED_INTERVALS);
+        for member in self.fleet.iter_mut() {
+            let utilization = Utilization::of(member, other_entries, &settings).max_share();
+            member.room.record_report(utilization, report_ms, now);
+        }
+    }
+
+    /// Raises the room of a chain's targets with the first token that arrives over it.
+    pub(super) fn record_begun(&mut self, reservation: ChainReservation) {
+        let Some(reserved) = self.reservations.get_mut(reservation) else {
+            return;
+        };
+        if std::mem::replace(&mut reserved.has_begun, true) {
+            return;
+        }
+        for (key, layers) in &reserved.parts {
+            let member = self.fleet.get_mut(*key);
+            let token_layers = reserved.kv_tokens * f64::from(layers.count());
+            let share = token_layers / member.capacity_token_layers.max(1.0);
+            member.room.record_begun(share, reserved.chosen_at);
+        }
+    }
+}
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -7,7 +7,7 @@
 
 use super::TargetLoad;
 use super::cost::{OtherEntries, RequestSize, Utilization};
-use super::crossing::CrossingBudget;
+use super::crossing::{CrossingBudget, scatter};
 use super::entry_load::report_valid_ms;
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::health::HealthSettings;
@@ -156,7 +156,10 @@
 #[derive(Debug, Clone)]
 pub(super) struct Reservation {
     pub parts: Vec<(MemberKey, LayerRange)>,
-    kv_tokens: f64,
+    pub kv_tokens: f64,
+    pub chosen_at: Millis,
+    /// Whether a token has arrived over the chain.
+    pub has_begun: bool,
 }
 
 /// Chooses chains for the requests of one model at one entry.
@@ -173,6 +176,9 @@
     pub(super) reservations: SlotMap<ChainReservation, Reservation>,
     other_entries_load_at: Option<Millis>,
     crossings: CrossingBudget,
+    /// This entry's turn where entries share the room that is left, drawn anew with each report of
+    /// the other entries' load.
+    turn: f64,
 }
 
 impl ChainRouter {
@@ -187,6 +193,7 @@
             reservations: SlotMap::with_key(),
             other_entries_load_at: None,
             crossings: CrossingBudget::default(),
+            turn: 0.0,
         }
     }
 
@@ -241,6 +248,8 @@
     ) {
         self.fleet.set_other_entries_load(loads);
         self.other_entries_load_at = Some(now);
+        self.turn = scatter(now);
+        self.raise_room(now);
         let until = now + self.settings.health.lost_by_others_ms;
         for address in lost {
             for member in self.fleet.at_address(*address) {
@@ -249,7 +258,7 @@
         }
     }
 
-    fn other_entries(&self, now: Millis) -> OtherEntries {
+    pub(super) fn other_entries(&self, now: Millis) -> OtherEntries {
         let valid_ms = report_valid_ms(self.settings.entries);
         let reported_at = self.other_entries_load_at;
         if reported_at.is_none_or(|at| now - at > valid_ms) {
@@ -271,7 +280,7 @@
         let search = self.search(request, now);
         let size = search.size;
         if let Some(found) = self.search_each_place(&search) {
-            return Ok(self.reserve(&found, size));
+            return Ok(self.reserve(&found, size, now));
         }
         let across = search.run(&self.fleet);
         let no_chain = match &across {
@@ -282,7 +291,7 @@
         match across {
             Some(found) if self.crossings.allows(&self.model, size, entries, now) => {
                 self.crossings.spend(self.count_crossings(&found));
-                Ok(self.reserve(&found, size))
+                Ok(self.reserve(&found, size, now))
             }
             _ => Err(no_chain),
         }
@@ -300,6 +309,9 @@
             limits: request.limits,
             place: None,
             ignores_pauses: false,
+            ignores_room: false,
+            is_room_short: self.count_full_targets(now) > 0,
+            turn: self.turn,
             other_entries: self.other_entries(now),
             now,
         }
@@ -346,12 +358,8 @@
     /// Finds out why a search failed: a lack of targets, a lack of capacity, rate limits, or blocked targets
     /// that may soon be usable again.
     fn explain(&self, search: &Search<'_>) -> NoChain {
-        let settings = ChainSettings {
-            max_utilization: f64::INFINITY,
-            ..self.settings
-        };
         let with_capacity = Search {
-            settings: &settings,
+            ignores_room: true,
             ..*search
         };
         if with_capacity.run(&self.fleet).is_some() {
@@ -387,7 +395,7 @@
         ends.min()
     }
 
-    fn reserve(&mut self, found: &FoundChain, size: RequestSize) -> Chain {
+    fn reserve(&mut self, found: &FoundChain, size: RequestSize, now: Millis) -> Chain {
         let mut hops = Vec::with_capacity(found.parts.len());
         for (at, &(key, layers)) in found.parts.iter().enumerate() {
             let member = self.fleet.get_mut(key);
@@ -404,6 +412,8 @@
         let reservation = self.reservations.insert(Reservation {
             parts: found.parts.clone(),
             kv_tokens: size.kv_tokens(),
+            chosen_at: now,
+            has_begun: false,
         });
         Chain {
             hops,
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -25,6 +25,12 @@
     pub place: Option<&'a PlaceName>,
     /// Whether targets that asked for a pause may be used as well.
     pub ignores_pauses: bool,
+    /// Whether targets without room may be used as well.
+    pub ignores_room: bool,
+    /// Whether refusals show that room is short, so that the entries share what is left.
+    pub is_room_short: bool,
+    /// This entry's turn among the entries that share what is left, from 0 to 1.
+    pub turn: f64,
     pub other_entries: OtherEntries,
     pub now: Millis,
 }
@@ -52,6 +58,8 @@
     key: MemberKey,
     member: &'a Member,
     utilization: Utilization,
+    /// Utilization up to which it has room, as refusals show it.
+    max_utilization: f64,
     slowness: f64,
     /// Whether its rate limit leaves room for a request that starts at it.
     may_start: bool,
@@ -89,12 +97,32 @@
                 key,
                 member,
                 utilization: Utilization::of(member, self.other_entries, self.settings),
+                max_utilization: self.max_utilization(member),
                 slowness: member.health.slowness(self.now),
                 may_start: self.may_start(member),
             })
             .collect()
     }
 
+    fn max_utilization(&self, member: &Member) -> f64 {
+        if self.ignores_room {
+            return f64::INFINITY;
+        }
+        let max_utilization = self.settings.max_utilization;
+        member.room.max_utilization(max_utilization, self.now)
+    }
+
+    /// Whether a request that needs `needed` fits beside the utilization `used`, and this entry is
+    /// among those whose turn it is, where less room is left than one such request for each entry.
+    fn has_room(&self, used: f64, needed: f64, max_utilization: f64) -> bool {
+        let left = max_utilization - used;
+        if left < needed || !self.is_room_short {
+            return left >= needed;
+        }
+        let entries = f64::from(self.settings.entries.max(1));
+        left >= needed * entries * self.turn
+    }
+
     fn may_start(&self, member: &Member) -> bool {
         let target = &member.target;
         self.limits
@@ -200,24 +228,29 @@
         let capacity = candidate.member.capacity_token_layers.max(1.0);
         let is_assumed = self.other_entries == OtherEntries::Assumed && self.settings.entries > 1;
         let is_unused = candidate.member.requests == 0;
-        let kv_share = candidate.utilization.kv_share + needed / capacity;
+        let is_limited = candidate.max_utilization < self.settings.max_utilization;
+        let utilization = candidate.utilization;
+        let max_utilization = candidate.max_utilization;
+        let needed_share = needed / capacity;
+        let has_memory = self.has_room(utilization.kv_share, needed_share, max_utilization);
         let received_share = if from == 0 {
-            candidate.utilization.received_share
+            utilization.received_share
         } else {
             0.0
         };
-        let is_full = kv_share > self.settings.max_utilization
-            || received_share > self.settings.max_utilization;
+        let may_receive = self.has_room(received_share, 0.0, max_utilization);
+        let is_full = !has_memory || !may_receive;
         // An entry whose equal share is less than one request could otherwise never use the target.
-        if is_full && !(is_assumed && is_unused && needed <= capacity) {
+        if is_full && !(is_assumed && is_unused && !is_limited && needed <= capacity) {
             return None;
         }
-        let batch = 1.0 + candidate.utilization.requests * BATCH_SHARE;
+        let kv_share = utilization.kv_share + needed_share;
+        let batch = 1.0 + utilization.requests * BATCH_SHARE;
         let accelerator = &candidate.member.accelerator;
         let run_ms = request_ms(self.model, accelerator, layers, self.size, batch);
         let adjusted_ms = run_ms
             * candidate.slowness
-            * utilization_factor(kv_share.max(received_share), self.settings.max_utilization);
+            * utilization_factor(kv_share.max(received_share), max_utilization);
         Some(self.settings.hop_cost_ms + adjusted_ms)
     }
 }
--- /dev/null
+++ b/crates/mgw-route/tests/room.rs
@@ -0,0 +1,276 @@
+//! Tests of what refusals for lack of room tell the entries.
+//!
+//! Load pattern: more requests come than the targets can hold, from many entries whose reports of
+//! their load are as old as the number of entries demands.
+
+#![allow(clippy::unwrap_used)]
+
+mod chain_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use chain_support::{REQUEST, fill, model, names, router, target, two_zones};
+use mgw_route::{
+    ChainReservation, ChainRouter, ChainSettings, ChainTarget, EntryLoad, EntryLoadTable,
+    FullTarget, Hop, NoChain, report_interval_ms,
+};
+use mgw_world::Millis;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const STEP_MS: u64 = 10;
+const DAY_MS: u64 = 20_000;
+/// How long a request occupies its targets on average.
+const HOLD_MS: f64 = 1_500.0;
+/// Time between two attempts of a request that waits for room, and its number of attempts.
+const WAIT_STEP_MS: u64 = 80;
+const ATTEMPTS: u32 = 8;
+/// Part of a target's memory that other uses take, unknown to the entries.
+const UNKNOWN_USE: f64 = 0.25;
+/// Most entries that one target may refuse in a second.
+const MAX_REFUSED_ENTRIES: usize = 3;
+
+/// What entries know of refusals.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Refusals {
+    /// An entry blocks a target that refused its own request.
+    Blocked,
+    /// Refusals are reported as well and lower the room that entries believe in.
+    Told,
+}
+
+struct Entry {
+    router: ChainRouter,
+    name: String,
+    next_report_ms: u64,
+    last_report_ms: u64,
+}
+
+struct Running {
+    entry: usize,
+    reservation: ChainReservation,
+    uses: Vec<(SocketAddr, f64)>,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    refusals: usize,
+    begun: usize,
+    /// Largest number of entries that one target refused in one second.
+    refused_entries: usize,
+}
+
+struct Sim {
+    refusals: Refusals,
+    rng: ChaCha8Rng,
+    entries: Vec<Entry>,
+    table: EntryLoadTable,
+    /// Memory and its use at each target, in tokens times layers.
+    memory: BTreeMap<SocketAddr, (f64, f64)>,
+    /// Ends of requests by time and order.
+    ends: BTreeMap<(u64, usize), Running>,
+    /// Requests that try by time and order: their entry and the attempts so far.
+    attempts: BTreeMap<(u64, usize), (usize, u32)>,
+    order: usize,
+    refused_by: BTreeMap<(SocketAddr, u64), BTreeSet<usize>>,
+    outcome: Outcome,
+}
+
+fn zones() -> Vec<ChainTarget> {
+    let zones = ["home", "far", "third"];
+    let copies = zones.iter().flat_map(|zone| (0..2).map(move |at| (zone, at)));
+    let halves = copies.flat_map(|(zone, at)| {
+        let first = target(&format!("{zone}-a{at}"), zone, "fast", 0, 40);
+        [first, target(&format!("{zone}-b{at}"), zone, "fast", 40, 80)]
+    });
+    let numbered = halves.enumerate().map(|(at, target)| ChainTarget {
+        address: ([10, 0, 0, at as u8], 80).into(),
+        ..target
+    });
+    numbered.collect()
+}
+
+impl Sim {
+    fn new(refusals: Refusals, entries: u32, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let interval_ms = report_interval_ms(entries).0;
+        let zones_of_entries = ["home", "far", "third"].iter().cycle();
+        let entries = (0..entries).zip(zones_of_entries).map(|(at, zone)| {
+            let settings = ChainSettings {
+                entries,
+                ..ChainSettings::default()
+            };
+            let mut router = ChainRouter::new(settings, model(), (*zone).into());
+            router.set_targets(zones(), Millis(0));
+            Entry {
+                router,
+                name: format!("entry-{at}"),
+                next_report_ms: rng.random_range(0..interval_ms),
+                last_report_ms: 0,
+            }
+        });
+        let entries = entries.collect();
+        let memory = zones().into_iter().map(|target| {
+            let model = model();
+            let accelerator = model.accelerator(&target.accelerator).unwrap();
+            let memory = model.kv_token_layers(accelerator, target.layers.count());
+            (target.address, (memory * (1.0 - UNKNOWN_USE), 0.0))
+        });
+        Self {
+            refusals,
+            memory: memory.collect(),
+            rng,
+            entries,
+            table: EntryLoadTable::default(),
+            ends: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            order: 0,
+            refused_by: BTreeMap::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Runs a day with `load` times the requests that the targets can hold.
+    fn run(mut self, load: f64) -> Outcome {
+        let per_request = f64::from(REQUEST.prompt_tokens + REQUEST.answer_tokens) * 80.0;
+        let memory: f64 = self.memory.values().map(|(memory, _)| memory).sum();
+        let per_step = load * memory / per_request / HOLD_MS * STEP_MS as f64;
+        for step in 0..DAY_MS / STEP_MS {
+            let now = step * STEP_MS;
+            self.end_until(now);
+            self.report(now);
+            let mut arrivals = per_step.floor() as usize;
+            arrivals += usize::from(self.rng.random_bool(per_step.fract()));
+            for _ in 0..arrivals {
+                let entry = self.rng.random_range(0..self.entries.len());
+                self.plan(now, entry, 0);
+            }
+            while let Some(next) = self.attempts.first_entry()
+                && next.key().0 <= now
+            {
+                let (entry, attempt) = next.remove();
+                self.attempt(entry, attempt, now);
+            }
+        }
+        let refused = self.refused_by.values().map(BTreeSet::len);
+        self.outcome.refused_entries = refused.max().unwrap_or_default();
+        self.outcome
+    }
+
+    fn plan(&mut self, at: u64, entry: usize, attempt: u32) {
+        self.order += 1;
+        self.attempts.insert((at, self.order), (entry, attempt));
+    }
+
+    fn end_until(&mut self, now: u64) {
+        while let Some(next) = self.ends.first_entry()
+            && next.key().0 <= now
+        {
+            let ended = next.remove();
+            let router = &mut self.entries[ended.entry].router;
+            router.release(ended.reservation);
+            for (address, token_layers) in ended.uses {
+                self.memory.get_mut(&address).unwrap().1 -= token_layers;
+            }
+        }
+    }
+
+    fn report(&mut self, now: u64) {
+        let interval_ms = report_interval_ms(self.entries.len() as u32).0;
+        for entry in &mut self.entries {
+            if now < entry.next_report_ms {
+                continue;
+            }
+            let load = EntryLoad {
+                uses: entry.router.own_loads(),
+                full: entry.router.own_full_targets(Millis(now)),
+                ..EntryLoad::default()
+            };
+            let others = self.table.exchange(&entry.name, load, Millis(now));
+            let at = Millis(now);
+            entry.router.set_other_entries_load(&others.uses, &others.lost, at);
+            if self.refusals == Refusals::Told {
+                entry.router.learn_full_targets(&others.full, at);
+            }
+            entry.last_report_ms = now;
+            entry.next_report_ms = now + interval_ms;
+        }
+    }
+
+    fn attempt(&mut self, entry: usize, attempt: u32, now: u64) {
+        let router = &mut self.entries[entry].router;
+        let Ok(chain) = router.choose(&REQUEST, Millis(now)) else {
+            if attempt + 1 < ATTEMPTS {
+                self.plan(now + WAIT_STEP_MS, entry, attempt + 1);
+            }
+            return;
+        };
+        let uses = self.draw_uses(&chain.hops);
+        let full = uses.iter().find(|(address, needed)| {
+            let (memory, used) = self.memory[address];
+            used + needed > memory
+        });
+        if let Some((address, _)) = full {
+            self.refuse(entry, chain.reservation, *address, now);
+            self.plan(now + STEP_MS, entry, attempt + 1);
+            return;
+        }
+        for (address, needed) in &uses {
+            self.memory.get_mut(address).unwrap().1 += needed;
+        }
+        let router = &mut self.entries[entry].router;
+        router.record_token(chain.reservation, Millis(now));
+        self.outcome.begun += 1;
+        let hold_ms = -self.rng.random::<f64>().max(1e-9).ln() * HOLD_MS;
+        self.order += 1;
+        let running = Running {
+            entry,
+            reservation: chain.reservation,
+            uses,
+        };
+        self.ends.insert((now + hold_ms as u64, self.order), running);
+    }
+
+    /// What a request takes at each target of its chain; its answer has another length than expected.
+    fn draw_uses(&mut self, hops: &[Hop]) -> Vec<(SocketAddr, f64)> {
+        let factor = self.rng.random_range(0.0..2.0);
+        let answer_tokens = f64::from(REQUEST.answer_tokens) * factor;
+        let tokens = f64::from(REQUEST.prompt_tokens) + answer_tokens;
+        let hops = hops.iter();
+        hops.map(|hop| (hop.address, tokens * f64::from(hop.layers.count())))
+            .collect()
+    }
+
+    fn refuse(
+        &mut self,
+        entry: usize,
+        reservation: ChainReservation,
+        address: SocketAddr,
+        now: u64,
+    ) {
+        self.outcome.refusals += 1;
+        let refused = self.refused_by.entry((address, now / 1_000)).or_default();
+        refused.insert(entry);
+        let entry = &mut self.entries[entry];
+        let name = entry.router.name_at(address).unwrap();
+        entry.router.block(&name, Millis(now));
+        entry.router.release(reservation);
+        if self.refusals == Refusals::Told {
+            entry.router.record_full(address, Millis(now));
+            // A refusal is reported soon.
+            let soon_ms = (now + STEP_MS).max(entry.last_report_ms + 100);
+            entry.next_report_ms = entry.next_report_ms.min(soon_ms);
+        }
+    }
+}
+
+/// Load pattern: a fifth more requests than the targets can hold, for 20 s.
+#[test]
+fn few_entries_run_into_a_full_target_once_refusals_are_told() {
+    for entries in [9, 77, 291] {
+        let blocked = Sim::new(Refusals::Blocked, entries, 1).run(1.2);
+        let told = Sim::new(Refusals::Told, entries, 1).run(1.2);
+        println!("{entries} entries: blocked {blocked:?}, told {told:?}");
+    }
+}
