--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -152,7 +152,7 @@
             let name = named.unwrap_or_else(|| first.clone());
             chains.block(&name, now);
             if let Some(address) = full {
-                chains.record_full(address, now);
+                chains.record_full(reserved.reservation, address, now);
             }
             name
         });
--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -74,6 +74,8 @@
     pub is_listed: bool,
     /// KV cache that this entry's requests may need there, in tokens times layers.
     pub used_token_layers: f64,
+    /// `used_token_layers` at the last report of the other entries' load.
+    pub used_at_report: f64,
     /// KV cache that fits beside its weights, in tokens times layers.
     pub capacity_token_layers: f64,
     /// This entry's requests whose chains include it.
@@ -123,6 +125,7 @@
                         accelerator: accelerator.clone(),
                         is_listed: true,
                         used_token_layers: 0.0,
+                        used_at_report: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
                         received: 0,
@@ -185,6 +188,7 @@
         let by_address: HashMap<SocketAddr, &TargetLoad> =
             loads.iter().map(|load| (load.address, load)).collect();
         for member in &mut self.members {
+            member.used_at_report = member.used_token_layers;
             member.token_layers_since_report = 0.0;
             member.received_since_report = 0.0;
             let load = by_address.get(&member.target.address);
--- a/crates/mgw-route/src/chain/refusals.rs
+++ b/crates/mgw-route/src/chain/refusals.rs
@@ -2,25 +2,36 @@
 
 use std::net::SocketAddr;
 
-use mgw_world::Millis;
+use mgw_world::{LayerRange, Millis};
 
 use super::FullTarget;
 use super::cost::Utilization;
 use super::entry_load::{report_interval_ms, report_valid_ms};
-use super::router::{ChainReservation, ChainRouter};
+use super::fleet::Member;
+use super::router::{ChainReservation, ChainRouter, Reservation};
 
 /// Report intervals after which a sum of reports holds none from before a refusal: one until each
 /// entry has reported, and one until this entry asks for the sum.
 const SETTLED_INTERVALS: u64 = 2;
 
 impl ChainRouter {
-    /// Records that a target refused a request of this entry for lack of room: what it holds now by
-    /// estimate is all that it can hold.
-    pub fn record_full(&mut self, address: SocketAddr, now: Millis) {
+    /// Records that a target of a chain refused the request for lack of room: what it holds now by
+    /// estimate, without this request, is all that it can hold.
+    pub fn record_full(&mut self, reservation: ChainReservation, address: SocketAddr, now: Millis) {
         let (settings, other_entries) = (self.settings, self.other_entries(now));
-        for member in self.fleet.at_address(address) {
-            let utilization = Utilization::of(member, other_entries, &settings);
-            member.room.record_own_refusal(utilization.max_share(), now);
+        let Some(reserved) = self.reservations.get(reservation) else {
+            return;
+        };
+        for &(key, layers) in &reserved.parts {
+            let member = self.fleet.get_mut(key);
+            if member.target.address != address {
+                continue;
+            }
+            let utilization = Utilization::of(member, other_entries, &settings).max_share();
+            let refused_share = reserved.share_of(member, layers);
+            member
+                .room
+                .record_own_refusal(utilization - refused_share, now);
         }
     }
 
@@ -85,9 +96,16 @@
         }
         for (key, layers) in &reserved.parts {
             let member = self.fleet.get_mut(*key);
-            let token_layers = reserved.kv_tokens * f64::from(layers.count());
-            let share = token_layers / member.capacity_token_layers.max(1.0);
+            let share = reserved.share_of(member, *layers);
             member.room.record_begun(share, reserved.chosen_at);
         }
     }
 }
+
+impl Reservation {
+    /// Fraction of a target's KV cache that the request may need for these layers.
+    fn share_of(&self, member: &Member, layers: LayerRange) -> f64 {
+        let token_layers = self.kv_tokens * f64::from(layers.count());
+        token_layers / member.capacity_token_layers.max(1.0)
+    }
+}
--- a/crates/mgw-route/src/chain/room.rs
+++ b/crates/mgw-route/src/chain/room.rs
@@ -9,6 +9,8 @@
 
 /// Rise of a limit for each second, so that a target that gets no requests is tried again.
 const RECOVERY_PER_S: f64 = 0.01;
+/// Rise of a limit for each request that has begun, in parts of the room that it takes.
+const BEGUN_RAISE: f64 = 0.1;
 /// Two refusals that are less than this apart may be the same one, learnt twice with different
 /// delays of the reports.
 const SAME_REFUSAL_MS: Millis = Millis(100);
@@ -89,12 +91,12 @@
         age_ms.filter(|age_ms| *age_ms <= valid_ms)
     }
 
-    /// Raises the limit by `share`, as a request that was sent after the refusal has begun.
+    /// Raises the limit by a part of `share`, as a request that was sent after the refusal has begun.
     pub fn record_begun(&mut self, share: f64, sent_at: Millis) {
         if let Some(limit) = &mut self.limit
             && sent_at > limit.refused_at
         {
-            limit.utilization += share;
+            limit.utilization += BEGUN_RAISE * share;
         }
     }
 
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -112,15 +112,19 @@
         member.room.max_utilization(max_utilization, self.now)
     }
 
-    /// Whether a request that needs `needed` fits beside the utilization `used`, and this entry is
-    /// among those whose turn it is, where less room is left than one such request for each entry.
-    fn has_room(&self, used: f64, needed: f64, max_utilization: f64) -> bool {
-        let left = max_utilization - used;
-        if left < needed || !self.is_room_short {
-            return left >= needed;
+    /// Whether a target's KV cache has room for a request that needs `needed` of it, in tokens times
+    /// layers.
+    fn has_memory(&self, candidate: &Candidate<'_>, needed: f64) -> bool {
+        let member = candidate.member;
+        let capacity = member.capacity_token_layers.max(1.0);
+        if self.is_room_short
+            && let OtherEntries::Known { per_place } = self.other_entries
+        {
+            let limit = candidate.max_utilization * capacity;
+            let own_share = own_share(member, limit, 1.0 + 3.0 * per_place);
+            return member.used_token_layers + needed * self.turn <= own_share;
         }
-        let entries = f64::from(self.settings.entries.max(1));
-        left >= needed * entries * self.turn
+        candidate.utilization.kv_share + needed / capacity <= candidate.max_utilization
     }
 
     fn may_start(&self, member: &Member) -> bool {
@@ -231,20 +235,18 @@
         let is_limited = candidate.max_utilization < self.settings.max_utilization;
         let utilization = candidate.utilization;
         let max_utilization = candidate.max_utilization;
-        let needed_share = needed / capacity;
-        let has_memory = self.has_room(utilization.kv_share, needed_share, max_utilization);
+        let has_memory = self.has_memory(candidate, needed);
         let received_share = if from == 0 {
             utilization.received_share
         } else {
             0.0
         };
-        let may_receive = self.has_room(received_share, 0.0, max_utilization);
-        let is_full = !has_memory || !may_receive;
+        let is_full = !has_memory || received_share > max_utilization;
         // An entry whose equal share is less than one request could otherwise never use the target.
         if is_full && !(is_assumed && is_unused && !is_limited && needed <= capacity) {
             return None;
         }
-        let kv_share = utilization.kv_share + needed_share;
+        let kv_share = utilization.kv_share + needed / capacity;
         let batch = 1.0 + utilization.requests * BATCH_SHARE;
         let accelerator = &candidate.member.accelerator;
         let run_ms = request_ms(self.model, accelerator, layers, self.size, batch);
@@ -255,6 +257,15 @@
     }
 }
 
+/// What this entry may hold of a target's `limit`, both in tokens times layers: what it held at the
+/// last report, and an equal part of what was left then. If entries held more than the limit, each
+/// gives up the same part.
+fn own_share(member: &Member, limit: f64, entries: f64) -> f64 {
+    let own = member.used_at_report;
+    let all = own + member.others_load.token_layers;
+    own + (limit - all).max(0.0) / entries
+}
+
 /// Adds a partial chain, keeping only the cheapest one for each zone in which they end.
 fn keep_cheapest(fleet: &Fleet, partials: &mut Vec<PartialChain>, new: PartialChain) {
     let place = &fleet.get(new.member).target.place;
--- a/crates/mgw-route/tests/room.rs
+++ b/crates/mgw-route/tests/room.rs
@@ -21,6 +21,9 @@
 
 const STEP_MS: u64 = 10;
 const DAY_MS: u64 = 20_000;
+/// When the load rises, and the load before in parts of what the targets can hold.
+const RISE_MS: u64 = 5_000;
+const CALM_LOAD: f64 = 0.7;
 /// How long a request occupies its targets on average.
 const HOLD_MS: f64 = 1_500.0;
 /// Time between two attempts of a request that waits for room, and its number of attempts.
@@ -79,10 +82,15 @@
 
 fn zones() -> Vec<ChainTarget> {
     let zones = ["home", "far", "third"];
-    let copies = zones.iter().flat_map(|zone| (0..2).map(move |at| (zone, at)));
+    let copies = zones
+        .iter()
+        .flat_map(|zone| (0..2).map(move |at| (zone, at)));
     let halves = copies.flat_map(|(zone, at)| {
         let first = target(&format!("{zone}-a{at}"), zone, "fast", 0, 40);
-        [first, target(&format!("{zone}-b{at}"), zone, "fast", 40, 80)]
+        [
+            first,
+            target(&format!("{zone}-b{at}"), zone, "fast", 40, 80),
+        ]
     });
     let numbered = halves.enumerate().map(|(at, target)| ChainTarget {
         address: ([10, 0, 0, at as u8], 80).into(),
@@ -135,11 +143,31 @@
     fn run(mut self, load: f64) -> Outcome {
         let per_request = f64::from(REQUEST.prompt_tokens + REQUEST.answer_tokens) * 80.0;
         let memory: f64 = self.memory.values().map(|(memory, _)| memory).sum();
-        let per_step = load * memory / per_request / HOLD_MS * STEP_MS as f64;
+        let room_per_step = memory / per_request / HOLD_MS * STEP_MS as f64;
         for step in 0..DAY_MS / STEP_MS {
             let now = step * STEP_MS;
             self.end_until(now);
             self.report(now);
+            if now % 1000 == 0 && std::env::var("TRACE").is_ok() {
+                let used: f64 = self.memory.values().map(|(m, u)| u / m).sum::<f64>() / 12.0;
+                let refused: usize = self
+                    .refused_by
+                    .iter()
+                    .filter(|(k, _)| k.1 + 1 == now / 1000)
+                    .map(|(_, v)| v.len())
+                    .max()
+                    .unwrap_or(0);
+                let load = self.entries[0].router.load(Millis(now));
+                println!(
+                    "{now} used {used:.3} refusals {} entries {refused} begun {} est {:.3} full {}",
+                    self.outcome.refusals,
+                    self.outcome.begun,
+                    load.used_share / 0.75,
+                    self.entries[0].router.count_full_targets(Millis(now))
+                );
+            }
+            let load = if now < RISE_MS { CALM_LOAD } else { load };
+            let per_step = load * room_per_step;
             let mut arrivals = per_step.floor() as usize;
             arrivals += usize::from(self.rng.random_bool(per_step.fract()));
             for _ in 0..arrivals {
@@ -189,7 +217,9 @@
             };
             let others = self.table.exchange(&entry.name, load, Millis(now));
             let at = Millis(now);
-            entry.router.set_other_entries_load(&others.uses, &others.lost, at);
+            entry
+                .router
+                .set_other_entries_load(&others.uses, &others.lost, at);
             if self.refusals == Refusals::Told {
                 entry.router.learn_full_targets(&others.full, at);
             }
@@ -229,7 +259,8 @@
             reservation: chain.reservation,
             uses,
         };
-        self.ends.insert((now + hold_ms as u64, self.order), running);
+        self.ends
+            .insert((now + hold_ms as u64, self.order), running);
     }
 
     /// What a request takes at each target of its chain; its answer has another length than expected.
@@ -255,13 +286,13 @@
         let entry = &mut self.entries[entry];
         let name = entry.router.name_at(address).unwrap();
         entry.router.block(&name, Millis(now));
-        entry.router.release(reservation);
         if self.refusals == Refusals::Told {
-            entry.router.record_full(address, Millis(now));
+            entry.router.record_full(reservation, address, Millis(now));
             // A refusal is reported soon.
             let soon_ms = (now + STEP_MS).max(entry.last_report_ms + 100);
             entry.next_report_ms = entry.next_report_ms.min(soon_ms);
         }
+        entry.router.release(reservation);
     }
 }
 
