--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -74,8 +74,13 @@
     pub is_listed: bool,
     /// KV cache that this entry's requests may need there, in tokens times layers.
     pub used_token_layers: f64,
-    /// `used_token_layers` at the last report of the other entries' load.
-    pub used_at_report: f64,
+    /// Largest `used_token_layers` since the last report of the other entries' load.
+    pub used_peak: f64,
+    /// The same for the time between the last two reports.
+    pub used_before_report: f64,
+    /// This entry's turn among those that share what is left of the target, from 0 to 1; drawn anew
+    /// with each report.
+    pub turn: f64,
     /// KV cache that fits beside its weights, in tokens times layers.
     pub capacity_token_layers: f64,
     /// This entry's requests whose chains include it.
@@ -125,7 +130,9 @@
                         accelerator: accelerator.clone(),
                         is_listed: true,
                         used_token_layers: 0.0,
-                        used_at_report: 0.0,
+                        used_peak: 0.0,
+                        used_before_report: 0.0,
+                        turn: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
                         received: 0,
@@ -188,7 +195,8 @@
         let by_address: HashMap<SocketAddr, &TargetLoad> =
             loads.iter().map(|load| (load.address, load)).collect();
         for member in &mut self.members {
-            member.used_at_report = member.used_token_layers;
+            member.used_before_report = member.used_peak;
+            member.used_peak = member.used_token_layers;
             member.token_layers_since_report = 0.0;
             member.received_since_report = 0.0;
             let load = by_address.get(&member.target.address);
--- a/crates/mgw-route/src/chain/refusals.rs
+++ b/crates/mgw-route/src/chain/refusals.rs
@@ -6,6 +6,7 @@
 
 use super::FullTarget;
 use super::cost::Utilization;
+use super::crossing::scatter;
 use super::entry_load::{report_interval_ms, report_valid_ms};
 use super::fleet::Member;
 use super::router::{ChainReservation, ChainRouter, Reservation};
@@ -76,6 +77,17 @@
         limited.count()
     }
 
+    /// Draws this entry's turn, one for each zone: a chain needs its turn at all targets, and mostly
+    /// stays in a zone.
+    pub(super) fn draw_turns(&mut self, now: Millis) {
+        let places = self.list_places();
+        for member in self.fleet.iter_mut() {
+            let at = places.binary_search(&member.target.place);
+            let at = at.unwrap_or_default() as f64;
+            member.turn = (scatter(now) + at / places.len() as f64).fract();
+        }
+    }
+
     /// Raises the room of targets that hold more by newer reports than at their refusal.
     pub(super) fn raise_room(&mut self, now: Millis) {
         let (settings, other_entries) = (self.settings, self.other_entries(now));
--- a/crates/mgw-route/src/chain/room.rs
+++ b/crates/mgw-route/src/chain/room.rs
@@ -11,6 +11,9 @@
 const RECOVERY_PER_S: f64 = 0.01;
 /// Rise of a limit for each request that has begun, in parts of the room that it takes.
 const BEGUN_RAISE: f64 = 0.1;
+/// Part of the utilization at a refusal that counts as full: requests that wait for their turn at
+/// other entries arrive meanwhile, and their answers differ in length.
+const KEPT_SHARE: f64 = 0.95;
 /// Two refusals that are less than this apart may be the same one, learnt twice with different
 /// delays of the reports.
 const SAME_REFUSAL_MS: Millis = Millis(100);
@@ -68,7 +71,7 @@
     fn set_limit(&mut self, utilization: f64, refused_at: Millis, now: Millis) {
         let known = self.limit.map_or(f64::INFINITY, |limit| limit.at(now));
         self.limit = Some(RoomLimit {
-            utilization: utilization.min(known),
+            utilization: (KEPT_SHARE * utilization).min(known),
             set_at: now,
             refused_at,
         });
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -7,7 +7,7 @@
 
 use super::TargetLoad;
 use super::cost::{OtherEntries, RequestSize, Utilization};
-use super::crossing::{CrossingBudget, scatter};
+use super::crossing::CrossingBudget;
 use super::entry_load::report_valid_ms;
 use super::fleet::{ChainTarget, Fleet, MemberKey};
 use super::health::HealthSettings;
@@ -176,9 +176,6 @@
     pub(super) reservations: SlotMap<ChainReservation, Reservation>,
     other_entries_load_at: Option<Millis>,
     crossings: CrossingBudget,
-    /// This entry's turn where entries share the room that is left, drawn anew with each report of
-    /// the other entries' load.
-    turn: f64,
 }
 
 impl ChainRouter {
@@ -193,7 +190,6 @@
             reservations: SlotMap::with_key(),
             other_entries_load_at: None,
             crossings: CrossingBudget::default(),
-            turn: 0.0,
         }
     }
 
@@ -248,7 +244,7 @@
     ) {
         self.fleet.set_other_entries_load(loads);
         self.other_entries_load_at = Some(now);
-        self.turn = scatter(now);
+        self.draw_turns(now);
         self.raise_room(now);
         let until = now + self.settings.health.lost_by_others_ms;
         for address in lost {
@@ -311,7 +307,6 @@
             ignores_pauses: false,
             ignores_room: false,
             is_room_short: self.count_full_targets(now) > 0,
-            turn: self.turn,
             other_entries: self.other_entries(now),
             now,
         }
@@ -345,7 +340,7 @@
         best.map(|(_, found)| found)
     }
 
-    fn list_places(&self) -> Vec<PlaceName> {
+    pub(super) fn list_places(&self) -> Vec<PlaceName> {
         let places = self.fleet.iter();
         let mut places: Vec<PlaceName> = places
             .map(|(_, member)| member.target.place.clone())
@@ -406,6 +401,7 @@
             member.requests += 1;
             let token_layers = size.kv_tokens() * f64::from(layers.count());
             member.used_token_layers += token_layers;
+            member.used_peak = member.used_peak.max(member.used_token_layers);
             member.token_layers_since_report += token_layers;
             hops.push(member.target.to_hop(layers));
         }
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -29,8 +29,6 @@
     pub ignores_room: bool,
     /// Whether refusals show that room is short, so that the entries share what is left.
     pub is_room_short: bool,
-    /// This entry's turn among the entries that share what is left, from 0 to 1.
-    pub turn: f64,
     pub other_entries: OtherEntries,
     pub now: Millis,
 }
@@ -117,12 +115,10 @@
     fn has_memory(&self, candidate: &Candidate<'_>, needed: f64) -> bool {
         let member = candidate.member;
         let capacity = member.capacity_token_layers.max(1.0);
-        if self.is_room_short
-            && let OtherEntries::Known { per_place } = self.other_entries
-        {
+        if self.is_room_short && self.other_entries != OtherEntries::Assumed {
             let limit = candidate.max_utilization * capacity;
-            let own_share = own_share(member, limit, 1.0 + 3.0 * per_place);
-            return member.used_token_layers + needed * self.turn <= own_share;
+            let own_share = own_share(member, limit, self.settings.entries);
+            return member.used_token_layers + needed * member.turn <= own_share;
         }
         candidate.utilization.kv_share + needed / capacity <= candidate.max_utilization
     }
@@ -257,13 +253,13 @@
     }
 }
 
-/// What this entry may hold of a target's `limit`, both in tokens times layers: what it held at the
-/// last report, and an equal part of what was left then. If entries held more than the limit, each
-/// gives up the same part.
-fn own_share(member: &Member, limit: f64, entries: f64) -> f64 {
-    let own = member.used_at_report;
-    let all = own + member.others_load.token_layers;
-    own + (limit - all).max(0.0) / entries
+/// What this entry may hold of a target's `limit`, both in tokens times layers: as much as it held
+/// before the last report, and an equal part of what was left then. A request that ends may so be
+/// replaced at once, while only a few entries at a time take more.
+fn own_share(member: &Member, limit: f64, entries: u32) -> f64 {
+    let own = member.used_before_report;
+    let left = (limit - own - member.others_load.token_layers).max(0.0);
+    own + left / f64::from(entries.max(1))
 }
 
 /// Adds a partial chain, keeping only the cheapest one for each zone in which they end.
--- a/crates/mgw-route/tests/room.rs
+++ b/crates/mgw-route/tests/room.rs
@@ -29,6 +29,8 @@
 /// Time between two attempts of a request that waits for room, and its number of attempts.
 const WAIT_STEP_MS: u64 = 80;
 const ATTEMPTS: u32 = 8;
+/// Most sends of a request.
+const MAX_SENDS: u32 = 2;
 /// Part of a target's memory that other uses take, unknown to the entries.
 const UNKNOWN_USE: f64 = 0.25;
 /// Most entries that one target may refuse in a second.
@@ -74,7 +76,7 @@
     /// Ends of requests by time and order.
     ends: BTreeMap<(u64, usize), Running>,
     /// Requests that try by time and order: their entry and the attempts so far.
-    attempts: BTreeMap<(u64, usize), (usize, u32)>,
+    attempts: BTreeMap<(u64, usize), (usize, u32, u32)>,
     order: usize,
     refused_by: BTreeMap<(SocketAddr, u64), BTreeSet<usize>>,
     outcome: Outcome,
@@ -172,13 +174,13 @@
             arrivals += usize::from(self.rng.random_bool(per_step.fract()));
             for _ in 0..arrivals {
                 let entry = self.rng.random_range(0..self.entries.len());
-                self.plan(now, entry, 0);
+                self.plan(now, entry, 0, 0);
             }
             while let Some(next) = self.attempts.first_entry()
                 && next.key().0 <= now
             {
-                let (entry, attempt) = next.remove();
-                self.attempt(entry, attempt, now);
+                let (entry, attempt, sends) = next.remove();
+                self.attempt(entry, attempt, sends, now);
             }
         }
         let refused = self.refused_by.values().map(BTreeSet::len);
@@ -186,9 +188,10 @@
         self.outcome
     }
 
-    fn plan(&mut self, at: u64, entry: usize, attempt: u32) {
+    fn plan(&mut self, at: u64, entry: usize, attempt: u32, sends: u32) {
         self.order += 1;
-        self.attempts.insert((at, self.order), (entry, attempt));
+        self.attempts
+            .insert((at, self.order), (entry, attempt, sends));
     }
 
     fn end_until(&mut self, now: u64) {
@@ -228,11 +231,11 @@
         }
     }
 
-    fn attempt(&mut self, entry: usize, attempt: u32, now: u64) {
+    fn attempt(&mut self, entry: usize, attempt: u32, sends: u32, now: u64) {
         let router = &mut self.entries[entry].router;
         let Ok(chain) = router.choose(&REQUEST, Millis(now)) else {
             if attempt + 1 < ATTEMPTS {
-                self.plan(now + WAIT_STEP_MS, entry, attempt + 1);
+                self.plan(now + WAIT_STEP_MS, entry, attempt + 1, sends);
             }
             return;
         };
@@ -243,7 +246,9 @@
         });
         if let Some((address, _)) = full {
             self.refuse(entry, chain.reservation, *address, now);
-            self.plan(now + STEP_MS, entry, attempt + 1);
+            if sends + 1 < MAX_SENDS {
+                self.plan(now + STEP_MS, entry, attempt + 1, sends + 1);
+            }
             return;
         }
         for (address, needed) in &uses {
@@ -300,8 +305,8 @@
 #[test]
 fn few_entries_run_into_a_full_target_once_refusals_are_told() {
     for entries in [9, 77, 291] {
-        let blocked = Sim::new(Refusals::Blocked, entries, 1).run(1.2);
-        let told = Sim::new(Refusals::Told, entries, 1).run(1.2);
+        let blocked = Sim::new(Refusals::Blocked, entries, 3).run(1.2);
+        let told = Sim::new(Refusals::Told, entries, 3).run(1.2);
         println!("{entries} entries: blocked {blocked:?}, told {told:?}");
     }
 }
