--- a/crates/mgw-route/src/chain/refusals.rs
+++ b/crates/mgw-route/src/chain/refusals.rs
@@ -25,7 +25,8 @@
         };
         for &(key, layers) in &reserved.parts {
             let member = self.fleet.get_mut(key);
-            if member.target.address != address {
+            // A target that answers no probe refuses for another reason.
+            if member.target.address != address || member.health.is_lost() {
                 continue;
             }
             let utilization = Utilization::of(member, other_entries, &settings).max_share();
