--- a/crates/mgw-route/src/chain/fleet.rs
+++ b/crates/mgw-route/src/chain/fleet.rs
@@ -10,6 +10,7 @@
 
 use super::TargetLoad;
 use super::health::TargetHealth;
+use super::room::Room;
 use super::router::Hop;
 use crate::exclusions::TargetRun;
 
@@ -73,6 +74,13 @@
     pub is_listed: bool,
     /// KV cache that this entry's requests may need there, in tokens times layers.
     pub used_token_layers: f64,
+    /// Largest `used_token_layers` since the last report of the other entries' load.
+    pub used_peak: f64,
+    /// The same for the time between the last two reports.
+    pub used_before_report: f64,
+    /// This entry's turn among those that share what is left of the target, from 0 to 1; drawn anew
+    /// with each report.
+    pub turn: f64,
     /// KV cache that fits beside its weights, in tokens times layers.
     pub capacity_token_layers: f64,
     /// This entry's requests whose chains include it.
@@ -86,6 +94,7 @@
     /// Load by all other entries together, as last reported.
     pub others_load: OthersLoad,
     pub health: TargetHealth,
+    pub room: Room,
 }
 
 /// Targets that are listed now or still used by requests.
@@ -121,6 +130,9 @@
                         accelerator: accelerator.clone(),
                         is_listed: true,
                         used_token_layers: 0.0,
+                        used_peak: 0.0,
+                        used_before_report: 0.0,
+                        turn: 0.0,
                         capacity_token_layers: capacity,
                         requests: 0,
                         received: 0,
@@ -128,6 +140,7 @@
                         token_layers_since_report: 0.0,
                         others_load: OthersLoad::default(),
                         health: TargetHealth::new(now),
+                        room: Room::new(now),
                         target,
                     });
                 }
@@ -164,6 +177,11 @@
         newest.map(|(at, _)| MemberKey(at))
     }
 
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        let members = self.members.iter_mut();
+        members.filter(|member| member.is_listed)
+    }
+
     /// One incarnation of a target.
     pub fn find_run(&mut self, run: &TargetRun) -> Option<&mut Member> {
         let mut members = self.members.iter_mut();
@@ -177,6 +195,8 @@
         let by_address: HashMap<SocketAddr, &TargetLoad> =
             loads.iter().map(|load| (load.address, load)).collect();
         for member in &mut self.members {
+            member.used_before_report = member.used_peak;
+            member.used_peak = member.used_token_layers;
             member.token_layers_since_report = 0.0;
             member.received_since_report = 0.0;
             let load = by_address.get(&member.target.address);
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -156,7 +156,10 @@
 #[derive(Debug, Clone)]
 pub(super) struct Reservation {
     pub parts: Vec<(MemberKey, LayerRange)>,
-    kv_tokens: f64,
+    pub kv_tokens: f64,
+    pub chosen_at: Millis,
+    /// Whether a token has arrived over the chain.
+    pub has_begun: bool,
 }
 
 /// Chooses chains for the requests of one model at one entry.
@@ -241,6 +244,8 @@
     ) {
         self.fleet.set_other_entries_load(loads);
         self.other_entries_load_at = Some(now);
+        self.draw_turns(now);
+        self.raise_room(now);
         let until = now + self.settings.health.lost_by_others_ms;
         for address in lost {
             for member in self.fleet.at_address(*address) {
@@ -249,7 +254,7 @@
         }
     }
 
-    fn other_entries(&self, now: Millis) -> OtherEntries {
+    pub(super) fn other_entries(&self, now: Millis) -> OtherEntries {
         let valid_ms = report_valid_ms(self.settings.entries);
         let reported_at = self.other_entries_load_at;
         if reported_at.is_none_or(|at| now - at > valid_ms) {
@@ -271,7 +276,7 @@
         let search = self.search(request, now);
         let size = search.size;
         if let Some(found) = self.search_each_place(&search) {
-            return Ok(self.reserve(&found, size));
+            return Ok(self.reserve(&found, size, now));
         }
         let across = search.run(&self.fleet);
         let no_chain = match &across {
@@ -282,7 +287,7 @@
         match across {
             Some(found) if self.crossings.allows(&self.model, size, entries, now) => {
                 self.crossings.spend(self.count_crossings(&found));
-                Ok(self.reserve(&found, size))
+                Ok(self.reserve(&found, size, now))
             }
             _ => Err(no_chain),
         }
@@ -300,6 +305,8 @@
             limits: request.limits,
             place: None,
             ignores_pauses: false,
+            ignores_room: false,
+            is_room_short: self.count_full_targets(now) > 0,
             other_entries: self.other_entries(now),
             now,
         }
@@ -333,7 +340,7 @@
         best.map(|(_, found)| found)
     }
 
-    fn list_places(&self) -> Vec<PlaceName> {
+    pub(super) fn list_places(&self) -> Vec<PlaceName> {
         let places = self.fleet.iter();
         let mut places: Vec<PlaceName> = places
             .map(|(_, member)| member.target.place.clone())
@@ -346,12 +353,8 @@
     /// Finds out why a search failed: a lack of targets, a lack of capacity, rate limits, or blocked targets
     /// that may soon be usable again.
     fn explain(&self, search: &Search<'_>) -> NoChain {
-        let settings = ChainSettings {
-            max_utilization: f64::INFINITY,
-            ..self.settings
-        };
         let with_capacity = Search {
-            settings: &settings,
+            ignores_room: true,
             ..*search
         };
         if with_capacity.run(&self.fleet).is_some() {
@@ -387,7 +390,7 @@
         ends.min()
     }
 
-    fn reserve(&mut self, found: &FoundChain, size: RequestSize) -> Chain {
+    fn reserve(&mut self, found: &FoundChain, size: RequestSize, now: Millis) -> Chain {
         let mut hops = Vec::with_capacity(found.parts.len());
         for (at, &(key, layers)) in found.parts.iter().enumerate() {
             let member = self.fleet.get_mut(key);
@@ -398,12 +401,15 @@
             member.requests += 1;
             let token_layers = size.kv_tokens() * f64::from(layers.count());
             member.used_token_layers += token_layers;
+            member.used_peak = member.used_peak.max(member.used_token_layers);
             member.token_layers_since_report += token_layers;
             hops.push(member.target.to_hop(layers));
         }
         let reservation = self.reservations.insert(Reservation {
             parts: found.parts.clone(),
             kv_tokens: size.kv_tokens(),
+            chosen_at: now,
+            has_begun: false,
         });
         Chain {
             hops,
--- a/crates/mgw-route/src/chain/search.rs
+++ b/crates/mgw-route/src/chain/search.rs
@@ -12,6 +12,10 @@
 /// are at other targets of their chains at that moment.
 const BATCH_SHARE: f64 = 0.25;
 
+/// Part of its limit from which the entries share what is left of a target: below it, all of them
+/// may choose the target between two reports.
+const NEARLY_FULL: f64 = 0.7;
+
 /// Parameters of a search for a chain.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Search<'a> {
@@ -25,6 +29,10 @@
     pub place: Option<&'a PlaceName>,
     /// Whether targets that asked for a pause may be used as well.
     pub ignores_pauses: bool,
+    /// Whether targets without room may be used as well.
+    pub ignores_room: bool,
+    /// Whether refusals show that room is short, so that the entries share what is left.
+    pub is_room_short: bool,
     pub other_entries: OtherEntries,
     pub now: Millis,
 }
@@ -52,6 +60,8 @@
     key: MemberKey,
     member: &'a Member,
     utilization: Utilization,
+    /// Utilization up to which it has room, as refusals show it.
+    max_utilization: f64,
     slowness: f64,
     /// Whether its rate limit leaves room for a request that starts at it.
     may_start: bool,
@@ -89,12 +99,37 @@
                 key,
                 member,
                 utilization: Utilization::of(member, self.other_entries, self.settings),
+                max_utilization: self.max_utilization(member),
                 slowness: member.health.slowness(self.now),
                 may_start: self.may_start(member),
             })
             .collect()
     }
 
+    fn max_utilization(&self, member: &Member) -> f64 {
+        if self.ignores_room {
+            return f64::INFINITY;
+        }
+        let max_utilization = self.settings.max_utilization;
+        member.room.max_utilization(max_utilization, self.now)
+    }
+
+    /// Whether a target's KV cache has room for a request that needs `needed` of it, in tokens times
+    /// layers.
+    fn has_memory(&self, candidate: &Candidate<'_>, needed: f64) -> bool {
+        let member = candidate.member;
+        let capacity = member.capacity_token_layers.max(1.0);
+        let limit = candidate.max_utilization * capacity;
+        let used = member.used_before_report + member.others_load.token_layers;
+        let is_nearly_full = used > NEARLY_FULL * limit;
+        let is_known = self.other_entries != OtherEntries::Assumed;
+        if self.is_room_short && is_known && is_nearly_full {
+            let own_share = own_share(member, limit, self.settings.entries);
+            return member.used_token_layers + needed * member.turn <= own_share;
+        }
+        candidate.utilization.kv_share + needed / capacity <= candidate.max_utilization
+    }
+
     fn may_start(&self, member: &Member) -> bool {
         let target = &member.target;
         self.limits
@@ -200,28 +235,40 @@
         let capacity = candidate.member.capacity_token_layers.max(1.0);
         let is_assumed = self.other_entries == OtherEntries::Assumed && self.settings.entries > 1;
         let is_unused = candidate.member.requests == 0;
-        let kv_share = candidate.utilization.kv_share + needed / capacity;
+        let is_limited = candidate.max_utilization < self.settings.max_utilization;
+        let utilization = candidate.utilization;
+        let max_utilization = candidate.max_utilization;
+        let has_memory = self.has_memory(candidate, needed);
         let received_share = if from == 0 {
-            candidate.utilization.received_share
+            utilization.received_share
         } else {
             0.0
         };
-        let is_full = kv_share > self.settings.max_utilization
-            || received_share > self.settings.max_utilization;
+        let is_full = !has_memory || received_share > max_utilization;
         // An entry whose equal share is less than one request could otherwise never use the target.
-        if is_full && !(is_assumed && is_unused && needed <= capacity) {
+        if is_full && !(is_assumed && is_unused && !is_limited && needed <= capacity) {
             return None;
         }
-        let batch = 1.0 + candidate.utilization.requests * BATCH_SHARE;
+        let kv_share = utilization.kv_share + needed / capacity;
+        let batch = 1.0 + utilization.requests * BATCH_SHARE;
         let accelerator = &candidate.member.accelerator;
         let run_ms = request_ms(self.model, accelerator, layers, self.size, batch);
         let adjusted_ms = run_ms
             * candidate.slowness
-            * utilization_factor(kv_share.max(received_share), self.settings.max_utilization);
+            * utilization_factor(kv_share.max(received_share), max_utilization);
         Some(self.settings.hop_cost_ms + adjusted_ms)
     }
 }
 
+/// What this entry may hold of a target's `limit`, both in tokens times layers: as much as it held
+/// before the last report, and an equal part of what was left then. A request that ends may so be
+/// replaced at once, while only a few entries at a time take more.
+fn own_share(member: &Member, limit: f64, entries: u32) -> f64 {
+    let own = member.used_before_report;
+    let left = (limit - own - member.others_load.token_layers).max(0.0);
+    own + left / f64::from(entries.max(1))
+}
+
 /// Adds a partial chain, keeping only the cheapest one for each zone in which they end.
 fn keep_cheapest(fleet: &Fleet, partials: &mut Vec<PartialChain>, new: PartialChain) {
     let place = &fleet.get(new.member).target.place;
