Prefix holders are weighed against wait and memory in one estimate

Cause: a holder of a prefix was taken whenever its own count was under 1.25 of its share, however little the prefix saved and however full its memory was, and a restart told by an announcement alone left its prefixes in the index.

Change: prefix::weigh estimates the time to the first token of each candidate (prefill that is not held, wait, price of memory) and chooses the least; a prefix is followed with a probability that bounds its holders to their part of the flow; a new incarnation or other weights end what is held.

--- a/crates/mgw-route/src/chain/cost.rs
+++ b/crates/mgw-route/src/chain/cost.rs
@@ -91,7 +91,7 @@
 
 /// Factor on the cost of a target that grows as its memory fills: a request there is more likely to
 /// be preempted and to have its prefill repeated.
-pub(super) fn utilization_factor(utilization: f64, max_utilization: f64) -> f64 {
+pub(crate) fn utilization_factor(utilization: f64, max_utilization: f64) -> f64 {
     let filled = utilization / max_utilization.max(f64::MIN_POSITIVE);
     1.0 / (1.0 - filled * filled).clamp(0.05, 1.0)
 }
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -10,6 +10,7 @@
 mod router;
 mod search;
 
+pub(crate) use cost::utilization_factor;
 pub use entry_load::{
     EntryLoad, EntryLoadTable, FullTarget, OtherEntriesLoad, TargetLoad, report_interval_ms,
     report_valid_ms,
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -30,7 +30,10 @@
     compute_retry_grant,
 };
 pub use path::{Path, PathRequest, ReservationKey, Stage};
-pub use prefix::{CacheSyncState, PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
+pub use prefix::{
+    CacheSyncState, PREFIX_BLOCK_TOKENS, PrefillTarget, PrefixDigest, choose_prefill_target,
+    digest_prefixes, follow_probability,
+};
 pub use quarantine::{
     BrokenSend, EntryQuarantine, Evidence, EvidenceReport, QuarantineChange, QuarantineSettings,
     QuarantineTable, QuarantineUpdate, ReportedEnd, SettleTimes, SoundSubject, Suspect, TargetEnd,
--- a/crates/mgw-route/src/prefix/index.rs
+++ b/crates/mgw-route/src/prefix/index.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use mgw_contract::target::CacheEvent;
-use mgw_world::Incarnation;
+use mgw_world::{Incarnation, Millis};
 
 use crate::PrefixDigest;
 use crate::router::TargetKey;
@@ -32,6 +32,26 @@
     needs_resend: bool,
 }
 
+/// When the evidence that a target holds a prefix was last renewed.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    use_counter: u64,
+    seen_at: Millis,
+}
+
+/// A target that has likely cached a prefix of a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Holder {
+    /// The target.
+    pub key: TargetKey,
+    /// Longest prefix of the prompt that it holds.
+    pub prefix: PrefixDigest,
+    /// Number of blocks of that prefix.
+    pub blocks: usize,
+    /// When the evidence for it was last renewed.
+    pub seen_at: Millis,
+}
+
 /// Prefixes that targets are likely to have cached.
 ///
 /// A wrong entry costs a cache miss; nothing else depends on it.
@@ -42,7 +62,7 @@
     use_counter: u64,
     progress: BTreeMap<TargetKey, Progress>,
     holders: BTreeMap<PrefixDigest, BTreeSet<TargetKey>>,
-    last_used: BTreeMap<(TargetKey, PrefixDigest), u64>,
+    last_used: BTreeMap<(TargetKey, PrefixDigest), Evidence>,
     by_last_use: BTreeMap<u64, (TargetKey, PrefixDigest)>,
 }
 
@@ -65,6 +85,7 @@
         target: TargetKey,
         incarnation: Incarnation,
         events: &[CacheEvent],
+        now: Millis,
     ) -> CacheSyncState {
         let initial = Progress {
             incarnation,
@@ -80,7 +101,7 @@
             progress = initial;
         }
         for event in events {
-            self.apply_one(target, &mut progress, event);
+            self.apply_one(target, &mut progress, event, now);
         }
         self.progress.insert(target, progress);
         if progress.needs_resend {
@@ -90,7 +111,29 @@
         }
     }
 
-    fn apply_one(&mut self, target: TargetKey, progress: &mut Progress, event: &CacheEvent) {
+    /// Removes the prefixes of earlier incarnations of a target, unless events of this one have done
+    /// so already.
+    pub fn begin_run(&mut self, target: TargetKey, incarnation: Incarnation) {
+        let known = self.progress.get(&target);
+        if known.is_some_and(|progress| progress.incarnation >= incarnation) {
+            return;
+        }
+        self.clear_target(target);
+        let progress = Progress {
+            incarnation,
+            next_sequence: FIRST_SEQUENCE,
+            needs_resend: false,
+        };
+        self.progress.insert(target, progress);
+    }
+
+    fn apply_one(
+        &mut self,
+        target: TargetKey,
+        progress: &mut Progress,
+        event: &CacheEvent,
+        now: Millis,
+    ) {
         if event.sequence < progress.next_sequence {
             return;
         }
@@ -98,7 +141,7 @@
         progress.needs_resend = is_gap;
         progress.next_sequence = event.sequence.saturating_add(1);
         if event.stored {
-            self.insert(target, PrefixDigest(event.prefix));
+            self.insert(target, PrefixDigest(event.prefix), now);
         } else {
             self.remove_entry(target, PrefixDigest(event.prefix));
         }
@@ -106,10 +149,14 @@
 
     /// Records that a target has likely cached a prefix, and evicts the least recently used entry
     /// if the index is full.
-    pub fn insert(&mut self, target: TargetKey, prefix: PrefixDigest) {
+    pub fn insert(&mut self, target: TargetKey, prefix: PrefixDigest, now: Millis) {
         self.use_counter += 1;
-        if let Some(earlier) = self.last_used.insert((target, prefix), self.use_counter) {
-            self.by_last_use.remove(&earlier);
+        let evidence = Evidence {
+            use_counter: self.use_counter,
+            seen_at: now,
+        };
+        if let Some(earlier) = self.last_used.insert((target, prefix), evidence) {
+            self.by_last_use.remove(&earlier.use_counter);
         }
         self.by_last_use.insert(self.use_counter, (target, prefix));
         self.holders.entry(prefix).or_default().insert(target);
@@ -142,8 +189,8 @@
     }
 
     fn remove_entry(&mut self, target: TargetKey, prefix: PrefixDigest) {
-        if let Some(used_at) = self.last_used.remove(&(target, prefix)) {
-            self.by_last_use.remove(&used_at);
+        if let Some(evidence) = self.last_used.remove(&(target, prefix)) {
+            self.by_last_use.remove(&evidence.use_counter);
         }
         let Some(holders) = self.holders.get_mut(&prefix) else {
             return;
@@ -155,19 +202,26 @@
     }
 
     /// Targets that have likely cached a prefix of the prompt, those with the longest prefix first.
-    pub fn find_holders(&self, prefixes: &[PrefixDigest]) -> Vec<TargetKey> {
-        let mut found = Vec::new();
-        for prefix in prefixes.iter().rev() {
+    pub fn find_holders(&self, prefixes: &[PrefixDigest]) -> Vec<Holder> {
+        let mut found: Vec<Holder> = Vec::new();
+        for (index, prefix) in prefixes.iter().enumerate().rev() {
             let Some(holders) = self.holders.get(prefix) else {
                 continue;
             };
-            found.extend(
-                holders
-                    .iter()
-                    .filter(|key| !found.contains(*key))
-                    .copied()
-                    .collect::<Vec<_>>(),
-            );
+            for key in holders {
+                if found.iter().any(|holder| holder.key == *key) {
+                    continue;
+                }
+                let Some(evidence) = self.last_used.get(&(*key, *prefix)) else {
+                    continue;
+                };
+                found.push(Holder {
+                    key: *key,
+                    prefix: *prefix,
+                    blocks: index + 1,
+                    seen_at: evidence.seen_at,
+                });
+            }
             if found.len() >= MAX_HOLDERS {
                 break;
             }
--- a/crates/mgw-route/src/router/facade.rs
+++ b/crates/mgw-route/src/router/facade.rs
@@ -4,7 +4,8 @@
 
 use mgw_contract::target::CacheEvent;
 use mgw_world::{
-    AdapterName, Incarnation, LayerRange, Link, Millis, Model, ModelName, ModelVersion, TargetName,
+    AdapterName, Incarnation, LayerRange, Link, Millis, Model, ModelName, ModelVersion, Target,
+    TargetName,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -15,7 +16,7 @@
 use super::reserve::Reservation;
 use super::routing_table::{ModelVariant, RoutingTable};
 use crate::graph::describe_plan;
-use crate::prefix::PrefixIndex;
+use crate::prefix::{PrefixDemand, PrefixIndex};
 use crate::{
     AdmissionCapacity, Bound, CacheSyncState, NoPath, Path, PathRequest, ReservationKey,
     RouterSettings, Stage, TargetInput, TargetView,
@@ -46,6 +47,9 @@
     pub(super) fleet: Fleet,
     pub(super) tables: BTreeMap<ModelVariant, RoutingTable>,
     pub(super) prefixes: PrefixIndex,
+    prefix_demand: PrefixDemand,
+    /// When the targets were last updated.
+    targets_updated_at: Millis,
     pub(super) reservations: SlotMap<ReservationKey, Reservation>,
     pub(super) needs_rebuild: bool,
     pub(super) needs_weight_update: bool,
@@ -64,6 +68,8 @@
             fleet: Fleet::default(),
             tables: BTreeMap::new(),
             prefixes: PrefixIndex::new(settings.max_prefixes),
+            prefix_demand: PrefixDemand::default(),
+            targets_updated_at: Millis::ZERO,
             reservations: SlotMap::with_key(),
             needs_rebuild: false,
             needs_weight_update: false,
@@ -95,6 +101,11 @@
     /// Targets missing from `inputs` get no new requests; existing paths through them keep their
     /// reservations until they are released.
     pub fn update_targets(&mut self, inputs: impl IntoIterator<Item = TargetInput>, now: Millis) {
+        let inputs: Vec<TargetInput> = inputs.into_iter().collect();
+        for input in &inputs {
+            self.forget_lost_prefixes(&input.target);
+        }
+        self.targets_updated_at = now;
         self.needs_rebuild |= self.fleet.update(inputs, now, self.settings.latency);
         self.needs_weight_update = true;
         for key in self.fleet.remove_unused() {
@@ -102,6 +113,21 @@
         }
     }
 
+    /// Removes the cached prefixes of a target that has restarted or has loaded other weights.
+    fn forget_lost_prefixes(&mut self, target: &Target) {
+        let Some(key) = self.fleet.key(&target.name) else {
+            return;
+        };
+        let Some(known) = self.fleet.get(key).map(|state| &state.target) else {
+            return;
+        };
+        if known.incarnation != target.incarnation {
+            self.prefixes.begin_run(key, target.incarnation);
+        } else if known.duty != target.duty {
+            self.prefixes.clear_target(key);
+        }
+    }
+
     /// Applies the cache events of a target; events of an unknown target are ignored.
     pub fn apply_cache_events(
         &mut self,
@@ -112,7 +138,8 @@
         let Some(key) = self.fleet.key(target) else {
             return CacheSyncState::Current;
         };
-        self.prefixes.apply(key, incarnation, events)
+        self.prefixes
+            .apply(key, incarnation, events, self.targets_updated_at)
     }
 
     /// Chooses a path and reserves one request and its KV memory at each stage.
@@ -131,6 +158,7 @@
         let layers = LayerRange::new(0, model.layers);
         let layers = layers.map_err(|_| unknown_model(&variant.model))?;
         self.refresh(&variant, now);
+        self.prefix_demand.record(&request.prefixes);
         let prefix_holders = self.prefixes.find_holders(&request.prefixes);
         let table = self.tables.get(&variant);
         let table = table.filter(|table| table.plan.flow.total > 0);
@@ -142,7 +170,9 @@
             fleet: &self.fleet,
             excluded: &[],
             prefix_holders: &prefix_holders,
-            prefix: request.prefixes.first().copied(),
+            prefixes: &request.prefixes,
+            demand: &self.prefix_demand,
+            prefix_half_life_ms: self.settings.prefix_half_life_ms,
             affinity_load_factor: self.settings.affinity_load_factor,
             kv_bytes_per_layer,
             entries: self.entries,
@@ -150,7 +180,7 @@
         };
         let selected = search.find(layers, None, false, &mut self.rng);
         let selected = selected.ok_or_else(|| full(&variant, layers))?;
-        Ok(self.reserve(variant, request, kv_bytes_per_layer, &selected))
+        Ok(self.reserve(variant, request, kv_bytes_per_layer, &selected, now))
     }
 
     /// Releases the capacity reserved for a path; releasing the same path again has no effect.
@@ -317,7 +347,9 @@
             fleet: &self.fleet,
             excluded: &excluded,
             prefix_holders: &[],
-            prefix: None,
+            prefixes: &[],
+            demand: &self.prefix_demand,
+            prefix_half_life_ms: self.settings.prefix_half_life_ms,
             affinity_load_factor: self.settings.affinity_load_factor,
             kv_bytes_per_layer,
             entries: self.entries,
--- a/crates/mgw-route/src/router/mod.rs
+++ b/crates/mgw-route/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod facade;
 mod fleet;
 mod path_search;
+mod prefix_choice;
 mod refresh;
 mod reserve;
 mod routing_table;
--- a/crates/mgw-route/src/router/path_search.rs
+++ b/crates/mgw-route/src/router/path_search.rs
@@ -9,10 +9,8 @@
 use super::fleet::{Fleet, TargetKey};
 use super::routing_table::{Choice, Member, Node, RoutingTable};
 use crate::PrefixDigest;
-use crate::prefix::mix_digest;
+use crate::prefix::{Holder, PrefixDemand};
 
-/// Bits of a 64-bit digest that don't fit into the mantissa of an `f64`.
-const DROPPED_BITS: u32 = 11;
 /// Number of sampled members that are compared for each stage.
 const SAMPLES: usize = 2;
 
@@ -24,10 +22,15 @@
     /// Targets that may not be chosen.
     pub excluded: &'a [TargetKey],
     /// Targets that probably have a prefix of the prompt in their cache, best first.
-    pub prefix_holders: &'a [TargetKey],
-    /// Shortest prefix of the prompt, if it has one.
-    pub prefix: Option<PrefixDigest>,
-    /// Load up to which a target is preferred for a prefix, as a multiple of its planned share.
+    pub prefix_holders: &'a [Holder],
+    /// Prefixes of the prompt, shortest first.
+    pub prefixes: &'a [PrefixDigest],
+    /// How often prefixes occur in this entry's requests.
+    pub demand: &'a PrefixDemand,
+    /// Age at which the evidence for a cached prefix has half its weight.
+    pub prefix_half_life_ms: Millis,
+    /// Load up to which a target is preferred as the home of a prefix, as a multiple of its planned
+    /// share.
     pub affinity_load_factor: f64,
     /// KV memory that the request needs for each layer, in bytes.
     pub kv_bytes_per_layer: u64,
@@ -39,7 +42,7 @@
 
 /// Where a search ends, and whether a single stage must reach that layer.
 #[derive(Debug, Clone, Copy)]
-struct Goal {
+pub(super) struct Goal {
     end: u16,
     in_one_stage: bool,
 }
@@ -140,25 +143,30 @@
     }
 
     /// Whether a stage of this group stays within the goal.
-    fn is_usable(&self, group: usize, goal: Goal) -> bool {
+    pub(super) fn is_usable(&self, group: usize, goal: Goal) -> bool {
         let end = self.table.graph.groups[group].layers.end();
         end == goal.end || (end < goal.end && !goal.in_one_stage)
     }
 
-    /// Chooses the target of the next stage: one that has a prefix of the prompt in its cache, else
-    /// the rendezvous target of the prefix, each only if it isn't overloaded for affinity;
-    /// otherwise the least loaded of a few targets sampled by planned flow.
+    /// Chooses the target of the next stage: the least loaded of a few targets sampled by planned
+    /// flow, or one that is better because of the prompt's prefix.
     fn choose_stage(
         &self,
         choices: &[Choice],
         goal: Goal,
         rng: &mut ChaCha8Rng,
     ) -> Option<SelectedTarget> {
-        let by_prefix = self.find_prefix_holder(choices, goal);
-        let by_prefix = by_prefix.or_else(|| self.find_rendezvous_target(choices, goal));
-        if by_prefix.is_some() {
-            return by_prefix;
-        }
+        let sampled = self.choose_sampled(choices, goal, rng);
+        self.choose_by_prefix(choices, goal, sampled, rng)
+    }
+
+    /// Chooses the least loaded of a few targets sampled by planned flow.
+    fn choose_sampled(
+        &self,
+        choices: &[Choice],
+        goal: Goal,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<SelectedTarget> {
         let mut best: Option<(f64, SelectedTarget)> = None;
         for _ in 0..SAMPLES {
             let Some((target, member)) = self.sample(choices, goal, rng) else {
@@ -223,7 +231,7 @@
     }
 
     /// Whether a target isn't excluded and can accept this request.
-    fn can_accept(&self, group: usize, key: TargetKey) -> bool {
+    pub(super) fn can_accept(&self, group: usize, key: TargetKey) -> bool {
         if self.excluded.contains(&key) {
             return false;
         }
@@ -235,71 +243,6 @@
         state.is_some_and(|state| state.can_accept(kv_bytes, self.entries, self.now))
     }
 
-    /// Returns the target that all entries choose for a prefix that isn't known to be cached
-    /// anywhere.
-    ///
-    /// Uses weighted rendezvous hashing: each member gets a score from the prefix, its name and its
-    /// planned flow, and the best score wins. A member that joins or leaves moves only its own
-    /// prefixes. Returns `None` if the winner can't accept the request or is overloaded for
-    /// affinity.
-    fn find_rendezvous_target(&self, choices: &[Choice], goal: Goal) -> Option<SelectedTarget> {
-        let prefix = self.prefix?;
-        let usable = choices.iter().filter(|it| self.is_usable(it.group, goal));
-        let members = usable.flat_map(|choice| {
-            let members = &self.table.members[choice.group].all;
-            let group_rate: f64 = members.iter().map(|member| member.rate).sum();
-            let flow_fraction = choice.weight / group_rate.max(f64::MIN_POSITIVE);
-            members
-                .iter()
-                .map(move |member| (choice, member, flow_fraction))
-        });
-        let scored = members.filter_map(|(choice, member, flow_fraction)| {
-            let state = self.fleet.get(member.key)?;
-            let sample = rendezvous_sample(prefix, state.name_digest);
-            let score = -sample.ln() / (member.rate * flow_fraction).max(f64::MIN_POSITIVE);
-            Some((score, choice.group, member))
-        });
-        let (_, group, member) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        let is_available =
-            self.can_accept(group, member.key) && !self.exceeds_affinity_load(member);
-        is_available.then_some(SelectedTarget {
-            group,
-            key: member.key,
-        })
-    }
-
-    /// Whether this entry's requests in flight at a member exceed the load up to which it is
-    /// preferred for a prefix.
-    fn exceeds_affinity_load(&self, member: &Member) -> bool {
-        let paths_per_flow =
-            f64::from(self.table.active_paths + 1) / (self.table.plan.flow.total as f64).max(1.0);
-        let in_flight = self
-            .fleet
-            .get(member.key)
-            .map_or(0, |state| state.in_flight);
-        f64::from(in_flight) > paths_per_flow * member.rate * self.affinity_load_factor
-    }
-
-    /// Returns the first target with a cached prefix that the plan uses here, that can accept the
-    /// request and isn't overloaded for affinity.
-    fn find_prefix_holder(&self, choices: &[Choice], goal: Goal) -> Option<SelectedTarget> {
-        for key in self.prefix_holders {
-            let Some((group, index)) = self.table.positions.get(*key).copied() else {
-                continue;
-            };
-            let is_choice = choices
-                .iter()
-                .any(|it| it.group == group && it.weight > 0.0);
-            if !is_choice || !self.is_usable(group, goal) || !self.can_accept(group, *key) {
-                continue;
-            }
-            if !self.exceeds_affinity_load(&self.table.members[group].all[index]) {
-                return Some(SelectedTarget { group, key: *key });
-            }
-        }
-        None
-    }
-
     /// Returns the least loaded member of a group that can accept the request.
     fn find_least_loaded(&self, group: usize) -> Option<SelectedTarget> {
         let members = self.table.members[group].all.iter();
@@ -311,9 +254,3 @@
         })
     }
 }
-
-/// Returns a pseudorandom number in (0, 1] that depends only on the prefix and the target's name.
-fn rendezvous_sample(prefix: PrefixDigest, name_digest: u64) -> f64 {
-    let mixed = mix_digest(prefix.0 ^ name_digest);
-    ((mixed >> DROPPED_BITS) + 1) as f64 / (1_u64 << (u64::BITS - DROPPED_BITS)) as f64
-}
--- a/crates/mgw-route/src/router/reserve.rs
+++ b/crates/mgw-route/src/router/reserve.rs
@@ -1,6 +1,6 @@
 //! Reserves requests and KV memory at the targets of a path, and releases them.
 
-use mgw_world::LayerRange;
+use mgw_world::{LayerRange, Millis};
 
 use super::facade::Router;
 use super::fleet::TargetKey;
@@ -33,12 +33,13 @@
         request: &PathRequest,
         kv_bytes_per_layer: u64,
         selected: &[SelectedTarget],
+        now: Millis,
     ) -> Path {
         let stages = self.stages(&variant, selected);
         let stage_reservations = self.reserve_stages(&stages, selected, kv_bytes_per_layer);
         for target in selected {
             for prefix in &request.prefixes {
-                self.prefixes.insert(target.key, *prefix);
+                self.prefixes.insert(target.key, *prefix, now);
             }
         }
         if let Some(table) = self.tables.get_mut(&variant) {
--- a/crates/mgw-route/src/router/routing_table.rs
+++ b/crates/mgw-route/src/router/routing_table.rs
@@ -39,6 +39,8 @@
     pub key: TargetKey,
     /// Flow that the plan assigns to the target, in flow units.
     pub rate: f64,
+    /// Reported requests beyond the target's part of those of its peers; less the older the report.
+    pub reported_excess: f64,
     /// `rate` corrected by the target's load report. Used for sampling only: sampled targets are
     /// compared by this entry's own requests, because other entries read the same report.
     weight: f64,
@@ -189,6 +191,7 @@
             let members = group.members.iter().map(|index| Member {
                 key: self.keys[*index],
                 rate: self.graph.targets[*index].capacity() as f64 * rate_per_capacity,
+                reported_excess: 0.0,
                 weight: 0.0,
             });
             all.push(members.collect::<Vec<_>>());
@@ -200,6 +203,8 @@
                     if let Some(state) = fleet.get(member.key) {
                         let factor = report_factor(state, member.rate, mean, settings, now);
                         member.weight = member.rate * factor;
+                        member.reported_excess =
+                            reported_excess(state, member.rate, mean, settings, now);
                     }
                 }
             }
@@ -259,9 +264,27 @@
 ) -> f64 {
     let queue = (f64::from(state.load.in_flight) + 1.0) / rate.max(1.0);
     let ratio = (mean_queue / queue).clamp(1.0 / MAX_REPORT_FACTOR, MAX_REPORT_FACTOR);
+    ratio.powf(report_weight(state, settings, now))
+}
+
+/// Returns the reported requests of a target beyond its part of those of its peers, at least 0, and
+/// closer to 0 the older the report is.
+fn reported_excess(
+    state: &TargetState,
+    rate: f64,
+    mean_queue: f64,
+    settings: &RouterSettings,
+    now: Millis,
+) -> f64 {
+    let excess = f64::from(state.load.in_flight) + 1.0 - mean_queue * rate;
+    excess.max(0.0) * report_weight(state, settings, now)
+}
+
+/// Returns the weight of a target's load report by its age, from 0 to 1.
+fn report_weight(state: &TargetState, settings: &RouterSettings, now: Millis) -> f64 {
     let age_ms = (now - state.load_reported_at).0 as f64;
     let half_life_ms = settings.report_half_life_ms.0.max(1) as f64;
-    ratio.powf((-age_ms / half_life_ms).exp2())
+    (-age_ms / half_life_ms).exp2()
 }
 
 /// Maps each target to the index of its group and its index within that group.
--- a/crates/mgw-route/src/router/settings.rs
+++ b/crates/mgw-route/src/router/settings.rs
@@ -17,9 +17,11 @@
     pub max_suspect_ms: Millis,
     /// Time without failure after which a target's failure count starts again at one.
     pub suspect_reset_ms: Millis,
-    /// A target is preferred for its cached prefix while its load is at most this multiple of its
-    /// planned share.
+    /// A target is the home of a prefix that is cached nowhere while its load is at most this
+    /// multiple of its planned share.
     pub affinity_load_factor: f64,
+    /// Age at which the evidence that a target holds a prefix has half its weight.
+    pub prefix_half_life_ms: Millis,
     /// Maximum number of cached prefixes to track, each counted once per target that holds it.
     pub max_prefixes: usize,
     /// Settings of the latency-based concurrency limit of each target.
@@ -35,6 +37,7 @@
             max_suspect_ms: Millis(30_000),
             suspect_reset_ms: Millis(60_000),
             affinity_load_factor: 1.25,
+            prefix_half_life_ms: Millis(60_000),
             max_prefixes: 65_536,
             latency: LatencyLimitSettings::default(),
         }
