--- a/crates/mgw-route/examples/support/affinity.rs
+++ b/crates/mgw-route/examples/support/affinity.rs
@@ -254,7 +254,7 @@
                 .map(|(target, load)| TargetInput {
                     target: Arc::clone(target),
                     warm_share: 1.0,
-                    load: load.clone(),
+                    load: *load,
                     load_age_ms: Millis(EVENT_LAG_MS),
                 });
             router.update_targets(inputs, Millis(now));
--- a/crates/mgw-route/tests/prefix_weighing.rs
+++ b/crates/mgw-route/tests/prefix_weighing.rs
@@ -113,7 +113,7 @@
         };
         router.apply_cache_events(&"t3".into(), Incarnation(1), &[stored]);
         let changed = TargetInput {
-            load: change.load.clone(),
+            load: change.load,
             target: Arc::new(change.target.clone()),
             ..input(change.target.clone())
         };
