--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -12,6 +12,7 @@
 mod router;
 mod search;
 
+pub(crate) use cost::utilization_factor;
 pub use entry_load::{
     EntryLoad, EntryLoadTable, FullTarget, OtherEntriesLoad, TargetLoad, report_interval_ms,
     report_valid_ms,
