--- a/crates/mgw-route/tests/admission_level.rs
+++ b/crates/mgw-route/tests/admission_level.rs
@@ -52,39 +52,38 @@
     refused_after: 0.01,
 };
 
-fn assert_shed_by_urgency(results: &Results, bounds: &Bounds) {
+fn assert_shed_by_urgency(results: &Results, bounds: &Bounds, seed: u64) {
     let goodput = results.goodput(BEGINS, ENDS);
-    assert!(goodput >= bounds.goodput, "goodput {goodput}");
+    assert!(goodput >= bounds.goodput, "seed {seed}: goodput {goodput}");
     let [first, second, third] = results.served_by_urgency(BEGINS, ENDS);
     assert!(
         first >= second - 0.05 && second >= third - 0.05,
-        "{first} {second} {third}"
+        "seed {seed}: {first} {second} {third}"
     );
     let all = results.served(BEGINS, ENDS);
-    assert!(third >= all / 4.0, "{third} of {all}");
+    assert!(third >= all / 4.0, "seed {seed}: {third} of {all}");
     let by_workspace = results.served_by_workspace(BEGINS, ENDS);
     assert!(
         by_workspace.iter().all(|served| *served >= all / 2.0),
-        "{by_workspace:?} of {all}"
+        "seed {seed}: {by_workspace:?} of {all}"
     );
 }
 
 /// Everything is admitted again soon after the load has fallen.
-fn assert_recovered(results: &Results, bounds: &Bounds) {
+fn assert_recovered(results: &Results, bounds: &Bounds, seed: u64) {
     let refused = results.refused(ENDS + RECOVERY_MS, OVER) as f64;
     let sent = results.sent(ENDS + RECOVERY_MS, OVER) as f64;
     assert!(
         refused <= sent * bounds.refused_after,
-        "{refused} of {sent} refused after the load fell"
+        "seed {seed}: {refused} of {sent} refused after the load fell"
     );
 }
 
 fn assert_plays(entries: usize, bounds: &Bounds, faults: &[Fault]) {
     for seed in SEEDS {
-        println!("{entries} entries, seed {seed}");
         let results = play(entries, seed, faults.to_vec());
-        assert_shed_by_urgency(&results, bounds);
-        assert_recovered(&results, bounds);
+        assert_shed_by_urgency(&results, bounds, seed);
+        assert_recovered(&results, bounds, seed);
     }
 }
 
