Placement by flow: ranges by offered tokens, moves, orders at once

Cause: replacements pile up on the same layers, wait 2.5 s, and nothing moves. Change: flow.rs (largest flow), offer.rs (range of least need), rebalance.rs (moves), placer without spare delay where each layer keeps two holders.

--- a/crates/mgw-control/src/placement/leader_loop.rs
+++ b/crates/mgw-control/src/placement/leader_loop.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use mgw_contract::target::Readiness;
 use mgw_member::VouchState;
-use mgw_place::{AnnouncedEngine, PlacementOrder, Placer, PlacerSettings};
+use mgw_place::{AnnouncedEngine, Decision, PlacementOrder, Placer, PlacerSettings};
 use mgw_routing::{DecodeRouting, PackedRouting, Routing};
 use mgw_serve::http::{HttpClient, unpooled_client};
 use mgw_serve::run_blocking;
@@ -113,7 +113,10 @@
         let now = self.app.clock.now();
         let engines = self.list_engines(&self.services[service_index].service, now);
         let model = self.services[service_index].model.clone();
-        self.placer_of(service_index).plan(&model, &engines, now)
+        let placer = self.placer_of(service_index);
+        let orders = placer.plan(&model, &engines, now);
+        placer.take_decisions().iter().for_each(log_decision);
+        orders
     }
 
     /// The placer of a service; created when this control starts to lead.
@@ -187,13 +190,30 @@
         let now = self.app.clock.now();
         for ((name, _), report) in addresses.iter().zip(reports) {
             if let Some(report) = report {
-                self.placer_of(service_index)
+                let is_paused = self
+                    .placer_of(service_index)
                     .record_report(name, report, now);
+                if is_paused {
+                    warn!(target_name = %name, "loads failed, sending no orders for a while");
+                }
             }
         }
     }
 }
 
+fn log_decision(decision: &Decision) {
+    info!(
+        target_name = %decision.target,
+        place = %decision.place,
+        layers = %decision.layers,
+        cause = ?decision.cause,
+        flow_before_tokens = decision.flow_before_tokens,
+        flow_after_tokens = decision.flow_after_tokens,
+        narrowest = decision.narrowest.map(|it| it.to_string()),
+        "decided on layers"
+    );
+}
+
 fn decode_packed(
     document: &PackedRouting,
     decode_routing: DecodeRouting,
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -1,14 +1,14 @@
 //! Turns plans into orders and tracks each order until its effect is announced.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use mgw_contract::target::EngineReport;
-use mgw_world::{
-    AcceleratorKind, Incarnation, LayerRange, Millis, PipelineModel, PlaceName, TargetName,
-};
+use mgw_world::{Incarnation, LayerRange, Millis, PipelineModel, PlaceName, TargetName};
 
-use crate::plan::{PlannedEngine, plan_layers};
+use crate::order::{AnnouncedEngine, Decision, DecisionCause, OrderOutcome, PlacementOrder};
+use crate::plan::{PlannedEngine, flow_of, is_held_by, plan_with_former};
+use crate::rebalance::{MoveCandidates, find_move};
 
 /// Delays and timeouts of the placer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,9 +21,22 @@
     /// layers are moved into it: an engine that restarts takes its layers back sooner than a move
     /// would help.
     pub move_delay_ms: Millis,
-    /// How long an empty engine of a zone without a gap waits for layers: when targets are replaced,
-    /// the new one starts first, and the layers that it is meant to take become free a moment later.
+    /// How long an empty engine waits for layers in a zone where some layers have a single holder,
+    /// with this engine too: when targets are replaced, the new one starts first, and the layers that
+    /// it is meant to take become free a moment later. In other zones it waits for nothing.
     pub spare_delay_ms: Millis,
+    /// How long a move must have been worth its cost before it is ordered.
+    pub rebalance_delay_ms: Millis,
+    /// Number of engines of a zone that move at the same time.
+    pub moves_at_once: usize,
+    /// How long an engine that was ordered to move stays where it is.
+    pub move_rest_ms: Millis,
+    /// How long the layers of a target that is gone are kept for one that starts at its address.
+    pub former_ms: Millis,
+    /// Number of loads in a row without effect after which a target gets no orders for a while.
+    pub failed_loads: u32,
+    /// How long a target whose loads failed gets no orders.
+    pub failed_pause_ms: Millis,
     /// Time, in addition to the load itself, within which an order's effect must be announced. After
     /// that the target is asked for its state.
     pub announce_timeout_ms: Millis,
@@ -36,58 +49,17 @@
             settle_limit_ms: Millis(4_000),
             move_delay_ms: Millis(2_500),
             spare_delay_ms: Millis(2_500),
+            rebalance_delay_ms: Millis(1_500),
+            moves_at_once: 2,
+            move_rest_ms: Millis(10_000),
+            former_ms: Millis(15_000),
+            failed_loads: 3,
+            failed_pause_ms: Millis(30_000),
             announce_timeout_ms: Millis(3_000),
         }
     }
 }
 
-/// The state that an engine announced.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AnnouncedEngine {
-    /// Name of the target.
-    pub name: TargetName,
-    /// Start of the target's process; differs after each restart.
-    pub incarnation: Incarnation,
-    /// Address at which the target accepts calls.
-    pub address: SocketAddr,
-    /// Availability zone of the target.
-    pub place: PlaceName,
-    /// Kind of accelerator.
-    pub accelerator: AcceleratorKind,
-    /// Layers that the engine holds; `None` if it holds none.
-    pub layers: Option<LayerRange>,
-}
-
-/// An order to a target to hold a range of layers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacementOrder {
-    /// Name of the target that receives the order.
-    pub target: TargetName,
-    /// Start of the target's process for which the order was planned.
-    pub incarnation: Incarnation,
-    /// Address at which the target accepts calls.
-    pub address: SocketAddr,
-    /// Layers that the target holds once the order is carried out.
-    pub layers: LayerRange,
-    /// Precondition: number of orders that the target has accepted so far. A target with another
-    /// number refuses the order.
-    pub accepted_orders: u64,
-}
-
-/// A target's answer to an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// The target started to carry the order out.
-    Begun,
-    /// The target already holds these layers.
-    Holds,
-    /// The target refused: it has accepted another number of orders than stated, or can't carry the
-    /// order out in its state.
-    Refused,
-    /// No answer arrived: the target may still carry the order out at any time.
-    Unknown,
-}
-
 /// An order that was sent and whose effect isn't announced yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PendingOrder {
@@ -97,10 +69,47 @@
     deadline: Millis,
 }
 
+/// Layers of a target that is gone.
+#[derive(Debug, Clone, Copy)]
+struct Departed {
+    layers: LayerRange,
+    at: Millis,
+}
+
+/// What an engine contributes to the plan of its zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct PlanInput {
+    engine: PlannedEngine,
+    can_be_ordered: bool,
+    can_move: bool,
+    is_loading: bool,
+}
+
+/// State that the placer keeps about one zone.
+#[derive(Debug, Clone, Default)]
+struct ZoneRecord {
+    /// When a gap was first seen that is still there.
+    gap_since: Option<Millis>,
+    /// When a move first was worth its cost, and still is.
+    move_since: Option<Millis>,
+    /// Input for which the plan was empty: while it stays the same, nothing is planned.
+    idle_input: Option<Vec<PlanInput>>,
+}
+
 /// State that the placer keeps about one target.
 #[derive(Debug, Clone, Default)]
 struct TargetRecord {
     incarnation: Incarnation,
+    /// Layers that the target announced last, under its address.
+    last_layers: Option<(SocketAddr, LayerRange)>,
+    /// Layers that it held before it restarted, or that its predecessor at the address held.
+    former_layers: Option<LayerRange>,
+    /// When it was ordered to move last.
+    moved_at: Option<Millis>,
+    /// Number of loads in a row without effect.
+    failed_loads: u32,
+    /// The target gets no orders before this time.
+    paused_until: Millis,
     /// When this incarnation was first announced.
     first_seen_at: Millis,
     /// Number of orders that the target has accepted, as far as known.
@@ -120,8 +129,11 @@
     is_settled: bool,
     engine_count: usize,
     records: BTreeMap<TargetName, TargetRecord>,
-    /// Zones with a gap, and when the gap was first seen.
-    gap_since: BTreeMap<PlaceName, Millis>,
+    zones: BTreeMap<PlaceName, ZoneRecord>,
+    /// Layers of targets that are gone, by address.
+    departed: BTreeMap<SocketAddr, Departed>,
+    /// Decisions that weren't taken for the log yet.
+    decisions: Vec<Decision>,
 }
 
 impl Placer {
@@ -135,7 +147,9 @@
             is_settled: false,
             engine_count: 0,
             records: BTreeMap::new(),
-            gap_since: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -162,6 +176,11 @@
         orders
     }
 
+    /// Takes the decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Targets that must report their state before [`Self::plan`] sends them another order.
     #[must_use]
     pub fn list_targets_to_query(&self, now: Millis) -> Vec<TargetName> {
@@ -216,10 +235,13 @@
 
     /// Records the state that a target reported. A pending order stays pending only if the target is
     /// busy or holds the ordered layers; otherwise the target can be sent another one.
-    pub fn record_report(&mut self, name: &TargetName, report: EngineReport, now: Millis) {
-        let announce_timeout_ms = self.settings.announce_timeout_ms;
+    ///
+    /// Returns whether the target's loads failed so often that it gets no orders for a while.
+    pub fn record_report(&mut self, name: &TargetName, report: EngineReport, now: Millis) -> bool {
+        let settings = self.settings;
+        let announce_timeout_ms = settings.announce_timeout_ms;
         let Some(record) = self.records.get_mut(name) else {
-            return;
+            return false;
         };
         record.needs_report = false;
         record.accepted_orders = report.accepted_orders;
@@ -230,28 +252,42 @@
             deadline: now + announce_timeout_ms,
             ..order
         });
+        if order.is_some() && record.pending_order.is_none() {
+            record.failed_loads += 1;
+        }
+        let is_paused = record.failed_loads >= settings.failed_loads;
+        if is_paused {
+            record.failed_loads = 0;
+            record.paused_until = now + settings.failed_pause_ms;
+        }
+        is_paused
     }
 
     /// Updates the records from the announced engines: drops absent targets, resets restarted ones and
     /// clears pending orders whose effect is announced.
     fn update_records(&mut self, engines: &[AnnouncedEngine], now: Millis) {
-        let names: std::collections::BTreeSet<&TargetName> =
-            engines.iter().map(|engine| &engine.name).collect();
-        self.records.retain(|name, _| names.contains(name));
+        self.drop_absent(engines, now);
         for engine in engines {
             let record = self.records.entry(engine.name.clone()).or_default();
             if record.incarnation != engine.incarnation {
+                let own = record.last_layers.map(|(_, layers)| layers);
+                let departed = self.departed.get(&engine.address);
                 *record = TargetRecord {
                     incarnation: engine.incarnation,
                     first_seen_at: now,
+                    former_layers: own.or_else(|| departed.map(|it| it.layers)),
                     // A former leader may have sent it orders.
                     needs_report: engine.layers.is_some(),
                     ..TargetRecord::default()
                 };
             }
+            if let Some(layers) = engine.layers {
+                record.last_layers = Some((engine.address, layers));
+            }
             let ordered = record.pending_order.map(|order| order.layers);
             if ordered.is_some() && ordered == engine.layers {
                 record.pending_order = None;
+                record.failed_loads = 0;
             }
         }
         if engines.len() != self.engine_count {
@@ -260,6 +296,20 @@
         }
     }
 
+    /// Drops the records of absent targets; what they held is kept for a while.
+    fn drop_absent(&mut self, engines: &[AnnouncedEngine], now: Millis) {
+        let names: BTreeSet<&TargetName> = engines.iter().map(|engine| &engine.name).collect();
+        let absent = self
+            .records
+            .extract_if(.., |name, _| !names.contains(name))
+            .filter_map(|(_, record)| record.last_layers);
+        for (address, layers) in absent {
+            self.departed.insert(address, Departed { layers, at: now });
+        }
+        let former_ms = self.settings.former_ms;
+        self.departed.retain(|_, it| now - it.at < former_ms);
+    }
+
     /// Records whether the set of engines has settled; once it has, that stays so for this leader.
     fn update_settled(&mut self, engines: &[AnnouncedEngine], now: Millis) -> bool {
         let unchanged_ms = now - self.count_changed_at;
@@ -278,40 +328,180 @@
         members: &[&AnnouncedEngine],
         now: Millis,
     ) -> Vec<PlacementOrder> {
-        let planned_engines: Vec<PlannedEngine> = members
+        let inputs = self.list_inputs(members, now);
+        let mut zone = self.zones.remove(place).unwrap_or_default();
+        if zone.idle_input.as_ref() == Some(&inputs) {
+            self.zones.insert(place.clone(), zone);
+            return Vec::new();
+        }
+        zone.idle_input = None;
+        let engines: Vec<PlannedEngine> = inputs.iter().map(|it| it.engine.clone()).collect();
+        let has_gap = !is_held_by(model, &engines, 1);
+        let gap_since = *zone.gap_since.get_or_insert(now);
+        if !has_gap {
+            zone.gap_since = None;
+        }
+        let may_move = has_gap && now - gap_since >= self.settings.move_delay_ms;
+        let plan = plan_with_former(model, &engines, &self.former_layers(&engines));
+        let is_safe = has_gap || is_held_by(model, &apply(&engines, &plan), 2);
+        let mut chosen: BTreeMap<TargetName, LayerRange> = BTreeMap::new();
+        for input in inputs.iter().filter(|it| it.can_be_ordered) {
+            let name = &input.engine.name;
+            let Some(layers) = plan.get(name) else {
+                continue;
+            };
+            let may_order = if input.engine.layers.is_some() {
+                may_move
+            } else {
+                is_safe || !self.is_waiting_spare(name, now)
+            };
+            if may_order {
+                chosen.insert(name.clone(), *layers);
+            }
+        }
+        let mut cause = if has_gap {
+            DecisionCause::Gap
+        } else {
+            DecisionCause::Empty
+        };
+        let is_assigning = inputs
             .iter()
-            .map(|engine| PlannedEngine {
-                name: engine.name.clone(),
-                accelerator: engine.accelerator.clone(),
-                layers: self.expected_layers(engine),
+            .any(|it| it.engine.layers.is_none() && plan.contains_key(&it.engine.name));
+        if !is_assigning && !has_gap {
+            chosen = self.choose_move(model, &mut zone, &inputs, now);
+            cause = DecisionCause::Rebalance;
+            if zone.move_since.is_none() {
+                zone.idle_input = Some(inputs);
+            }
+        }
+        self.zones.insert(place.clone(), zone);
+        self.record_decisions(model, place, &engines, &chosen, cause);
+        self.write_orders(members, &chosen)
+    }
+
+    /// What the members of a zone contribute to its plan.
+    fn list_inputs(&self, members: &[&AnnouncedEngine], now: Millis) -> Vec<PlanInput> {
+        let settings = &self.settings;
+        let inputs = members.iter().filter_map(|engine| {
+            let record = self.records.get(&engine.name)?;
+            let layers = self.expected_layers(engine);
+            let is_paused = now < record.paused_until;
+            if is_paused && layers.is_none() {
+                return None;
+            }
+            let can_be_ordered =
+                record.pending_order.is_none() && !record.needs_report && !is_paused;
+            let has_rested = record
+                .moved_at
+                .is_none_or(|at| now - at >= settings.move_rest_ms);
+            Some(PlanInput {
+                engine: PlannedEngine {
+                    name: engine.name.clone(),
+                    accelerator: engine.accelerator.clone(),
+                    layers,
+                },
+                can_be_ordered,
+                can_move: can_be_ordered && has_rested,
+                is_loading: record.pending_order.is_some(),
             })
-            .collect();
-        let has_gap = has_gap(model, &planned_engines);
-        let since = *self.gap_since.entry(place.clone()).or_insert(now);
-        if !has_gap {
-            self.gap_since.remove(place);
+        });
+        inputs.collect()
+    }
+
+    /// Layers that empty engines held before they restarted.
+    fn former_layers(&self, engines: &[PlannedEngine]) -> BTreeMap<TargetName, LayerRange> {
+        let former = engines.iter().filter_map(|engine| {
+            let record = self.records.get(&engine.name)?;
+            Some((engine.name.clone(), record.former_layers?))
+        });
+        former.collect()
+    }
+
+    /// Whether an empty engine may stand for another one that is about to leave.
+    fn is_waiting_spare(&self, name: &TargetName, now: Millis) -> bool {
+        self.records
+            .get(name)
+            .is_some_and(|record| now - record.first_seen_at < self.settings.spare_delay_ms)
+    }
+
+    /// The move to order now, once it has been worth its cost for long enough.
+    fn choose_move(
+        &mut self,
+        model: &PipelineModel,
+        zone: &mut ZoneRecord,
+        inputs: &[PlanInput],
+        now: Millis,
+    ) -> BTreeMap<TargetName, LayerRange> {
+        let names = |is_meant: fn(&PlanInput) -> bool| {
+            let meant = inputs.iter().filter(|it| is_meant(it));
+            meant.map(|it| it.engine.name.clone()).collect()
+        };
+        let candidates = MoveCandidates {
+            movable: names(|it| it.can_move),
+            loading: names(|it| it.is_loading),
+        };
+        let engines: Vec<PlannedEngine> = inputs.iter().map(|it| it.engine.clone()).collect();
+        let Some(found) = find_move(model, &engines, &candidates) else {
+            zone.move_since = None;
+            return BTreeMap::new();
+        };
+        let since = *zone.move_since.get_or_insert(now);
+        let moving = inputs.iter().filter(|it| it.is_loading && !it.can_move);
+        let moving = moving.filter(|it| {
+            let record = self.records.get(&it.engine.name);
+            record.is_some_and(|it| it.moved_at.is_some())
+        });
+        let has_waited = now - since >= self.settings.rebalance_delay_ms;
+        if !has_waited || moving.count() >= self.settings.moves_at_once {
+            return BTreeMap::new();
+        }
+        if let Some(record) = self.records.get_mut(&found.target) {
+            record.moved_at = Some(now);
+        }
+        BTreeMap::from([(found.target, found.layers)])
+    }
+
+    /// Keeps the decisions of a zone for the log.
+    fn record_decisions(
+        &mut self,
+        model: &PipelineModel,
+        place: &PlaceName,
+        engines: &[PlannedEngine],
+        chosen: &BTreeMap<TargetName, LayerRange>,
+        cause: DecisionCause,
+    ) {
+        if chosen.is_empty() {
+            return;
+        }
+        let before = flow_of(model, engines);
+        let after = flow_of(model, &apply(engines, chosen));
+        for (target, layers) in chosen {
+            let decision = Decision {
+                place: place.clone(),
+                target: target.clone(),
+                layers: *layers,
+                cause,
+                flow_before_tokens: before.tokens,
+                flow_after_tokens: after.tokens,
+                narrowest: before.narrowest,
+            };
+            self.decisions.push(decision);
         }
-        let may_move = has_gap && now - since >= self.settings.move_delay_ms;
-        let plan = plan_layers(model, &planned_engines);
+    }
+
+    /// The orders for the chosen layers.
+    fn write_orders(
+        &self,
+        members: &[&AnnouncedEngine],
+        chosen: &BTreeMap<TargetName, LayerRange>,
+    ) -> Vec<PlacementOrder> {
         let orders = members.iter().filter_map(|engine| {
-            let layers = *plan.get(&engine.name)?;
-            let holds_layers = self.expected_layers(engine).is_some();
-            let record = self.records.get(&engine.name)?;
-            let can_be_ordered = record.pending_order.is_none() && !record.needs_report;
-            let is_waiting_spare =
-                !has_gap && now - record.first_seen_at < self.settings.spare_delay_ms;
-            let may_order = can_be_ordered
-                && if holds_layers {
-                    may_move
-                } else {
-                    !is_waiting_spare
-                };
-            may_order.then(|| PlacementOrder {
+            Some(PlacementOrder {
                 target: engine.name.clone(),
                 incarnation: engine.incarnation,
                 address: engine.address,
-                layers,
-                accepted_orders: record.accepted_orders,
+                layers: *chosen.get(&engine.name)?,
+                accepted_orders: self.records.get(&engine.name)?.accepted_orders,
             })
         });
         orders.collect()
@@ -332,12 +522,13 @@
     }
 }
 
-/// Whether some layers of the model are held by no engine of a zone.
-fn has_gap(model: &PipelineModel, engines: &[PlannedEngine]) -> bool {
-    let mut coverage = crate::coverage::Coverage::new(model.layers);
-    let held = engines.iter().filter_map(|engine| engine.layers);
-    held.for_each(|layers| coverage.add(layers, 1.0));
-    coverage.first_gap().is_some()
+/// The engines with the layers of a plan.
+fn apply(engines: &[PlannedEngine], plan: &BTreeMap<TargetName, LayerRange>) -> Vec<PlannedEngine> {
+    let applied = engines.iter().map(|engine| PlannedEngine {
+        layers: plan.get(&engine.name).copied().or(engine.layers),
+        ..engine.clone()
+    });
+    applied.collect()
 }
 
 /// Time to load `layers` while `running` loads run: beyond the number of loads that the store serves
--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -5,6 +5,8 @@
 use mgw_world::{Accelerator, AcceleratorKind, LayerRange, PipelineModel, TargetName};
 
 use crate::coverage::{Coverage, fitting_layers};
+use crate::flow::{Holder, ZoneFlow, capacity, zone_flow};
+use crate::offer::{Offers, request_tokens};
 
 /// Tokens of KV cache for which the first chain of a zone reserves memory: enough for about eighty
 /// requests of usual length at once.
@@ -17,6 +19,13 @@
 const MANY_COPIES: f64 = 3.0;
 /// Tokens of KV cache for which an engine outside the planned chains reserves memory.
 const BACKUP_KV_TOKENS: f64 = 60_000.0;
+/// How often the ranges of newly planned engines are chosen anew, each against the others.
+const REFINE_ROUNDS: usize = 3;
+/// Gain in flow for which a fresh zone is planned by flow alone in place of chains of the fastest
+/// engines: such a plan has longer chains.
+const FRESH_GAIN: f64 = 1.1;
+/// Need up to which an engine gets its former layers back, as a multiple of the least need.
+const FORMER_NEED: f64 = 1.05;
 
 /// Input to [`plan_layers`]: an engine with the layers that it holds or will hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,19 +45,67 @@
 /// In a zone where no engine holds layers, chains are built starting with the fastest engines. Each
 /// chain is as short as the memory that is reserved for KV cache allows, and its layers are spread
 /// so that all of its engines have memory for the same number of tokens. The remaining engines get
-/// the layers whose holders are the slowest. In a zone where some engines hold layers, each empty
-/// engine gets the range that needs a further holder most; a gap that is left is closed by engines
-/// whose layers other engines hold as well.
+/// the layers whose holders are the slowest. A plan by offered tokens takes the place of the chains
+/// if clearly more can flow through it. In a zone where some engines hold layers, each empty engine
+/// gets the range that leaves the least need for further holders; a gap that is left is closed by
+/// engines whose layers other engines hold as well.
 #[must_use]
 pub fn plan_layers(
     model: &PipelineModel,
     engines: &[PlannedEngine],
 ) -> BTreeMap<TargetName, LayerRange> {
+    plan_with_former(model, engines, &BTreeMap::new())
+}
+
+/// Like [`plan_layers`], for engines of which some held `former` layers before they restarted.
+pub(crate) fn plan_with_former(
+    model: &PipelineModel,
+    engines: &[PlannedEngine],
+    former: &BTreeMap<TargetName, LayerRange>,
+) -> BTreeMap<TargetName, LayerRange> {
+    let resolved = resolve(model, engines);
+    let all_empty = resolved.iter().all(|it| it.engine.layers.is_none());
+    if all_empty {
+        plan_fresh_zone(model, &resolved)
+    } else {
+        plan_partly_filled_zone(model, &resolved, former)
+    }
+}
+
+/// The flow of a zone with the layers that its engines hold or were ordered to hold.
+#[must_use]
+pub fn flow_of(model: &PipelineModel, engines: &[PlannedEngine]) -> ZoneFlow {
+    let resolved = resolve(model, engines);
+    let holders = resolved
+        .iter()
+        .filter_map(|it| Some(it.holder(model, it.engine.layers?)));
+    zone_flow(model.layers, &holders.collect::<Vec<_>>())
+}
+
+/// Whether each layer of the model has at least `holders` holders.
+pub(crate) fn is_held_by(model: &PipelineModel, engines: &[PlannedEngine], holders: usize) -> bool {
+    let resolved = resolve(model, engines);
+    (0..model.layers).all(|layer| {
+        let ranges = resolved.iter().filter_map(|it| it.engine.layers);
+        let count = ranges.filter(|it| it.first() <= layer && layer < it.end());
+        count.count() >= holders
+    })
+}
+
+/// The engines of a known accelerator kind, the fastest first. An engine that claims layers which the
+/// model doesn't have, or more than fit, is left out.
+pub(crate) fn resolve<'a>(
+    model: &'a PipelineModel,
+    engines: &'a [PlannedEngine],
+) -> Vec<ResolvedEngine<'a>> {
     let mut resolved: Vec<ResolvedEngine<'_>> = engines
         .iter()
         .filter_map(|engine| {
             let accelerator = model.accelerator(&engine.accelerator)?;
-            Some(ResolvedEngine {
+            let is_possible = engine.layers.is_none_or(|layers| {
+                layers.end() <= model.layers && layers.count() <= model.max_layers(accelerator)
+            });
+            is_possible.then_some(ResolvedEngine {
                 engine,
                 accelerator,
             })
@@ -59,29 +116,54 @@
         let by_speed = by_speed.total_cmp(&right.accelerator.step_factor);
         by_speed.then_with(|| left.engine.name.cmp(&right.engine.name))
     });
-    let all_empty = resolved.iter().all(|it| it.engine.layers.is_none());
-    if all_empty {
-        plan_empty_zone(model, &resolved)
-    } else {
-        plan_partly_filled_zone(model, &resolved)
-    }
+    resolved
 }
 
 /// An engine whose accelerator kind is part of the model's description.
 #[derive(Debug, Clone, Copy)]
-struct ResolvedEngine<'a> {
-    engine: &'a PlannedEngine,
-    accelerator: &'a Accelerator,
+pub(crate) struct ResolvedEngine<'a> {
+    pub engine: &'a PlannedEngine,
+    pub accelerator: &'a Accelerator,
 }
 
 impl ResolvedEngine<'_> {
+    /// The engine as a holder of a range.
+    pub fn holder(&self, model: &PipelineModel, layers: LayerRange) -> Holder {
+        Holder {
+            layers,
+            token_layers: capacity(model, self.accelerator, layers.count()),
+        }
+    }
+
     /// Reciprocal of the accelerator's step factor.
     fn speed(&self) -> f64 {
         1.0 / self.accelerator.step_factor.max(f64::MIN_POSITIVE)
     }
 }
 
-/// Plans a zone in which no engine holds layers.
+/// Plans a zone in which no engine holds layers: by chains, or by offered tokens if clearly more can
+/// flow that way.
+fn plan_fresh_zone(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+) -> BTreeMap<TargetName, LayerRange> {
+    let by_chains = plan_empty_zone(model, engines);
+    let mut by_need = BTreeMap::new();
+    assign_by_need(model, engines, engines, &BTreeMap::new(), &mut by_need);
+    let flow = |plan: &BTreeMap<TargetName, LayerRange>| {
+        let holders = engines
+            .iter()
+            .filter_map(|it| Some(it.holder(model, *plan.get(&it.engine.name)?)));
+        zone_flow(model.layers, &holders.collect::<Vec<_>>()).tokens
+    };
+    if flow(&by_need) > FRESH_GAIN * flow(&by_chains) {
+        by_need
+    } else {
+        by_chains
+    }
+}
+
+/// Plans a zone in which no engine holds layers as chains of the fastest engines.
 fn plan_empty_zone(
     model: &PipelineModel,
     engines: &[ResolvedEngine<'_>],
@@ -168,24 +250,87 @@
 fn plan_partly_filled_zone(
     model: &PipelineModel,
     engines: &[ResolvedEngine<'_>],
+    former: &BTreeMap<TargetName, LayerRange>,
 ) -> BTreeMap<TargetName, LayerRange> {
     let mut plan = BTreeMap::new();
     let mut coverage = Coverage::new(model.layers);
-    for resolved in engines {
-        if let Some(layers) = resolved.engine.layers {
-            coverage.add(layers, resolved.speed());
-        }
-    }
     let empty: Vec<ResolvedEngine<'_>> = engines
         .iter()
         .copied()
         .filter(|it| it.engine.layers.is_none())
         .collect();
-    assign_most_needed(model, &empty, &mut coverage, &mut plan);
+    assign_by_need(model, engines, &empty, former, &mut plan);
+    for resolved in engines {
+        let planned = plan.get(&resolved.engine.name).copied();
+        if let Some(layers) = planned.or_else(|| resolved.engine.layers) {
+            coverage.add(layers, resolved.speed());
+        }
+    }
     close_gaps(model, engines, &mut coverage, &mut plan);
     plan
 }
 
+/// Assigns to each of the `empty` engines the range that leaves the least need for further holders.
+/// Once all have one, each is chosen anew against the others.
+fn assign_by_need(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+    empty: &[ResolvedEngine<'_>],
+    former: &BTreeMap<TargetName, LayerRange>,
+    plan: &mut BTreeMap<TargetName, LayerRange>,
+) {
+    for _ in 0..REFINE_ROUNDS {
+        let mut has_changed = false;
+        for resolved in empty {
+            let offers = offers_of_others(model, engines, &resolved.engine.name, plan);
+            let Some(layers) = choose_range(model, resolved, former, &offers) else {
+                continue;
+            };
+            let previous = plan.insert(resolved.engine.name.clone(), layers);
+            has_changed |= previous != Some(layers);
+        }
+        if !has_changed {
+            break;
+        }
+    }
+}
+
+/// The range for an engine: its former one, unless others are needed more.
+fn choose_range(
+    model: &PipelineModel,
+    resolved: &ResolvedEngine<'_>,
+    former: &BTreeMap<TargetName, LayerRange>,
+    offers: &Offers,
+) -> Option<LayerRange> {
+    let accelerator = resolved.accelerator;
+    let best = offers.best_range(model, accelerator)?;
+    let former = former.get(&resolved.engine.name).copied().filter(|former| {
+        let tokens = capacity(model, accelerator, former.count()) / f64::from(former.count());
+        former.end() <= model.layers
+            && tokens >= request_tokens(model)
+            && offers.need_with(model, accelerator, *former) <= FORMER_NEED * best.need
+    });
+    Some(former.unwrap_or(best.layers))
+}
+
+/// Offers of all engines of a zone but the one named `left_out`.
+pub(crate) fn offers_of_others(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+    left_out: &TargetName,
+    plan: &BTreeMap<TargetName, LayerRange>,
+) -> Offers {
+    let mut offers = Offers::new(model);
+    let others = engines.iter().filter(|it| it.engine.name != *left_out);
+    for other in others {
+        let planned = plan.get(&other.engine.name).copied();
+        if let Some(layers) = planned.or_else(|| other.engine.layers) {
+            offers.add(model, other.accelerator, layers);
+        }
+    }
+    offers
+}
+
 /// Assigns to each engine the range of layers that needs a further holder most.
 fn assign_most_needed(
     model: &PipelineModel,
--- /dev/null
+++ b/crates/mgw-place/src/rebalance.rs
@@ -0,0 +1,94 @@
+//! Moves engines whose layers others hold in plenty to the narrowest layers of their zone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mgw_world::{LayerRange, PipelineModel, TargetName};
+
+use crate::flow::{Holder, zone_flow};
+use crate::plan::{PlannedEngine, ResolvedEngine, offers_of_others, resolve};
+
+/// Part of the need that a move must take away: a move costs a load, and refusals meanwhile.
+const LEAST_RELIEF: f64 = 0.2;
+/// Part of the flow that must remain while the mover loads.
+const REMAINING_FLOW: f64 = 0.9;
+
+/// What the engines of a zone may take part in.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MoveCandidates {
+    /// Engines that can be ordered to move.
+    pub movable: BTreeSet<TargetName>,
+    /// Engines that don't serve the layers yet which they were ordered to hold.
+    pub loading: BTreeSet<TargetName>,
+}
+
+/// A move of an engine that holds layers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// Name of the target that moves.
+    pub target: TargetName,
+    /// Layers that it shall hold.
+    pub layers: LayerRange,
+}
+
+/// The move in a zone that takes most of the need away; `None` if none
+/// is worth its cost.
+///
+/// Each move lowers the zone's need, a sum over its layers, by a fixed part at least. In a zone whose
+/// engines stay the same the number of moves is therefore bounded, and none is undone.
+#[must_use]
+pub fn find_move(
+    model: &PipelineModel,
+    engines: &[PlannedEngine],
+    candidates: &MoveCandidates,
+) -> Option<Move> {
+    let resolved = resolve(model, engines);
+    let nothing = BTreeMap::new();
+    let none_left_out = "".into();
+    let need = offers_of_others(model, &resolved, &none_left_out, &nothing).need();
+    let serving: Vec<ResolvedEngine<'_>> = resolved
+        .iter()
+        .copied()
+        .filter(|it| !candidates.loading.contains(&it.engine.name))
+        .collect();
+    let least_flow = REMAINING_FLOW * flow_without(model, &serving, None);
+    let mut limit = need * (1.0 - LEAST_RELIEF);
+    let mut best = None;
+    for mover in &resolved {
+        let name = &mover.engine.name;
+        let Some(held) = mover
+            .engine
+            .layers
+            .filter(|_| candidates.movable.contains(name))
+        else {
+            continue;
+        };
+        let offers = offers_of_others(model, &resolved, name, &nothing);
+        let Some(choice) = offers.best_range(model, mover.accelerator) else {
+            continue;
+        };
+        let is_worth_it = choice.need < limit && choice.layers != held;
+        if is_worth_it && flow_without(model, &serving, Some(name)) >= least_flow {
+            limit = choice.need;
+            best = Some(Move {
+                target: name.clone(),
+                layers: choice.layers,
+            });
+        }
+    }
+    best
+}
+
+/// Flow of a zone without one of its engines.
+fn flow_without(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+    left_out: Option<&TargetName>,
+) -> f64 {
+    let others = engines
+        .iter()
+        .filter(|it| Some(&it.engine.name) != left_out);
+    let holders: Vec<Holder> = others
+        .filter_map(|it| Some(it.holder(model, it.engine.layers?)))
+        .collect();
+    zone_flow(model.layers, &holders).tokens
+}
