--- a/crates/mgw-place/src/offer.rs
+++ b/crates/mgw-place/src/offer.rs
@@ -35,7 +35,7 @@
     /// Need of the layer for further holders; grows as its offer gets smaller.
     fn need(self, request_tokens: f64) -> f64 {
         let offer = self.total - LOSS_SHARE * self.largest + request_tokens;
-        1.0 / (offer * offer)
+        1.0 / (offer * offer).powi(2)
     }
 }
 
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -21,10 +21,13 @@
     /// layers are moved into it: an engine that restarts takes its layers back sooner than a move
     /// would help.
     pub move_delay_ms: Millis,
-    /// How long an empty engine waits for layers in a zone where some layers have a single holder,
-    /// with this engine too: when targets are replaced, the new one starts first, and the layers that
-    /// it is meant to take become free a moment later. In other zones it waits for nothing.
+    /// How long an empty engine without former layers waits, in a zone that no engine has left, for one
+    /// to leave: when targets are replaced, the new one starts first, and the one that it stands for
+    /// says that it leaves a moment later, and serves on while the new one loads.
     pub spare_delay_ms: Millis,
+    /// The same in a zone where some layers have a single holder, with this engine too: there a wrong
+    /// choice leaves a gap.
+    pub fragile_delay_ms: Millis,
     /// How long a move must have been worth its cost before it is ordered.
     pub rebalance_delay_ms: Millis,
     /// Number of engines of a zone that move at the same time.
@@ -48,8 +51,9 @@
             settle_ms: Millis(1_300),
             settle_limit_ms: Millis(4_000),
             move_delay_ms: Millis(2_500),
-            spare_delay_ms: Millis(2_500),
-            rebalance_delay_ms: Millis(1_500),
+            spare_delay_ms: Millis(1_200),
+            fragile_delay_ms: Millis(2_500),
+            rebalance_delay_ms: Millis(500),
             moves_at_once: 2,
             move_rest_ms: Millis(10_000),
             former_ms: Millis(15_000),
@@ -90,6 +94,8 @@
 struct ZoneRecord {
     /// When a gap was first seen that is still there.
     gap_since: Option<Millis>,
+    /// When engines left whose place no other one took yet.
+    vacancies: Vec<Millis>,
     /// When a move first was worth its cost, and still is.
     move_since: Option<Millis>,
     /// Input for which the plan was empty: while it stays the same, nothing is planned.
@@ -100,8 +106,9 @@
 #[derive(Debug, Clone, Default)]
 struct TargetRecord {
     incarnation: Incarnation,
-    /// Layers that the target announced last, under its address.
-    last_layers: Option<(SocketAddr, LayerRange)>,
+    address: Option<SocketAddr>,
+    /// Layers that the target announced last, and its zone.
+    last_layers: Option<(PlaceName, LayerRange)>,
     /// Layers that it held before it restarted, or that its predecessor at the address held.
     former_layers: Option<LayerRange>,
     /// When it was ordered to move last.
@@ -270,7 +277,7 @@
         for engine in engines {
             let record = self.records.entry(engine.name.clone()).or_default();
             if record.incarnation != engine.incarnation {
-                let own = record.last_layers.map(|(_, layers)| layers);
+                let own = record.last_layers.as_ref().map(|(_, layers)| *layers);
                 let departed = self.departed.get(&engine.address);
                 *record = TargetRecord {
                     incarnation: engine.incarnation,
@@ -282,7 +289,8 @@
                 };
             }
             if let Some(layers) = engine.layers {
-                record.last_layers = Some((engine.address, layers));
+                record.address = Some(engine.address);
+                record.last_layers = Some((engine.place.clone(), layers));
             }
             let ordered = record.pending_order.map(|order| order.layers);
             if ordered.is_some() && ordered == engine.layers {
@@ -302,9 +310,16 @@
         let absent = self
             .records
             .extract_if(.., |name, _| !names.contains(name))
-            .filter_map(|(_, record)| record.last_layers);
-        for (address, layers) in absent {
-            self.departed.insert(address, Departed { layers, at: now });
+            .filter_map(|(_, record)| Some((record.address?, record.last_layers?)));
+        for (address, (place, layers)) in absent {
+            let zone = self.zones.entry(place).or_default();
+            zone.vacancies.push(now);
+            let departed = Departed { layers, at: now };
+            self.departed.insert(address, departed);
+        }
+        for zone in self.zones.values_mut() {
+            zone.vacancies
+                .retain(|at| now - *at < self.settings.former_ms);
         }
         let former_ms = self.settings.former_ms;
         self.departed.retain(|_, it| now - it.at < former_ms);
@@ -353,9 +368,13 @@
             let may_order = if input.engine.layers.is_some() {
                 may_move
             } else {
-                is_safe || !self.is_waiting_spare(name, now)
+                let is_expected = has_gap || (is_safe && !zone.vacancies.is_empty());
+                is_expected || !self.is_waiting_spare(name, is_safe, now)
             };
             if may_order {
+                if input.engine.layers.is_none() && !zone.vacancies.is_empty() {
+                    zone.vacancies.remove(0);
+                }
                 chosen.insert(name.clone(), *layers);
             }
         }
@@ -418,10 +437,15 @@
     }
 
     /// Whether an empty engine may stand for another one that is about to leave.
-    fn is_waiting_spare(&self, name: &TargetName, now: Millis) -> bool {
-        self.records
-            .get(name)
-            .is_some_and(|record| now - record.first_seen_at < self.settings.spare_delay_ms)
+    fn is_waiting_spare(&self, name: &TargetName, is_safe: bool, now: Millis) -> bool {
+        let delay_ms = if is_safe {
+            self.settings.spare_delay_ms
+        } else {
+            self.settings.fragile_delay_ms
+        };
+        self.records.get(name).is_some_and(|record| {
+            record.former_layers.is_none() && now - record.first_seen_at < delay_ms
+        })
     }
 
     /// The move to order now, once it has been worth its cost for long enough.
--- a/crates/mgw-place/src/rebalance.rs
+++ b/crates/mgw-place/src/rebalance.rs
@@ -9,6 +9,8 @@
 
 /// Part of the need that a move must take away: a move costs a load, and refusals meanwhile.
 const LEAST_RELIEF: f64 = 0.2;
+/// Part of the flow that a move must add if it takes less of the need away.
+const LEAST_GAIN: f64 = 0.1;
 /// Part of the flow that must remain while the mover loads.
 const REMAINING_FLOW: f64 = 0.9;
 
@@ -33,8 +35,9 @@
 /// The move in a zone that takes most of the need away; `None` if none
 /// is worth its cost.
 ///
-/// Each move lowers the zone's need, a sum over its layers, by a fixed part at least. In a zone whose
-/// engines stay the same the number of moves is therefore bounded, and none is undone.
+/// A move raises neither the zone's need nor lowers its flow, and improves one of them by a fixed part
+/// at least. In a zone whose engines stay the same the number of moves is therefore bounded, and none
+/// is undone.
 #[must_use]
 pub fn find_move(
     model: &PipelineModel,
@@ -51,7 +54,8 @@
         .filter(|it| !candidates.loading.contains(&it.engine.name))
         .collect();
     let least_flow = REMAINING_FLOW * flow_without(model, &serving, None);
-    let mut limit = need * (1.0 - LEAST_RELIEF);
+    let flow = flow_moved(model, &resolved, None);
+    let mut least_need = need;
     let mut best = None;
     for mover in &resolved {
         let name = &mover.engine.name;
@@ -66,13 +70,20 @@
         let Some(choice) = offers.best_range(model, mover.accelerator) else {
             continue;
         };
-        let is_worth_it = choice.need < limit && choice.layers != held;
+        if choice.need >= least_need || choice.layers == held {
+            continue;
+        }
+        let found = Move {
+            target: name.clone(),
+            layers: choice.layers,
+        };
+        let flow_after = flow_moved(model, &resolved, Some(&found));
+        let is_relief = choice.need <= need * (1.0 - LEAST_RELIEF) && flow_after >= flow;
+        let is_gain = flow_after >= flow * (1.0 + LEAST_GAIN);
+        let is_worth_it = is_relief || is_gain;
         if is_worth_it && flow_without(model, &serving, Some(name)) >= least_flow {
-            limit = choice.need;
-            best = Some(Move {
-                target: name.clone(),
-                layers: choice.layers,
-            });
+            least_need = choice.need;
+            best = Some(found);
         }
     }
     best
@@ -92,3 +103,16 @@
         .collect();
     zone_flow(model.layers, &holders).tokens
 }
+
+/// Flow of a zone once a move is carried out.
+fn flow_moved(model: &PipelineModel, engines: &[ResolvedEngine<'_>], moved: Option<&Move>) -> f64 {
+    let holders: Vec<Holder> = engines
+        .iter()
+        .filter_map(|it| {
+            let target = moved.filter(|found| found.target == it.engine.name);
+            let layers = target.map(|found| found.layers).or(it.engine.layers)?;
+            Some(it.holder(model, layers))
+        })
+        .collect();
+    zone_flow(model.layers, &holders).tokens
+}
