--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -20,7 +20,7 @@
 /// Tokens of KV cache for which an engine outside the planned chains reserves memory.
 const BACKUP_KV_TOKENS: f64 = 60_000.0;
 /// How often the ranges of newly planned engines are chosen anew, each against the others.
-const REFINE_ROUNDS: usize = 3;
+const REFINE_ROUNDS: usize = 8;
 /// Gain in flow for which a fresh zone is planned by flow alone in place of chains of the fastest
 /// engines: such a plan has longer chains.
 const FRESH_GAIN: f64 = 1.1;
@@ -148,19 +148,32 @@
     engines: &[ResolvedEngine<'_>],
 ) -> BTreeMap<TargetName, LayerRange> {
     let by_chains = plan_empty_zone(model, engines);
-    let mut by_need = BTreeMap::new();
-    assign_by_need(model, engines, engines, &BTreeMap::new(), &mut by_need);
-    let flow = |plan: &BTreeMap<TargetName, LayerRange>| {
-        let holders = engines
-            .iter()
-            .filter_map(|it| Some(it.holder(model, *plan.get(&it.engine.name)?)));
-        zone_flow(model.layers, &holders.collect::<Vec<_>>()).tokens
-    };
-    if flow(&by_need) > FRESH_GAIN * flow(&by_chains) {
-        by_need
+    let least_flow = FRESH_GAIN * planned_flow(model, engines, &by_chains);
+    let slowest_first: Vec<ResolvedEngine<'_>> = engines.iter().rev().copied().collect();
+    let by_need = [engines, &slowest_first].map(|ordered| {
+        let mut plan = BTreeMap::new();
+        assign_by_need(model, engines, ordered, &BTreeMap::new(), &mut plan);
+        (planned_flow(model, engines, &plan), plan)
+    });
+    let [fastest_first, slowest_first] = by_need;
+    let (flow, best) = if slowest_first.0 > fastest_first.0 {
+        slowest_first
     } else {
-        by_chains
-    }
+        fastest_first
+    };
+    if flow > least_flow { best } else { by_chains }
+}
+
+/// Flow of a zone that is planned as a whole.
+fn planned_flow(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+    plan: &BTreeMap<TargetName, LayerRange>,
+) -> f64 {
+    let holders = engines
+        .iter()
+        .filter_map(|it| Some(it.holder(model, *plan.get(&it.engine.name)?)));
+    zone_flow(model.layers, &holders.collect::<Vec<_>>()).tokens
 }
 
 /// Plans a zone in which no engine holds layers as chains of the fastest engines.
