--- a/crates/mgw-place/src/flow.rs
+++ b/crates/mgw-place/src/flow.rs
@@ -3,7 +3,7 @@
 use mgw_world::{Accelerator, LayerRange, PipelineModel};
 
 /// Steps of the binary search over the flow.
-const SEARCH_STEPS: usize = 40;
+const SEARCH_STEPS: usize = 24;
 
 /// An engine's layers with its capacity, which may be divided unevenly over them.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -275,7 +275,7 @@
     assign_by_need(model, engines, &empty, former, &mut plan);
     for resolved in engines {
         let planned = plan.get(&resolved.engine.name).copied();
-        if let Some(layers) = planned.or_else(|| resolved.engine.layers) {
+        if let Some(layers) = planned.or(resolved.engine.layers) {
             coverage.add(layers, resolved.speed());
         }
     }
@@ -337,7 +337,7 @@
     let others = engines.iter().filter(|it| it.engine.name != *left_out);
     for other in others {
         let planned = plan.get(&other.engine.name).copied();
-        if let Some(layers) = planned.or_else(|| other.engine.layers) {
+        if let Some(layers) = planned.or(other.engine.layers) {
             offers.add(model, other.accelerator, layers);
         }
     }
