--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -1,92 +1,18 @@
 //! Turns plans into orders and tracks each order until its effect is announced.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use mgw_contract::target::EngineReport;
-use mgw_world::{
-    AcceleratorKind, Incarnation, LayerRange, Millis, PipelineModel, PlaceName, TargetName,
-};
+use mgw_world::{Incarnation, LayerRange, Millis, PipelineModel, PlaceName, TargetName};
 
-use crate::plan::{PlannedEngine, plan_layers};
+use crate::order::{AnnouncedEngine, Decision, OrderOutcome, PlacementOrder};
 
-/// Delays and timeouts of the placer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PlacerSettings {
-    /// How long the number of engines must stay the same before a leader makes its first plan.
-    pub settle_ms: Millis,
-    /// Longest time that the first plan is delayed by `settle_ms`, from the start of the leader's term.
-    pub settle_limit_ms: Millis,
-    /// How long a zone must have had a gap (layers that no engine holds) before engines that hold
-    /// layers are moved into it: an engine that restarts takes its layers back sooner than a move
-    /// would help.
-    pub move_delay_ms: Millis,
-    /// How long an empty engine of a zone without a gap waits for layers: when targets are replaced,
-    /// the new one starts first, and the layers that it is meant to take become free a moment later.
-    pub spare_delay_ms: Millis,
-    /// Time, in addition to the load itself, within which an order's effect must be announced. After
-    /// that the target is asked for its state.
-    pub announce_timeout_ms: Millis,
-}
-
-impl Default for PlacerSettings {
-    fn default() -> Self {
-        Self {
-            settle_ms: Millis(1_300),
-            settle_limit_ms: Millis(4_000),
-            move_delay_ms: Millis(2_500),
-            spare_delay_ms: Millis(2_500),
-            announce_timeout_ms: Millis(3_000),
-        }
-    }
-}
-
-/// The state that an engine announced.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AnnouncedEngine {
-    /// Name of the target.
-    pub name: TargetName,
-    /// Start of the target's process; differs after each restart.
-    pub incarnation: Incarnation,
-    /// Address at which the target accepts calls.
-    pub address: SocketAddr,
-    /// Availability zone of the target.
-    pub place: PlaceName,
-    /// Kind of accelerator.
-    pub accelerator: AcceleratorKind,
-    /// Layers that the engine holds; `None` if it holds none.
-    pub layers: Option<LayerRange>,
-}
-
-/// An order to a target to hold a range of layers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacementOrder {
-    /// Name of the target that receives the order.
-    pub target: TargetName,
-    /// Start of the target's process for which the order was planned.
-    pub incarnation: Incarnation,
-    /// Address at which the target accepts calls.
-    pub address: SocketAddr,
-    /// Layers that the target holds once the order is carried out.
-    pub layers: LayerRange,
-    /// Precondition: number of orders that the target has accepted so far. A target with another
-    /// number refuses the order.
-    pub accepted_orders: u64,
-}
+mod settings;
+mod zone;
 
-/// A target's answer to an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// The target started to carry the order out.
-    Begun,
-    /// The target already holds these layers.
-    Holds,
-    /// The target refused: it has accepted another number of orders than stated, or can't carry the
-    /// order out in its state.
-    Refused,
-    /// No answer arrived: the target may still carry the order out at any time.
-    Unknown,
-}
+pub use settings::PlacerSettings;
+use zone::ZoneRecord;
 
 /// An order that was sent and whose effect isn't announced yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,10 +23,28 @@
     deadline: Millis,
 }
 
+/// Layers of a target that is gone.
+#[derive(Debug, Clone, Copy)]
+struct Departed {
+    layers: LayerRange,
+    at: Millis,
+}
+
 /// State that the placer keeps about one target.
 #[derive(Debug, Clone, Default)]
 struct TargetRecord {
     incarnation: Incarnation,
+    address: Option<SocketAddr>,
+    /// Layers that the target announced last, and its zone.
+    last_layers: Option<(PlaceName, LayerRange)>,
+    /// Layers that it held before it restarted, or that its predecessor at the address held.
+    former_layers: Option<LayerRange>,
+    /// When it was ordered to move last.
+    moved_at: Option<Millis>,
+    /// Number of loads in a row without effect.
+    failed_loads: u32,
+    /// The target gets no orders before this time.
+    paused_until: Millis,
     /// When this incarnation was first announced.
     first_seen_at: Millis,
     /// Number of orders that the target has accepted, as far as known.
@@ -120,8 +64,11 @@
     is_settled: bool,
     engine_count: usize,
     records: BTreeMap<TargetName, TargetRecord>,
-    /// Zones with a gap, and when the gap was first seen.
-    gap_since: BTreeMap<PlaceName, Millis>,
+    zones: BTreeMap<PlaceName, ZoneRecord>,
+    /// Layers of targets that are gone, by address.
+    departed: BTreeMap<SocketAddr, Departed>,
+    /// Decisions that weren't taken for the log yet.
+    decisions: Vec<Decision>,
 }
 
 impl Placer {
@@ -135,7 +82,9 @@
             is_settled: false,
             engine_count: 0,
             records: BTreeMap::new(),
-            gap_since: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -162,6 +111,11 @@
         orders
     }
 
+    /// Takes the decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Targets that must report their state before [`Self::plan`] sends them another order.
     #[must_use]
     pub fn list_targets_to_query(&self, now: Millis) -> Vec<TargetName> {
@@ -216,10 +170,13 @@
 
     /// Records the state that a target reported. A pending order stays pending only if the target is
     /// busy or holds the ordered layers; otherwise the target can be sent another one.
-    pub fn record_report(&mut self, name: &TargetName, report: EngineReport, now: Millis) {
-        let announce_timeout_ms = self.settings.announce_timeout_ms;
+    ///
+    /// Returns whether the target's loads failed so often that it gets no orders for a while.
+    pub fn record_report(&mut self, name: &TargetName, report: EngineReport, now: Millis) -> bool {
+        let settings = self.settings;
+        let announce_timeout_ms = settings.announce_timeout_ms;
         let Some(record) = self.records.get_mut(name) else {
-            return;
+            return false;
         };
         record.needs_report = false;
         record.accepted_orders = report.accepted_orders;
@@ -230,28 +187,43 @@
             deadline: now + announce_timeout_ms,
             ..order
         });
+        if order.is_some() && record.pending_order.is_none() {
+            record.failed_loads += 1;
+        }
+        let is_paused = record.failed_loads >= settings.failed_loads;
+        if is_paused {
+            record.failed_loads = 0;
+            record.paused_until = now + settings.failed_pause_ms;
+        }
+        is_paused
     }
 
     /// Updates the records from the announced engines: drops absent targets, resets restarted ones and
     /// clears pending orders whose effect is announced.
     fn update_records(&mut self, engines: &[AnnouncedEngine], now: Millis) {
-        let names: std::collections::BTreeSet<&TargetName> =
-            engines.iter().map(|engine| &engine.name).collect();
-        self.records.retain(|name, _| names.contains(name));
+        self.drop_absent(engines, now);
         for engine in engines {
             let record = self.records.entry(engine.name.clone()).or_default();
             if record.incarnation != engine.incarnation {
+                let own = record.last_layers.as_ref().map(|(_, layers)| *layers);
+                let departed = self.departed.get(&engine.address);
                 *record = TargetRecord {
                     incarnation: engine.incarnation,
                     first_seen_at: now,
+                    former_layers: own.or_else(|| departed.map(|it| it.layers)),
                     // A former leader may have sent it orders.
                     needs_report: engine.layers.is_some(),
                     ..TargetRecord::default()
                 };
             }
+            if let Some(layers) = engine.layers {
+                record.address = Some(engine.address);
+                record.last_layers = Some((engine.place.clone(), layers));
+            }
             let ordered = record.pending_order.map(|order| order.layers);
             if ordered.is_some() && ordered == engine.layers {
                 record.pending_order = None;
+                record.failed_loads = 0;
             }
         }
         if engines.len() != self.engine_count {
@@ -260,6 +232,31 @@
         }
     }
 
+    /// Drops the records of absent targets; what they held is kept for a while.
+    fn drop_absent(&mut self, engines: &[AnnouncedEngine], now: Millis) {
+        let names: BTreeSet<&TargetName> = engines.iter().map(|engine| &engine.name).collect();
+        let mut absent = Vec::new();
+        self.records.retain(|name, record| {
+            let is_present = names.contains(name);
+            if !is_present {
+                absent.extend(record.address.zip(record.last_layers.take()));
+            }
+            is_present
+        });
+        for (address, (place, layers)) in absent {
+            let zone = self.zones.entry(place).or_default();
+            zone.vacancies.push(now);
+            let departed = Departed { layers, at: now };
+            self.departed.insert(address, departed);
+        }
+        for zone in self.zones.values_mut() {
+            zone.vacancies
+                .retain(|at| now - *at < self.settings.former_ms);
+        }
+        let former_ms = self.settings.former_ms;
+        self.departed.retain(|_, it| now - it.at < former_ms);
+    }
+
     /// Records whether the set of engines has settled; once it has, that stays so for this leader.
     fn update_settled(&mut self, engines: &[AnnouncedEngine], now: Millis) -> bool {
         let unchanged_ms = now - self.count_changed_at;
@@ -270,53 +267,6 @@
         self.is_settled
     }
 
-    /// Plans the orders to the engines of one zone.
-    fn plan_zone(
-        &mut self,
-        model: &PipelineModel,
-        place: &PlaceName,
-        members: &[&AnnouncedEngine],
-        now: Millis,
-    ) -> Vec<PlacementOrder> {
-        let planned_engines: Vec<PlannedEngine> = members
-            .iter()
-            .map(|engine| PlannedEngine {
-                name: engine.name.clone(),
-                accelerator: engine.accelerator.clone(),
-                layers: self.expected_layers(engine),
-            })
-            .collect();
-        let has_gap = has_gap(model, &planned_engines);
-        let since = *self.gap_since.entry(place.clone()).or_insert(now);
-        if !has_gap {
-            self.gap_since.remove(place);
-        }
-        let may_move = has_gap && now - since >= self.settings.move_delay_ms;
-        let plan = plan_layers(model, &planned_engines);
-        let orders = members.iter().filter_map(|engine| {
-            let layers = *plan.get(&engine.name)?;
-            let holds_layers = self.expected_layers(engine).is_some();
-            let record = self.records.get(&engine.name)?;
-            let can_be_ordered = record.pending_order.is_none() && !record.needs_report;
-            let is_waiting_spare =
-                !has_gap && now - record.first_seen_at < self.settings.spare_delay_ms;
-            let may_order = can_be_ordered
-                && if holds_layers {
-                    may_move
-                } else {
-                    !is_waiting_spare
-                };
-            may_order.then(|| PlacementOrder {
-                target: engine.name.clone(),
-                incarnation: engine.incarnation,
-                address: engine.address,
-                layers,
-                accepted_orders: record.accepted_orders,
-            })
-        });
-        orders.collect()
-    }
-
     /// Layers that an engine holds, or will hold once its pending order is carried out.
     fn expected_layers(&self, engine: &AnnouncedEngine) -> Option<LayerRange> {
         let order = self.records.get(&engine.name)?.pending_order;
@@ -332,14 +282,6 @@
     }
 }
 
-/// Whether some layers of the model are held by no engine of a zone.
-fn has_gap(model: &PipelineModel, engines: &[PlannedEngine]) -> bool {
-    let mut coverage = crate::coverage::Coverage::new(model.layers);
-    let held = engines.iter().filter_map(|engine| engine.layers);
-    held.for_each(|layers| coverage.add(layers, 1.0));
-    coverage.first_gap().is_some()
-}
-
 /// Time to load `layers` while `running` loads run: beyond the number of loads that the store serves
 /// at full speed, each load takes longer in proportion.
 fn load_time(model: &PipelineModel, layers: LayerRange, running: usize) -> Millis {
