--- a/crates/mgw-route/tests/admission_level.rs
+++ b/crates/mgw-route/tests/admission_level.rs
@@ -81,7 +81,6 @@
 
 fn assert_plays(entries: usize, bounds: &Bounds, faults: &[Fault]) {
     for seed in SEEDS {
-        println!("{entries} entries, seed {seed}");
         let results = play(entries, seed, faults.to_vec());
         assert_shed_by_urgency(&results, bounds);
         assert_recovered(&results, bounds);
--- a/crates/mgw-route/tests/admission_support/mod.rs
+++ b/crates/mgw-route/tests/admission_support/mod.rs
@@ -250,7 +250,7 @@
         let ticks = report_interval_ms(entries).0 / TICK_MS.0;
         let tick = self.now.0 / TICK_MS.0;
         for (index, gate) in self.gates.iter_mut().enumerate() {
-            let is_due = (tick + index as u64) % ticks == 0;
+            let is_due = (tick + index as u64).is_multiple_of(ticks);
             if !is_due || self.faults.iter().any(|fault| fault.hits(index, self.now)) {
                 continue;
             }
