--- a/crates/mgw-route/src/router/prefix_choice.rs
+++ b/crates/mgw-route/src/router/prefix_choice.rs
@@ -12,9 +12,6 @@
 const DROPPED_BITS: u32 = 11;
 /// Weight of the evidence for a cached prefix below which it is ignored.
 const MIN_EVIDENCE_WEIGHT: f64 = 0.1;
-/// Part of a prefill that a request in flight still needs, on average: reports don't tell how much of
-/// it is done.
-const REMAINING_PREFILL: f64 = 0.5;
 /// Fraction of a prompt below which a cached prefix isn't followed: the wait isn't known as exactly.
 const MIN_SAVED_SHARE: f64 = 0.25;
 
@@ -136,7 +133,7 @@
         PrefillTarget {
             token_ms,
             held_tokens: self.held_tokens(target),
-            wait_ms: self.count_waiting(member) * REMAINING_PREFILL * prefill_ms,
+            wait_ms: self.count_waiting(member) * prefill_ms,
             memory_share: used_kv.saturating_add(required_kv) as f64
                 / (state.target.limits.kv_bytes as f64).max(1.0),
             rate: member.rate,
