Cached prefixes are weighed only if the settings call for it

Deployments that exist must be served as before.

Ruled out: a second copy of the search for homes and of the limit on load; both rules share find_home and exceeds_affinity_load. Counting demand by the former rule too: it is only used by the weighing, so it is kept by that alone.

What ends the evidence (restart, other weights) holds by both. Tests of the weighing set the rule; those from before run with the default. The example prints both rules.

--- a/crates/mgw-entry/src/app.rs
+++ b/crates/mgw-entry/src/app.rs
@@ -121,6 +121,7 @@
         let clock = Clock::monotonic();
         let router_settings = RouterSettings {
             seed,
+            prefix_rule: settings.prefix_rule,
             ..RouterSettings::default()
         };
         let metrics = Metrics::new()?;
--- a/crates/mgw-entry/src/settings.rs
+++ b/crates/mgw-entry/src/settings.rs
@@ -4,6 +4,7 @@
 
 use mgw_peer::GroupFiles;
 use mgw_pipe::{MoveSettings, PaceSettings, PipeSettings, TimeSettings};
+use mgw_route::PrefixRule;
 use mgw_settings::LogSettings;
 use mgw_world::{EntryName, Millis, NodeName, PlaceName, RegionName, VmName};
 use serde::Deserialize;
@@ -110,6 +111,9 @@
     /// Maximum bytes of stage inputs kept for all requests together.
     #[serde(default = "default_activation_bytes")]
     pub activation_bytes: u64,
+    /// Rule by which requests follow cached prefixes of their prompts.
+    #[serde(default)]
+    pub prefix_rule: PrefixRule,
     /// Limits on moving running requests to other targets when targets fail.
     #[serde(default)]
     pub moves: MoveSettings,
--- a/crates/mgw-route/examples/prefixes.rs
+++ b/crates/mgw-route/examples/prefixes.rs
@@ -1,4 +1,4 @@
-//! Measures cache hit rate and time to the first token with and without prefix affinity:
+//! Measures cache hit rate and time to the first token without prefix affinity and by each rule:
 //! `cargo run --release -p mgw-route --example prefixes`.
 
 #[path = "support/affinity.rs"]
@@ -10,12 +10,13 @@
 use std::io::{self, Write};
 
 use affinity::{CacheSimSettings, run_cache_sim};
+use mgw_route::PrefixRule;
 
 fn main() -> io::Result<()> {
     let mut out = io::stdout().lock();
     writeln!(
         out,
-        "entries popular% rate lost% heard_by affinity hit_rate saved p50_ms mean_ms p99_ms imbalance resends"
+        "entries popular% rate lost% heard_by rule hit_rate saved p50_ms mean_ms p99_ms imbalance resends"
     )?;
     for requests_per_s in [20, 30, 40] {
         for (entries, popular_percent, lost_percent, events_to_one_entry) in [
@@ -25,9 +26,14 @@
             (77, 30, 0, false),
             (77, 30, 0, true),
         ] {
-            for with_affinity in [false, true] {
+            for (rule_name, rule) in [
+                ("none", None),
+                ("limit", Some(PrefixRule::WithinLoadLimit)),
+                ("weighed", Some(PrefixRule::Weighed)),
+            ] {
                 let outcome = run_cache_sim(CacheSimSettings {
-                    with_affinity,
+                    with_affinity: rule.is_some(),
+                    prefix_rule: rule.unwrap_or_default(),
                     prefixes: 60,
                     common_blocks: 12,
                     popular_percent,
@@ -41,7 +47,7 @@
                 });
                 writeln!(
                     out,
-                    "{entries:7} {popular_percent:8} {requests_per_s:4} {lost_percent:5} {:8} {with_affinity:8} {:7.1}% {:7} {:6} {:7.0} {:6} {:9.2} {:7}",
+                    "{entries:7} {popular_percent:8} {requests_per_s:4} {lost_percent:5} {:8} {rule_name:8} {:7.1}% {:7} {:6} {:7.0} {:6} {:9.2} {:7}",
                     if events_to_one_entry { "one" } else { "all" },
                     outcome.hit_rate * 100.0,
                     outcome.saved_tokens,
--- a/crates/mgw-route/examples/support/affinity.rs
+++ b/crates/mgw-route/examples/support/affinity.rs
@@ -5,8 +5,8 @@
 
 use mgw_contract::target::{CacheEvent, LoadReport};
 use mgw_route::{
-    CacheSyncState, PREFIX_BLOCK_TOKENS, PathRequest, PrefixDigest, ReservationKey, Router,
-    RouterSettings, TargetInput, digest_prefixes,
+    CacheSyncState, PREFIX_BLOCK_TOKENS, PathRequest, PrefixDigest, PrefixRule, ReservationKey,
+    Router, RouterSettings, TargetInput, digest_prefixes,
 };
 use mgw_world::{Incarnation, Millis, Model, Target};
 use rand::{Rng, SeedableRng};
@@ -34,6 +34,8 @@
 pub struct CacheSimSettings {
     /// Whether the router gets the prefixes of each prompt.
     pub with_affinity: bool,
+    /// Rule by which the router follows cached prefixes.
+    pub prefix_rule: PrefixRule,
     /// Number of common prefixes in use.
     pub prefixes: usize,
     /// Blocks of a prompt that belong to a common prefix; no other prompt has the rest.
@@ -175,6 +177,7 @@
     let router = |index: usize| {
         let mut router = Router::new(RouterSettings {
             seed: settings.seed + index as u64,
+            prefix_rule: settings.prefix_rule,
             ..RouterSettings::default()
         });
         router.update_models([Model {
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -44,4 +44,4 @@
     EntryCounts, EntryRateLimits, LimitChange, LimitReport, LimitUpdate, LimitedTarget,
     RateLimitTable, RequestRate, ReturnTimes, StatedRate, TokenDemand, ToldLimit,
 };
-pub use router::{Router, RouterSettings, TargetInput, TargetView};
+pub use router::{PrefixRule, Router, RouterSettings, TargetInput, TargetView};
--- a/crates/mgw-route/src/router/facade.rs
+++ b/crates/mgw-route/src/router/facade.rs
@@ -18,8 +18,8 @@
 use crate::graph::describe_plan;
 use crate::prefix::{PrefixDemand, PrefixIndex};
 use crate::{
-    AdmissionCapacity, Bound, CacheSyncState, NoPath, Path, PathRequest, ReservationKey,
-    RouterSettings, Stage, TargetInput, TargetView,
+    AdmissionCapacity, Bound, CacheSyncState, NoPath, Path, PathRequest, PrefixRule,
+    ReservationKey, RouterSettings, Stage, TargetInput, TargetView,
 };
 
 /// How long a caller should wait before a retry when every target of a layer is full.
@@ -158,7 +158,9 @@
         let layers = LayerRange::new(0, model.layers);
         let layers = layers.map_err(|_| unknown_model(&variant.model))?;
         self.refresh(&variant, now);
-        self.prefix_demand.record(&request.prefixes);
+        if self.settings.prefix_rule == PrefixRule::Weighed {
+            self.prefix_demand.record(&request.prefixes);
+        }
         let prefix_holders = self.prefixes.find_holders(&request.prefixes);
         let table = self.tables.get(&variant);
         let table = table.filter(|table| table.plan.flow.total > 0);
@@ -172,6 +174,7 @@
             prefix_holders: &prefix_holders,
             prefixes: &request.prefixes,
             demand: &self.prefix_demand,
+            prefix_rule: self.settings.prefix_rule,
             prefix_half_life_ms: self.settings.prefix_half_life_ms,
             affinity_load_factor: self.settings.affinity_load_factor,
             kv_bytes_per_layer,
@@ -349,6 +352,7 @@
             prefix_holders: &[],
             prefixes: &[],
             demand: &self.prefix_demand,
+            prefix_rule: self.settings.prefix_rule,
             prefix_half_life_ms: self.settings.prefix_half_life_ms,
             affinity_load_factor: self.settings.affinity_load_factor,
             kv_bytes_per_layer,
--- a/crates/mgw-route/src/router/mod.rs
+++ b/crates/mgw-route/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod path_search;
 mod prefix_choice;
+mod prefix_load_limit;
 mod refresh;
 mod reserve;
 mod routing_table;
@@ -12,5 +13,5 @@
 
 pub use facade::Router;
 pub(crate) use fleet::TargetKey;
-pub use settings::RouterSettings;
+pub use settings::{PrefixRule, RouterSettings};
 pub use view::{TargetInput, TargetView};
--- a/crates/mgw-route/src/router/path_search.rs
+++ b/crates/mgw-route/src/router/path_search.rs
@@ -8,8 +8,8 @@
 
 use super::fleet::{Fleet, TargetKey};
 use super::routing_table::{Choice, Member, Node, RoutingTable};
-use crate::PrefixDigest;
 use crate::prefix::{Holder, PrefixDemand};
+use crate::{PrefixDigest, PrefixRule};
 
 /// Number of sampled members that are compared for each stage.
 const SAMPLES: usize = 2;
@@ -27,10 +27,11 @@
     pub prefixes: &'a [PrefixDigest],
     /// How often prefixes occur in this entry's requests.
     pub demand: &'a PrefixDemand,
+    /// Rule by which cached prefixes are followed.
+    pub prefix_rule: PrefixRule,
     /// Age at which the evidence for a cached prefix has half its weight.
     pub prefix_half_life_ms: Millis,
-    /// Load up to which a target is preferred as the home of a prefix, as a multiple of its planned
-    /// share.
+    /// Load up to which a target is preferred for a prefix, as a multiple of its planned share.
     pub affinity_load_factor: f64,
     /// KV memory that the request needs for each layer, in bytes.
     pub kv_bytes_per_layer: u64,
@@ -156,8 +157,16 @@
         goal: Goal,
         rng: &mut ChaCha8Rng,
     ) -> Option<SelectedTarget> {
-        let sampled = self.choose_sampled(choices, goal, rng);
-        self.choose_by_prefix(choices, goal, sampled, rng)
+        match self.prefix_rule {
+            PrefixRule::WithinLoadLimit => {
+                let by_prefix = self.choose_within_load_limit(choices, goal);
+                by_prefix.or_else(|| self.choose_sampled(choices, goal, rng))
+            }
+            PrefixRule::Weighed => {
+                let sampled = self.choose_sampled(choices, goal, rng);
+                self.choose_by_prefix(choices, goal, sampled, rng)
+            }
+        }
     }
 
     /// Chooses the least loaded of a few targets sampled by planned flow.
--- a/crates/mgw-route/src/router/prefix_choice.rs
+++ b/crates/mgw-route/src/router/prefix_choice.rs
@@ -1,4 +1,4 @@
-//! Chooses the target of a stage for a prompt whose prefix may be cached.
+//! Weighs the targets of a stage for a prompt whose prefix may be cached, and finds its home.
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -179,7 +179,7 @@
     /// planned flow, and the best score wins. A member that joins or leaves moves only its own
     /// prefixes. Returns `None` if the winner can't accept the request or is overloaded for
     /// affinity.
-    fn find_home(&self, choices: &[Choice], goal: Goal) -> Option<SelectedTarget> {
+    pub(super) fn find_home(&self, choices: &[Choice], goal: Goal) -> Option<SelectedTarget> {
         let prefix = self.prefixes.first().copied()?;
         let usable = choices.iter().filter(|it| self.is_usable(it.group, goal));
         let members = usable.flat_map(|choice| {
@@ -206,8 +206,8 @@
     }
 
     /// Whether this entry's requests in flight at a member exceed the load up to which it is
-    /// preferred as the home of a prefix.
-    fn exceeds_affinity_load(&self, member: &Member) -> bool {
+    /// preferred for a prefix.
+    pub(super) fn exceeds_affinity_load(&self, member: &Member) -> bool {
         let in_flight = self.fleet.get(member.key);
         let in_flight = in_flight.map_or(0.0, |state| f64::from(state.in_flight));
         in_flight > self.planned_requests(member) * self.affinity_load_factor
--- a/crates/mgw-route/src/router/settings.rs
+++ b/crates/mgw-route/src/router/settings.rs
@@ -1,9 +1,23 @@
 //! Settings of [`Router`](crate::Router).
 
 use mgw_world::Millis;
+use serde::Deserialize;
 
 use crate::LatencyLimitSettings;
 
+/// Rule by which a request follows a prefix of its prompt to a target that has it cached.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PrefixRule {
+    /// The holder of the longest prefix is preferred while this entry's requests there are at most
+    /// `affinity_load_factor` times its planned share.
+    #[default]
+    WithinLoadLimit,
+    /// A holder is weighed against a target chosen by planned flow: the prefill that it saves,
+    /// against its wait and its memory.
+    Weighed,
+}
+
 /// Tuning parameters of a [`Router`](crate::Router).
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RouterSettings {
@@ -17,10 +31,14 @@
     pub max_suspect_ms: Millis,
     /// Time without failure after which a target's failure count starts again at one.
     pub suspect_reset_ms: Millis,
-    /// A target is the home of a prefix that is cached nowhere while its load is at most this
-    /// multiple of its planned share.
+    /// Rule by which cached prefixes are followed.
+    pub prefix_rule: PrefixRule,
+    /// A target is preferred as the home of a prefix that is cached nowhere, and by
+    /// [`PrefixRule::WithinLoadLimit`] as its holder, while its load is at most this multiple of its
+    /// planned share.
     pub affinity_load_factor: f64,
-    /// Age at which the evidence that a target holds a prefix has half its weight.
+    /// Age at which the evidence that a target holds a prefix has half its weight, by
+    /// [`PrefixRule::Weighed`].
     pub prefix_half_life_ms: Millis,
     /// Maximum number of cached prefixes to track, each counted once per target that holds it.
     pub max_prefixes: usize,
@@ -36,6 +54,7 @@
             suspect_ms: Millis(1_000),
             max_suspect_ms: Millis(30_000),
             suspect_reset_ms: Millis(60_000),
+            prefix_rule: PrefixRule::default(),
             affinity_load_factor: 1.25,
             prefix_half_life_ms: Millis(60_000),
             max_prefixes: 65_536,
--- a/crates/mgw-route/tests/prefix.rs
+++ b/crates/mgw-route/tests/prefix.rs
@@ -18,7 +18,7 @@
 use common::{input, model, request, target};
 use mgw_contract::target::CacheEvent;
 use mgw_route::{
-    CacheSyncState, PathRequest, PrefixDigest, Router, RouterSettings, digest_prefixes,
+    CacheSyncState, PathRequest, PrefixDigest, PrefixRule, Router, RouterSettings, digest_prefixes,
 };
 use mgw_world::{Incarnation, Millis, TargetName};
 
@@ -212,6 +212,7 @@
 fn measure(with_affinity: bool, lost_percent: u32, one_hears: bool) -> CacheOutcome {
     run_cache_sim(CacheSimSettings {
         with_affinity,
+        prefix_rule: PrefixRule::default(),
         prefixes: 60,
         common_blocks: 12,
         popular_percent: 0,
--- a/crates/mgw-route/tests/prefix_weighing.rs
+++ b/crates/mgw-route/tests/prefix_weighing.rs
@@ -18,7 +18,7 @@
 use common::{input, model, request, target};
 use mgw_contract::target::{CacheEvent, LoadReport};
 use mgw_route::{
-    PathRequest, PrefillTarget, PrefixDigest, Router, RouterSettings, TargetInput,
+    PathRequest, PrefillTarget, PrefixDigest, PrefixRule, Router, RouterSettings, TargetInput,
     choose_prefill_target, follow_probability,
 };
 use mgw_world::{Incarnation, Millis, Target, TargetKind};
@@ -73,6 +73,7 @@
 
 /// `t3` as it is reported now, after it stored a prefix at time 0.
 struct Change {
+    rule: PrefixRule,
     now: Millis,
     load: LoadReport,
     target: Target,
@@ -81,6 +82,7 @@
 impl Default for Change {
     fn default() -> Self {
         Self {
+            rule: PrefixRule::Weighed,
             now: Millis(1),
             load: LoadReport::default(),
             target: target("t3", "a", 0, 24, 100),
@@ -93,6 +95,7 @@
     let chosen = (0..20).filter(|seed| {
         let mut router = Router::new(RouterSettings {
             seed: *seed,
+            prefix_rule: change.rule,
             ..RouterSettings::default()
         });
         router.update_models([model(24)]);
@@ -129,6 +132,13 @@
     chosen.count()
 }
 
+fn by_default() -> Change {
+    Change {
+        rule: RouterSettings::default().prefix_rule,
+        ..Change::default()
+    }
+}
+
 fn restarted() -> Target {
     Target {
         incarnation: Incarnation(2),
@@ -170,6 +180,15 @@
     other_weights_end_what_a_target_holds:
         Change { target: reloaded(), ..Change::default() } => false;
     old_evidence_is_not_followed: Change { now: Millis(600_000), ..Change::default() } => false;
+    the_default_rule_follows_a_holder_whatever_its_reported_queue:
+        Change { load: LoadReport { in_flight: 40, ..LoadReport::default() }, ..by_default() }
+        => true;
+    the_default_rule_follows_old_evidence:
+        Change { now: Millis(600_000), ..by_default() } => true;
+    by_the_default_rule_a_restart_ends_what_a_target_holds:
+        Change { target: restarted(), ..by_default() } => false;
+    by_the_default_rule_other_weights_end_what_a_target_holds:
+        Change { target: reloaded(), ..by_default() } => false;
 }
 
 #[test]
@@ -185,6 +204,7 @@
         let choose = |prefixes: &[PrefixDigest]| {
             let mut router = Router::new(RouterSettings {
                 seed,
+                prefix_rule: PrefixRule::Weighed,
                 ..RouterSettings::default()
             });
             router.update_models([model(24)]);
@@ -206,6 +226,7 @@
 fn measure(with_affinity: bool, common_blocks: usize, seed: u64) -> CacheOutcome {
     run_cache_sim(CacheSimSettings {
         with_affinity,
+        prefix_rule: PrefixRule::Weighed,
         prefixes: 60,
         common_blocks,
         popular_percent: 30,
