--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -21,9 +21,6 @@
 const BACKUP_KV_TOKENS: f64 = 60_000.0;
 /// How often the ranges of newly planned engines are chosen anew, each against the others.
 const REFINE_ROUNDS: usize = 8;
-/// Gain in flow for which a fresh zone is planned by flow alone in place of chains of the fastest
-/// engines: such a plan has longer chains.
-const FRESH_GAIN: f64 = 1.1;
 /// Need up to which an engine gets its former layers back, as a multiple of the least need.
 const FORMER_NEED: f64 = 1.05;
 
@@ -45,8 +42,7 @@
 /// In a zone where no engine holds layers, chains are built starting with the fastest engines. Each
 /// chain is as short as the memory that is reserved for KV cache allows, and its layers are spread
 /// so that all of its engines have memory for the same number of tokens. The remaining engines get
-/// the layers whose holders are the slowest. A plan by offered tokens takes the place of the chains
-/// if clearly more can flow through it. In a zone where some engines hold layers, each empty engine
+/// the layers whose holders are the slowest. In a zone where some engines hold layers, each empty engine
 /// gets the range that leaves the least need for further holders; a gap that is left is closed by
 /// engines whose layers other engines hold as well.
 #[must_use]
@@ -66,7 +62,7 @@
     let resolved = resolve(model, engines);
     let all_empty = resolved.iter().all(|it| it.engine.layers.is_none());
     if all_empty {
-        plan_fresh_zone(model, &resolved)
+        plan_empty_zone(model, &resolved)
     } else {
         plan_partly_filled_zone(model, &resolved, former)
     }
@@ -141,41 +137,6 @@
     }
 }
 
-/// Plans a zone in which no engine holds layers: by chains, or by offered tokens if clearly more can
-/// flow that way.
-fn plan_fresh_zone(
-    model: &PipelineModel,
-    engines: &[ResolvedEngine<'_>],
-) -> BTreeMap<TargetName, LayerRange> {
-    let by_chains = plan_empty_zone(model, engines);
-    let least_flow = FRESH_GAIN * planned_flow(model, engines, &by_chains);
-    let slowest_first: Vec<ResolvedEngine<'_>> = engines.iter().rev().copied().collect();
-    let by_need = [engines, &slowest_first].map(|ordered| {
-        let mut plan = BTreeMap::new();
-        assign_by_need(model, engines, ordered, &BTreeMap::new(), &mut plan);
-        (planned_flow(model, engines, &plan), plan)
-    });
-    let [fastest_first, slowest_first] = by_need;
-    let (flow, best) = if slowest_first.0 > fastest_first.0 {
-        slowest_first
-    } else {
-        fastest_first
-    };
-    if flow > least_flow { best } else { by_chains }
-}
-
-/// Flow of a zone that is planned as a whole.
-fn planned_flow(
-    model: &PipelineModel,
-    engines: &[ResolvedEngine<'_>],
-    plan: &BTreeMap<TargetName, LayerRange>,
-) -> f64 {
-    let holders = engines
-        .iter()
-        .filter_map(|it| Some(it.holder(model, *plan.get(&it.engine.name)?)));
-    zone_flow(model.layers, &holders.collect::<Vec<_>>()).tokens
-}
-
 /// Plans a zone in which no engine holds layers as chains of the fastest engines.
 fn plan_empty_zone(
     model: &PipelineModel,
