Room is learnt from refusals only for services whose requests differ in urgency

Change: ChainRouter::set_learns_room, set from the routing document as for admission; without it refusals change nothing but the block of 1 s.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -449,14 +449,12 @@
             let Some(model) = &service.model else {
                 continue;
             };
-            match chains.get_mut(&service.name) {
-                Some(router) => router.set_model(model.clone()),
-                None => {
-                    let place = self.settings.place.clone();
-                    let router = ChainRouter::new(self.settings.chains, model.clone(), place);
-                    chains.insert(service.name.clone(), router);
-                }
-            }
+            let router = chains.entry(service.name.clone()).or_insert_with(|| {
+                let place = self.settings.place.clone();
+                ChainRouter::new(self.settings.chains, model.clone(), place)
+            });
+            router.set_model(model.clone());
+            router.set_learns_room(routing.differs_in_urgency(&service.name));
         }
     }
 }
--- a/crates/mgw-route/src/chain/refusals.rs
+++ b/crates/mgw-route/src/chain/refusals.rs
@@ -19,6 +19,9 @@
     /// Records that a target of a chain refused the request for lack of room: what it holds now by
     /// estimate, without this request, is all that it can hold.
     pub fn record_full(&mut self, reservation: ChainReservation, address: SocketAddr, now: Millis) {
+        if !self.learns_room {
+            return;
+        }
         let (settings, other_entries) = (self.settings, self.other_entries(now));
         let Some(reserved) = self.reservations.get(reservation) else {
             return;
@@ -40,6 +43,9 @@
     /// Lowers the room of targets that refused requests of any entry; returns how many of the
     /// refusals were unknown.
     pub fn learn_full_targets(&mut self, full: &[FullTarget], now: Millis) -> usize {
+        if !self.learns_room {
+            return 0;
+        }
         let (settings, other_entries) = (self.settings, self.other_entries(now));
         let valid_ms = report_valid_ms(settings.entries);
         let mut learnt = 0;
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -174,6 +174,7 @@
     own_place: PlaceName,
     pub(super) fleet: Fleet,
     pub(super) reservations: SlotMap<ChainReservation, Reservation>,
+    pub(super) learns_room: bool,
     other_entries_load_at: Option<Millis>,
     crossings: CrossingBudget,
 }
@@ -188,6 +189,7 @@
             own_place,
             fleet: Fleet::default(),
             reservations: SlotMap::with_key(),
+            learns_room: true,
             other_entries_load_at: None,
             crossings: CrossingBudget::default(),
         }
@@ -209,6 +211,12 @@
         self.settings.entries = entries;
     }
 
+    /// Sets whether refusals for lack of room, of this entry and of others, lower the room that targets
+    /// are believed to have.
+    pub const fn set_learns_room(&mut self, learns_room: bool) {
+        self.learns_room = learns_room;
+    }
+
     /// Replaces the list of targets that may be used in new chains.
     pub fn set_targets(&mut self, targets: Vec<ChainTarget>, now: Millis) {
         self.fleet.set(&self.model, targets, now);
