Comments of the new parts say what a newcomer asked

Cause: a reader who knows neither the users' pages nor the code met two fields that contradict each other (AdmissionLevel), ambiguous sentences and missing units. Change: comments only. Left for later: names (turn, find_home, RequestShare), the long functions plan_zone and Metrics::new.

--- a/crates/mgw-place/src/flow.rs
+++ b/crates/mgw-place/src/flow.rs
@@ -26,8 +26,8 @@
 /// Capacity of an engine that holds `layers` layers, in tokens times layers: what its memory keeps
 /// beside the weights, but no more than it can compute for.
 ///
-/// The computing limit is the number of requests in progress by Little's law: the usual time of a
-/// request in the model over the time for which it occupies one layer of this engine.
+/// The computing limit is the number of requests in progress by Little's law: the time of a usual request at
+/// this accelerator's speed, divided by the time for which it occupies one layer of this engine.
 #[must_use]
 pub fn capacity(model: &PipelineModel, accelerator: &Accelerator, layers: u16) -> f64 {
     let prompt = f64::from(model.usual_prompt_tokens);
--- a/crates/mgw-place/src/offer.rs
+++ b/crates/mgw-place/src/offer.rs
@@ -4,8 +4,8 @@
 
 use crate::flow::capacity;
 
-/// Part of its largest holder by which a layer counts as narrower than its sum, so that the loss of
-/// any one holder leaves capacity.
+/// Fraction of its largest holder's tokens that is subtracted from a layer's total, so that a layer that
+/// depends on one holder counts as needing another.
 const LOSS_SHARE: f64 = 0.5;
 
 /// Tokens that the engines of one zone offer at each layer.
@@ -32,7 +32,8 @@
         }
     }
 
-    /// Need of the layer for further holders; grows as its offer gets smaller.
+    /// Need of the layer for further holders: the reciprocal of the fourth power of its offer, so that the
+    /// layers with the smallest offers dominate a sum.
     fn need(self, request_tokens: f64) -> f64 {
         let offer = self.total - LOSS_SHARE * self.largest + request_tokens;
         1.0 / (offer * offer).powi(2)
@@ -87,7 +88,8 @@
         offers.need()
     }
 
-    /// The range, of any length that fits, that leaves the least need; the first one on a tie.
+    /// The range that leaves the least need; the first one on a tie. Ranges at which a layer gets fewer
+    /// tokens than one usual request has aren't tried.
     pub fn best_range(
         &self,
         model: &PipelineModel,
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -39,7 +39,7 @@
     last_layers: Option<(PlaceName, LayerRange)>,
     /// Layers that it held before it restarted, or that its predecessor at the address held.
     former_layers: Option<LayerRange>,
-    /// When it was ordered to move last.
+    /// When it was last ordered to move to the narrowest layers; moves into gaps don't count.
     moved_at: Option<Millis>,
     /// Number of loads in a row without effect.
     failed_loads: u32,
--- a/crates/mgw-place/src/placer/settings.rs
+++ b/crates/mgw-place/src/placer/settings.rs
@@ -13,22 +13,23 @@
     /// layers are moved into it: an engine that restarts takes its layers back sooner than a move
     /// would help.
     pub move_delay_ms: Millis,
-    /// How long an empty engine without former layers waits, in a zone that no engine has left, for one
-    /// to leave: when targets are replaced, the new one starts first, and the one that it stands for
-    /// says that it leaves a moment later, and serves on while the new one loads.
+    /// How long an empty engine without former layers waits for an engine of its zone to leave, if none has
+    /// left lately. A replacement starts before the engine that it replaces says that it leaves.
     pub spare_delay_ms: Millis,
-    /// The same in a zone where some layers have a single holder, with this engine too: there a wrong
-    /// choice leaves a gap.
+    /// Used instead of `spare_delay_ms` if some layers would have a single holder even with the planned
+    /// layers: there a wrong choice leaves a gap.
     pub fragile_delay_ms: Millis,
     /// How long a move must have been worth its cost before it is ordered.
     pub rebalance_delay_ms: Millis,
     /// Number of engines of a zone that move at the same time.
     pub moves_at_once: usize,
-    /// How long an engine that was ordered to move stays where it is.
+    /// How long an engine isn't moved to the narrowest layers again after such a move was ordered.
     pub move_rest_ms: Millis,
-    /// How long the layers of a target that is gone are kept for one that starts at its address.
+    /// How long the layers of an absent target are kept for one that starts at its address, and how long its
+    /// zone counts it as one to replace.
     pub former_ms: Millis,
-    /// Number of loads in a row without effect after which a target gets no orders for a while.
+    /// Number of orders in a row that a target's report shows as not carried out, after which it gets no
+    /// orders for `failed_pause_ms`.
     pub failed_loads: u32,
     /// How long a target whose loads failed gets no orders.
     pub failed_pause_ms: Millis,
--- a/crates/mgw-place/src/placer/zone.rs
+++ b/crates/mgw-place/src/placer/zone.rs
@@ -9,7 +9,7 @@
 use crate::plan::{PlannedEngine, flow_of, is_held_by, plan_with_former};
 use crate::rebalance::{MoveCandidates, find_move};
 
-/// What an engine contributes to the plan of its zone.
+/// State of an engine from which the orders to its zone are planned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PlanInput {
     engine: PlannedEngine,
@@ -23,7 +23,7 @@
 pub(super) struct ZoneRecord {
     /// When a gap was first seen that is still there.
     gap_since: Option<Millis>,
-    /// When engines left whose place no other one took yet.
+    /// When engines left the zone, oldest first; one time for each that no empty engine replaced yet.
     pub vacancies: Vec<Millis>,
     /// When a move first was worth its cost, and still is.
     move_since: Option<Millis>,
@@ -133,7 +133,8 @@
         former.collect()
     }
 
-    /// Whether an empty engine may stand for another one that is about to leave.
+    /// Whether an empty engine without former layers must still wait, as it may have been started to replace
+    /// one that is about to leave.
     fn is_waiting_spare(&self, name: &TargetName, is_safe: bool, now: Millis) -> bool {
         let delay_ms = if is_safe {
             self.settings.spare_delay_ms
--- a/crates/mgw-place/src/rebalance.rs
+++ b/crates/mgw-place/src/rebalance.rs
@@ -7,11 +7,11 @@
 use crate::flow::{Holder, zone_flow};
 use crate::plan::{PlannedEngine, ResolvedEngine, offers_of_others, resolve};
 
-/// Part of the need that a move must take away: a move costs a load, and refusals meanwhile.
+/// Least fraction of the need that a move must remove: the move costs a load, and refusals while it runs.
 const LEAST_RELIEF: f64 = 0.2;
-/// Part of the flow that a move must add if it takes less of the need away.
+/// Least fraction by which a move must raise the flow if it removes less of the need.
 const LEAST_GAIN: f64 = 0.1;
-/// Part of the flow that must remain while the mover loads.
+/// Fraction of the flow that must remain while the moved engine loads.
 const REMAINING_FLOW: f64 = 0.9;
 
 /// What the engines of a zone may take part in.
@@ -32,12 +32,11 @@
     pub layers: LayerRange,
 }
 
-/// The move in a zone that takes most of the need away; `None` if none
-/// is worth its cost.
+/// The move that leaves the least need in a zone; `None` if none is worth its cost.
 ///
-/// A move raises neither the zone's need nor lowers its flow, and improves one of them by a fixed part
-/// at least. In a zone whose engines stay the same the number of moves is therefore bounded, and none
-/// is undone.
+/// A move lowers the zone's need and doesn't lower its flow, or raises its flow and not its need, by at least
+/// a fixed fraction. So in a zone whose engines stay the same the number of moves is bounded, and none is
+/// undone.
 #[must_use]
 pub fn find_move(
     model: &PipelineModel,
--- a/crates/mgw-relay/src/dialect.rs
+++ b/crates/mgw-relay/src/dialect.rs
@@ -52,8 +52,8 @@
 pub struct AnswerHead {
     /// Id of the request that is answered.
     pub id: Option<String>,
-    /// Whether the answer bears the target's seal, without which a success is no answer of the target.
-    /// Always set in a wire format that has none.
+    /// Whether the answer carries a seal of the target; a success without one isn't taken as the target's
+    /// answer. Says nothing of whether the seal is valid. Always set in a wire format without seals.
     pub is_signed: bool,
     /// Whether the target states that it didn't run the request.
     pub not_run: bool,
--- a/crates/mgw-relay/src/waiters.rs
+++ b/crates/mgw-relay/src/waiters.rs
@@ -23,14 +23,15 @@
 }
 
 impl CapacityWaiters {
-    /// Whether no more urgent request waits for room of the service.
+    /// Whether a request of this urgency may try: none that waits for the service is more urgent.
     pub fn may_try(&self, service: &ServiceName, urgency: u8) -> bool {
         let services = self.services.lock();
         let waiting = services.get(service);
         waiting.is_none_or(|it| it.queue.may_try(urgency))
     }
 
-    /// Time until the more urgent requests that wait have found room; none if nothing is known of it.
+    /// Estimated time until the more urgent requests that wait have found room; `None` if none waits or fewer
+    /// than two releases of room were seen.
     pub fn expected_wait_ms(&self, service: &ServiceName, urgency: u8) -> Option<Millis> {
         let services = self.services.lock();
         services.get(service)?.queue.expected_wait_ms(urgency)
--- a/crates/mgw-route/src/chain/room.rs
+++ b/crates/mgw-route/src/chain/room.rs
@@ -7,12 +7,13 @@
 
 use mgw_world::Millis;
 
-/// Rise of a limit for each second, so that a target that gets no requests is tried again.
+/// Rise of a limit per second, as a fraction of the target's capacity, so that a target that gets no requests
+/// is tried again.
 const RECOVERY_PER_S: f64 = 0.01;
-/// Rise of a limit for each request that has begun, in parts of the room that it takes.
+/// Rise of a limit for each request that has begun, as a fraction of the utilization that the request adds.
 const BEGUN_RAISE: f64 = 0.1;
-/// Part of the utilization at a refusal that counts as full: requests that wait for their turn at
-/// other entries arrive meanwhile, and their answers differ in length.
+/// Fraction of the utilization at a refusal that becomes the limit. The margin covers requests that other
+/// entries send before they learn of the refusal, and answers longer than estimated.
 const KEPT_SHARE: f64 = 0.95;
 /// Two refusals that are less than this apart may be the same one, learnt twice with different
 /// delays of the reports.
--- a/crates/mgw-route/src/limit/admission_gate.rs
+++ b/crates/mgw-route/src/limit/admission_gate.rs
@@ -9,7 +9,7 @@
 use super::admission_turns::{FairShare, has_turn, return_ms};
 use super::level::{AdmissionLevel, RETURN_CYCLE_MS, ServiceDemand, UrgencyDemand};
 
-/// Time between two looks at the entry's own counts.
+/// Shortest time between two updates of the levels by the entry's own counts.
 const OWN_INTERVAL_MS: Millis = Millis(400);
 /// Time over which an outdated level is relaxed until it admits everything.
 const RELAX_MS: Millis = Millis(3_000);
@@ -34,7 +34,8 @@
     pub return_ms: Millis,
 }
 
-/// A level that has come, changed or gone.
+/// A level that began, ended or moved to another urgency, as seen by an entry. The control's view is
+/// [`LevelStep`](crate::LevelStep).
 #[derive(Debug, Clone, PartialEq)]
 pub struct LevelChange {
     /// Name of the service.
@@ -127,8 +128,8 @@
         self.counts(service, urgency).full += 1;
     }
 
-    /// Takes the levels that the control told; they are valid for `valid_ms`. Returns those that
-    /// admit others than before.
+    /// Takes the levels that the control told; they are valid for `valid_ms`. Returns those that began, ended
+    /// or moved to another urgency; changes of share alone are left out.
     pub fn set_levels(
         &mut self,
         levels: &[AdmissionLevel],
--- a/crates/mgw-route/src/limit/admission_rate.rs
+++ b/crates/mgw-route/src/limit/admission_rate.rs
@@ -48,10 +48,10 @@
     pub max_growth_per_s: f64,
     /// Largest cut at once while a level is in force, as a fraction of the rate.
     pub max_cut: f64,
-    /// Largest correction of the rate when fewer are admitted than it says.
+    /// Largest factor by which the rate is raised while fewer requests are admitted than it allows.
     pub max_correction: f64,
-    /// Admitted fraction of less urgent requests, against that of all; a kind of request may not be
-    /// served less than a quarter as often as all.
+    /// Fraction admitted of the requests less urgent than the level, divided by the fraction admitted of all.
+    /// Keeps each urgency served at least a quarter as often as all.
     pub least_fraction: f64,
     /// Rate above what is offered at which the level is dropped, as a fraction of what is offered.
     pub drop_margin: f64,
--- a/crates/mgw-route/src/limit/admission_table.rs
+++ b/crates/mgw-route/src/limit/admission_table.rs
@@ -17,7 +17,7 @@
 /// Least part of what was offered that may still be expected.
 const MIN_TREND: f64 = 0.4;
 
-/// Most changes that are kept for log lines.
+/// Most changes that are kept for log lines when levels are next asked for.
 const MAX_STEPS: usize = 16;
 
 /// How long the counts of an entry that is gone are kept.
@@ -38,7 +38,8 @@
     demand: UrgencyDemand,
 }
 
-/// A level that has begun, ended or moved to another urgency, with what it was worked out from.
+/// A level that began, ended or moved to another urgency, as decided by the control, with the rates that it
+/// was computed from.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LevelStep {
     /// Name of the service.
--- a/crates/mgw-route/src/limit/level.rs
+++ b/crates/mgw-route/src/limit/level.rs
@@ -39,11 +39,11 @@
 pub struct AdmissionLevel {
     /// Name of the service.
     pub service: ServiceName,
-    /// Requests that are more urgent are admitted; those that are less urgent are refused.
+    /// Requests that are more urgent are all admitted; of the others, the fractions below.
     pub urgency: u8,
     /// Fraction of the requests of exactly this urgency that is admitted, in thousandths.
     pub share_permille: u16,
-    /// Fraction of less urgent requests that is admitted all the same, in thousandths.
+    /// Fraction of the requests less urgent than this that is admitted, in thousandths.
     pub least_permille: u16,
     /// Position in the cycle of return times, the same at all entries.
     pub phase_ms: Millis,
--- a/crates/mgw-route/src/limit/urgency_queue.rs
+++ b/crates/mgw-route/src/limit/urgency_queue.rs
@@ -51,7 +51,7 @@
         self.waiting.remove(&key);
     }
 
-    /// Whether no more urgent request waits.
+    /// Whether a request of this urgency may try: none that waits is more urgent.
     #[must_use]
     pub fn may_try(&self, urgency: u8) -> bool {
         self.waiting.first().is_none_or(|it| it.urgency >= urgency)
@@ -67,8 +67,8 @@
         self.waiting.first().copied()
     }
 
-    /// Time until the more urgent requests that wait now have found room, by the latest releases; none if no
-    /// release was seen or none of them waits.
+    /// Estimated time until the more urgent requests that wait now have found room, from the mean interval of
+    /// releases; `None` if none of them waits or fewer than two releases were seen.
     #[must_use]
     pub fn expected_wait_ms(&self, urgency: u8) -> Option<Millis> {
         let before = WaiterKey { urgency, number: 0 };
--- a/crates/mgw-serve/src/guarded_stream.rs
+++ b/crates/mgw-serve/src/guarded_stream.rs
@@ -1,7 +1,8 @@
 //! A connection that delivers bytes of a process that isn't trusted to follow the protocol.
 //!
-//! A client of HTTP/1.1 skips interim responses (1xx) in a loop of its own, as long as bytes arrive. This stream
-//! bounds what reaches it in one turn, and what may arrive before the head of a final response.
+//! A client of HTTP/1.1 skips interim responses (1xx) in a loop of its own, as long as bytes arrive. This
+//! stream bounds what is read before other tasks run, and what may arrive before the head of a final
+//! response.
 
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
@@ -11,8 +12,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes that may arrive before a response's head was read, interim responses included; larger heads
-/// aren't usual at any proxy.
+/// Largest number of bytes that may arrive before a response's head is complete, interim responses included.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Bytes after which a connection lets other tasks run.
 const MAX_TURN_BYTES: usize = 64 * 1024;
@@ -57,7 +57,7 @@
 pub struct GuardedStream<S> {
     stream: S,
     head: AwaitedHead,
-    /// Bytes read since the reader last had to wait.
+    /// Bytes read since the stream last returned `Poll::Pending`.
     turn_bytes: usize,
 }
 
