Placement by flow only where requests differ in urgency

Earlier deployments are to be served as before. Change: PlacerSettings::by_flow, set from the routing document; else the former rule for empty engines and no moves.

--- a/crates/mgw-control/src/placement/leader_loop.rs
+++ b/crates/mgw-control/src/placement/leader_loop.rs
@@ -24,6 +24,8 @@
 struct PlacedService {
     service: ServiceName,
     model: PipelineModel,
+    /// Whether requests compete for room by their urgency, so that room goes before speed.
+    by_flow: bool,
 }
 
 /// State of the placement loop.
@@ -96,11 +98,11 @@
         let decoded = run_blocking(move || decode_packed(&document, decode_routing)).await;
         match decoded {
             Ok(routing) => {
-                let services = routing.services.into_iter();
-                let placed = services.filter_map(|service| {
+                let placed = routing.services.iter().filter_map(|service| {
                     Some(PlacedService {
-                        service: service.name,
-                        model: service.model?,
+                        service: service.name.clone(),
+                        model: service.model.clone()?,
+                        by_flow: routing.differs_in_urgency(&service.name),
                     })
                 });
                 self.services = placed.collect();
@@ -113,7 +115,9 @@
         let now = self.app.clock.now();
         let engines = self.list_engines(&self.services[service_index].service, now);
         let model = self.services[service_index].model.clone();
+        let by_flow = self.services[service_index].by_flow;
         let placer = self.placer_of(service_index);
+        placer.set_by_flow(by_flow);
         let orders = placer.plan(&model, &engines, now);
         placer.take_decisions().iter().for_each(log_decision);
         orders
--- a/crates/mgw-place/src/placer.rs
+++ b/crates/mgw-place/src/placer.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Sets whether targets are placed by what can flow; the zones are planned anew when it changes.
+    pub fn set_by_flow(&mut self, by_flow: bool) {
+        if self.settings.by_flow != by_flow {
+            self.settings.by_flow = by_flow;
+            self.zones.clear();
+        }
+    }
+
     /// Returns the orders to send now, given the announced engines; none until the set of engines has
     /// settled.
     pub fn plan(
--- a/crates/mgw-place/src/placer/settings.rs
+++ b/crates/mgw-place/src/placer/settings.rs
@@ -5,6 +5,9 @@
 /// Delays and timeouts of the placer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacerSettings {
+    /// Whether empty engines are placed, and others moved, by what can flow through the zone. Otherwise empty
+    /// engines get the layers whose holders are the slowest, and others move into gaps only.
+    pub by_flow: bool,
     /// How long the number of engines must stay the same before a leader makes its first plan.
     pub settle_ms: Millis,
     /// Longest time that the first plan is delayed by `settle_ms`, from the start of the leader's term.
@@ -41,6 +44,7 @@
 impl Default for PlacerSettings {
     fn default() -> Self {
         Self {
+            by_flow: true,
             settle_ms: Millis(1_300),
             settle_limit_ms: Millis(4_000),
             move_delay_ms: Millis(2_500),
--- a/crates/mgw-place/src/placer/zone.rs
+++ b/crates/mgw-place/src/placer/zone.rs
@@ -6,7 +6,7 @@
 
 use super::Placer;
 use crate::order::{AnnouncedEngine, Decision, DecisionCause, PlacementOrder};
-use crate::plan::{PlannedEngine, flow_of, is_held_by, plan_with_former};
+use crate::plan::{PlannedEngine, flow_of, is_held_by, plan_by_speed, plan_with_former};
 use crate::rebalance::{MoveCandidates, find_move};
 
 /// State of an engine from which the orders to its zone are planned.
@@ -54,7 +54,11 @@
             zone.gap_since = None;
         }
         let may_move = has_gap && now - gap_since >= self.settings.move_delay_ms;
-        let plan = plan_with_former(model, &engines, &self.former_layers(&engines));
+        let plan = if self.settings.by_flow {
+            plan_with_former(model, &engines, &self.former_layers(&engines))
+        } else {
+            plan_by_speed(model, &engines)
+        };
         let is_safe = has_gap || is_held_by(model, &apply(&engines, &plan), 2);
         let mut chosen: BTreeMap<TargetName, LayerRange> = BTreeMap::new();
         for input in inputs.iter().filter(|it| it.can_be_ordered) {
@@ -65,7 +69,9 @@
             let may_order = if input.engine.layers.is_some() {
                 may_move
             } else {
-                let is_expected = has_gap || (is_safe && !zone.vacancies.is_empty());
+                let is_replacement_due =
+                    self.settings.by_flow && is_safe && !zone.vacancies.is_empty();
+                let is_expected = has_gap || is_replacement_due;
                 is_expected || !self.is_waiting_spare(name, is_safe, now)
             };
             if may_order {
@@ -84,7 +90,9 @@
             .iter()
             .any(|it| it.engine.layers.is_none() && plan.contains_key(&it.engine.name));
         if !is_assigning && !has_gap {
-            chosen = self.choose_move(model, &mut zone, &inputs, now);
+            if self.settings.by_flow {
+                chosen = self.choose_move(model, &mut zone, &inputs, now);
+            }
             cause = DecisionCause::Rebalance;
             if zone.move_since.is_none() {
                 zone.idle_input = Some(inputs);
@@ -136,6 +144,11 @@
     /// Whether an empty engine without former layers must still wait, as it may have been started to replace
     /// one that is about to leave.
     fn is_waiting_spare(&self, name: &TargetName, is_safe: bool, now: Millis) -> bool {
+        if !self.settings.by_flow {
+            let record = self.records.get(name);
+            let delay_ms = self.settings.fragile_delay_ms;
+            return record.is_some_and(|record| now - record.first_seen_at < delay_ms);
+        }
         let delay_ms = if is_safe {
             self.settings.spare_delay_ms
         } else {
--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -68,6 +68,30 @@
     }
 }
 
+/// Like [`plan_layers`], but the empty engines of a partly filled zone get the layers whose holders are
+/// the slowest.
+pub(crate) fn plan_by_speed(
+    model: &PipelineModel,
+    engines: &[PlannedEngine],
+) -> BTreeMap<TargetName, LayerRange> {
+    let resolved = resolve(model, engines);
+    if resolved.iter().all(|it| it.engine.layers.is_none()) {
+        return plan_empty_zone(model, &resolved);
+    }
+    let mut plan = BTreeMap::new();
+    let mut coverage = Coverage::new(model.layers);
+    for resolved in &resolved {
+        if let Some(layers) = resolved.engine.layers {
+            coverage.add(layers, resolved.speed());
+        }
+    }
+    let empty = resolved.iter().copied();
+    let empty: Vec<ResolvedEngine<'_>> = empty.filter(|it| it.engine.layers.is_none()).collect();
+    assign_most_needed(model, &empty, &mut coverage, &mut plan);
+    close_gaps(model, &resolved, &mut coverage, &mut plan);
+    plan
+}
+
 /// The flow of a zone with the layers that its engines hold or were ordered to hold.
 #[must_use]
 pub fn flow_of(model: &PipelineModel, engines: &[PlannedEngine]) -> ZoneFlow {
