--- a/crates/mgw-member/src/addresses.rs
+++ b/crates/mgw-member/src/addresses.rs
@@ -1,10 +1,9 @@
 //! Selection of the entry addresses that callers receive.
 
 use mgw_contract::caller::{AddressesReply, EntryAddress};
-use mgw_world::{EntryName, Millis, PlaceName};
+use mgw_world::{EntryName, Millis, PlaceName, hash_bytes, mix_bits};
 use serde::{Deserialize, Serialize};
 
-use crate::node::{hash_bytes, mix};
 use crate::trust::ramp;
 use crate::{NodeInfo, NodePhase, NodeRole, NodeStatus, View};
 
@@ -90,10 +89,10 @@
 #[must_use]
 pub fn hash_caller(workspace: Option<&str>, caller: Option<&str>, draw: u64) -> u64 {
     let Some(caller) = caller else {
-        return mix(draw);
+        return mix_bits(draw);
     };
-    let workspace = hash_bytes(workspace.unwrap_or_default().as_bytes());
-    mix(workspace) ^ mix(hash_bytes(caller.as_bytes()).rotate_left(32))
+    let workspace = hash_bytes(workspace.unwrap_or_default().bytes());
+    mix_bits(workspace) ^ mix_bits(hash_bytes(caller.bytes()).rotate_left(32))
 }
 
 /// Chooses the entries that a caller should use, in order of preference.
@@ -174,7 +173,7 @@
                 warm_up_share
             };
             let weight = f64::from(node.info.weight.max(1)) * warm_up_share;
-            let hash = mix(mix(caller_hash) ^ node.info.id().get());
+            let hash = mix_bits(mix_bits(caller_hash) ^ node.info.id().get());
             (-unit_interval(hash).ln() / weight, node.info)
         })
         .collect();
--- a/crates/mgw-member/src/node.rs
+++ b/crates/mgw-member/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mgw_world::{Incarnation, NodeName, PlaceName, Revision};
+use mgw_world::{Incarnation, NodeName, PlaceName, Revision, hash_bytes, mix_bits};
 use serde::{Deserialize, Serialize};
 
 /// Short id of a node: a hash of its name that is the same on every node.
@@ -27,7 +27,7 @@
     /// Derives the id from a node's name.
     #[must_use]
     pub fn of(name: &NodeName) -> Self {
-        Self(mix(hash_bytes(name.as_str().as_bytes())))
+        Self(mix_bits(hash_bytes(name.as_str().bytes())))
     }
 
     /// The id as a number.
@@ -49,23 +49,6 @@
     }
 }
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
-/// Hashes bytes with FNV-1a, with the same result on every machine and in every release.
-pub(crate) fn hash_bytes(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
-    })
-}
-
-/// Mixes the bits of a number over the whole width (the finalizer of `SplitMix64`).
-pub(crate) const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 /// Role of a node.
 #[derive(
     Debug,
--- a/crates/mgw-member/src/view/exchange.rs
+++ b/crates/mgw-member/src/view/exchange.rs
@@ -3,12 +3,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use mgw_world::{Incarnation, Millis};
+use mgw_world::{Incarnation, Millis, mix_bits};
 use rand::Rng;
 
 use super::core::View;
 use crate::message::DIGEST_BYTES;
-use crate::node::mix;
 use crate::record::encoded_bytes;
 use crate::{Age, BucketReply, Exchange, ExchangeReply, NodeDelta, NodeId, NodeSummary, Want};
 
@@ -440,9 +439,9 @@
 
 fn digest(summaries: &[RecordSummary]) -> [u8; DIGEST_BYTES] {
     let hash = summaries.iter().fold(0, |hash, summary| {
-        let hash = mix(hash ^ summary.id.get());
-        let hash = mix(hash.wrapping_add(summary.incarnation.0));
-        mix(hash.wrapping_add(summary.version))
+        let hash = mix_bits(hash ^ summary.id.get());
+        let hash = mix_bits(hash.wrapping_add(summary.incarnation.0));
+        mix_bits(hash.wrapping_add(summary.version))
     });
     let [a, b, c, d, e, f, ..] = hash.to_le_bytes();
     [a, b, c, d, e, f]
--- a/crates/mgw-place/src/placer/zone.rs
+++ b/crates/mgw-place/src/placer/zone.rs
@@ -18,6 +18,17 @@
     is_loading: bool,
 }
 
+/// What decides which part of a zone's plan may be ordered.
+#[derive(Debug, Clone, Copy)]
+struct ZoneState {
+    /// Whether some layers have no holder.
+    has_gap: bool,
+    /// Whether engines that hold layers may be moved into the gap.
+    may_move: bool,
+    /// Whether a wrong choice leaves no gap: each layer has two holders by the plan, or there is a gap anyway.
+    is_safe: bool,
+}
+
 /// State that the placer keeps about one zone.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ZoneRecord {
@@ -59,28 +70,12 @@
         } else {
             plan_by_speed(model, &engines)
         };
-        let is_safe = has_gap || is_held_by(model, &apply(&engines, &plan), 2);
-        let mut chosen: BTreeMap<TargetName, LayerRange> = BTreeMap::new();
-        for input in inputs.iter().filter(|it| it.can_be_ordered) {
-            let name = &input.engine.name;
-            let Some(layers) = plan.get(name) else {
-                continue;
-            };
-            let may_order = if input.engine.layers.is_some() {
-                may_move
-            } else {
-                let is_replacement_due =
-                    self.settings.by_flow && is_safe && !zone.vacancies.is_empty();
-                let is_expected = has_gap || is_replacement_due;
-                is_expected || !self.is_waiting_spare(name, is_safe, now)
-            };
-            if may_order {
-                if input.engine.layers.is_none() && !zone.vacancies.is_empty() {
-                    zone.vacancies.remove(0);
-                }
-                chosen.insert(name.clone(), *layers);
-            }
-        }
+        let state = ZoneState {
+            has_gap,
+            may_move,
+            is_safe: has_gap || is_held_by(model, &apply(&engines, &plan), 2),
+        };
+        let mut chosen = self.choose_planned(&inputs, &plan, state, &mut zone.vacancies, now);
         let mut cause = if has_gap {
             DecisionCause::Gap
         } else {
@@ -103,6 +98,40 @@
         self.write_orders(members, &chosen)
     }
 
+    /// The part of a plan that may be ordered now. Each empty engine in it takes the place of one that left.
+    fn choose_planned(
+        &self,
+        inputs: &[PlanInput],
+        plan: &BTreeMap<TargetName, LayerRange>,
+        state: ZoneState,
+        vacancies: &mut Vec<Millis>,
+        now: Millis,
+    ) -> BTreeMap<TargetName, LayerRange> {
+        let mut chosen = BTreeMap::new();
+        for input in inputs.iter().filter(|it| it.can_be_ordered) {
+            let name = &input.engine.name;
+            let Some(layers) = plan.get(name) else {
+                continue;
+            };
+            if input.engine.layers.is_some() {
+                if state.may_move {
+                    chosen.insert(name.clone(), *layers);
+                }
+                continue;
+            }
+            let is_replacement_due =
+                self.settings.by_flow && state.is_safe && !vacancies.is_empty();
+            let is_expected = state.has_gap || is_replacement_due;
+            if is_expected || !self.is_waiting_spare(name, state.is_safe, now) {
+                if !vacancies.is_empty() {
+                    vacancies.remove(0);
+                }
+                chosen.insert(name.clone(), *layers);
+            }
+        }
+        chosen
+    }
+
     /// What the members of a zone contribute to its plan.
     fn list_inputs(&self, members: &[&AnnouncedEngine], now: Millis) -> Vec<PlanInput> {
         let settings = &self.settings;
@@ -144,18 +173,15 @@
     /// Whether an empty engine without former layers must still wait, as it may have been started to replace
     /// one that is about to leave.
     fn is_waiting_spare(&self, name: &TargetName, is_safe: bool, now: Millis) -> bool {
-        if !self.settings.by_flow {
-            let record = self.records.get(name);
-            let delay_ms = self.settings.fragile_delay_ms;
-            return record.is_some_and(|record| now - record.first_seen_at < delay_ms);
-        }
-        let delay_ms = if is_safe {
+        let by_flow = self.settings.by_flow;
+        let delay_ms = if by_flow && is_safe {
             self.settings.spare_delay_ms
         } else {
             self.settings.fragile_delay_ms
         };
         self.records.get(name).is_some_and(|record| {
-            record.former_layers.is_none() && now - record.first_seen_at < delay_ms
+            let takes_former = by_flow && record.former_layers.is_some();
+            !takes_former && now - record.first_seen_at < delay_ms
         })
     }
 
--- a/crates/mgw-place/src/plan.rs
+++ b/crates/mgw-place/src/plan.rs
@@ -60,12 +60,13 @@
     former: &BTreeMap<TargetName, LayerRange>,
 ) -> BTreeMap<TargetName, LayerRange> {
     let resolved = resolve(model, engines);
-    let all_empty = resolved.iter().all(|it| it.engine.layers.is_none());
-    if all_empty {
-        plan_empty_zone(model, &resolved)
-    } else {
-        plan_partly_filled_zone(model, &resolved, former)
+    if is_empty(&resolved) {
+        return plan_empty_zone(model, &resolved);
     }
+    let mut plan = assign_by_need(model, &resolved, former);
+    let mut coverage = coverage_of(model, &resolved, &plan);
+    close_gaps(model, &resolved, &mut coverage, &mut plan);
+    plan
 }
 
 /// Like [`plan_layers`], but the empty engines of a partly filled zone get the layers whose holders are
@@ -75,18 +76,12 @@
     engines: &[PlannedEngine],
 ) -> BTreeMap<TargetName, LayerRange> {
     let resolved = resolve(model, engines);
-    if resolved.iter().all(|it| it.engine.layers.is_none()) {
+    if is_empty(&resolved) {
         return plan_empty_zone(model, &resolved);
     }
     let mut plan = BTreeMap::new();
-    let mut coverage = Coverage::new(model.layers);
-    for resolved in &resolved {
-        if let Some(layers) = resolved.engine.layers {
-            coverage.add(layers, resolved.speed());
-        }
-    }
-    let empty = resolved.iter().copied();
-    let empty: Vec<ResolvedEngine<'_>> = empty.filter(|it| it.engine.layers.is_none()).collect();
+    let mut coverage = coverage_of(model, &resolved, &plan);
+    let empty = empty_engines(&resolved);
     assign_most_needed(model, &empty, &mut coverage, &mut plan);
     close_gaps(model, &resolved, &mut coverage, &mut plan);
     plan
@@ -95,10 +90,18 @@
 /// The flow of a zone with the layers that its engines hold or were ordered to hold.
 #[must_use]
 pub fn flow_of(model: &PipelineModel, engines: &[PlannedEngine]) -> ZoneFlow {
-    let resolved = resolve(model, engines);
-    let holders = resolved
+    flow_with(model, &resolve(model, engines), |it| it.engine.layers)
+}
+
+/// The flow of a zone whose engines hold what `layers_of` tells.
+pub(crate) fn flow_with(
+    model: &PipelineModel,
+    engines: &[ResolvedEngine<'_>],
+    layers_of: impl Fn(&ResolvedEngine<'_>) -> Option<LayerRange>,
+) -> ZoneFlow {
+    let holders = engines
         .iter()
-        .filter_map(|it| Some(it.holder(model, it.engine.layers?)));
+        .filter_map(|it| Some(it.holder(model, layers_of(it)?)));
     zone_flow(model.layers, &holders.collect::<Vec<_>>())
 }
 
@@ -244,43 +247,47 @@
     resolved.accelerator.memory_bytes as f64
 }
 
-/// Plans a zone in which some engines hold layers.
-fn plan_partly_filled_zone(
+/// Whether no engine of a zone holds layers.
+fn is_empty(engines: &[ResolvedEngine<'_>]) -> bool {
+    engines.iter().all(|it| it.engine.layers.is_none())
+}
+
+/// The engines of a zone that hold no layers.
+fn empty_engines<'a>(engines: &[ResolvedEngine<'a>]) -> Vec<ResolvedEngine<'a>> {
+    let empty = engines.iter().filter(|it| it.engine.layers.is_none());
+    empty.copied().collect()
+}
+
+/// Coverage of the layers by what engines hold, or by what the plan gives them.
+fn coverage_of(
     model: &PipelineModel,
     engines: &[ResolvedEngine<'_>],
-    former: &BTreeMap<TargetName, LayerRange>,
-) -> BTreeMap<TargetName, LayerRange> {
-    let mut plan = BTreeMap::new();
+    plan: &BTreeMap<TargetName, LayerRange>,
+) -> Coverage {
     let mut coverage = Coverage::new(model.layers);
-    let empty: Vec<ResolvedEngine<'_>> = engines
-        .iter()
-        .copied()
-        .filter(|it| it.engine.layers.is_none())
-        .collect();
-    assign_by_need(model, engines, &empty, former, &mut plan);
     for resolved in engines {
         let planned = plan.get(&resolved.engine.name).copied();
         if let Some(layers) = planned.or(resolved.engine.layers) {
             coverage.add(layers, resolved.speed());
         }
     }
-    close_gaps(model, engines, &mut coverage, &mut plan);
-    plan
+    coverage
 }
 
-/// Assigns to each of the `empty` engines the range that leaves the least need for further holders.
-/// Once all have one, each is chosen anew against the others.
+/// Gives each empty engine the range that leaves the least need for further holders. Once all have
+/// one, each is chosen anew against the others.
 fn assign_by_need(
     model: &PipelineModel,
     engines: &[ResolvedEngine<'_>],
-    empty: &[ResolvedEngine<'_>],
     former: &BTreeMap<TargetName, LayerRange>,
-    plan: &mut BTreeMap<TargetName, LayerRange>,
-) {
+) -> BTreeMap<TargetName, LayerRange> {
+    let mut plan = BTreeMap::new();
+    let empty = empty_engines(engines);
     for _ in 0..REFINE_ROUNDS {
         let mut has_changed = false;
-        for resolved in empty {
-            let offers = offers_of_others(model, engines, &resolved.engine.name, plan);
+        for resolved in &empty {
+            let left_out = Some(&resolved.engine.name);
+            let offers = offers_of_others(model, engines, left_out, &plan);
             let Some(layers) = choose_range(model, resolved, former, &offers) else {
                 continue;
             };
@@ -291,6 +298,7 @@
             break;
         }
     }
+    plan
 }
 
 /// The range for an engine: its former one, unless others are needed more.
@@ -311,15 +319,17 @@
     Some(former.unwrap_or(best.layers))
 }
 
-/// Offers of all engines of a zone but the one named `left_out`.
+/// Offers of the engines of a zone, without the one named `left_out`.
 pub(crate) fn offers_of_others(
     model: &PipelineModel,
     engines: &[ResolvedEngine<'_>],
-    left_out: &TargetName,
+    left_out: Option<&TargetName>,
     plan: &BTreeMap<TargetName, LayerRange>,
 ) -> Offers {
     let mut offers = Offers::new(model);
-    let others = engines.iter().filter(|it| it.engine.name != *left_out);
+    let others = engines
+        .iter()
+        .filter(|it| Some(&it.engine.name) != left_out);
     for other in others {
         let planned = plan.get(&other.engine.name).copied();
         if let Some(layers) = planned.or(other.engine.layers) {
--- a/crates/mgw-place/src/rebalance.rs
+++ b/crates/mgw-place/src/rebalance.rs
@@ -4,8 +4,7 @@
 
 use mgw_world::{LayerRange, PipelineModel, TargetName};
 
-use crate::flow::{Holder, zone_flow};
-use crate::plan::{PlannedEngine, ResolvedEngine, offers_of_others, resolve};
+use crate::plan::{PlannedEngine, ResolvedEngine, flow_with, offers_of_others, resolve};
 
 /// Least fraction of the need that a move must remove: the move costs a load, and refusals while it runs.
 const LEAST_RELIEF: f64 = 0.2;
@@ -45,15 +44,15 @@
 ) -> Option<Move> {
     let resolved = resolve(model, engines);
     let nothing = BTreeMap::new();
-    let none_left_out = "".into();
-    let need = offers_of_others(model, &resolved, &none_left_out, &nothing).need();
+    let need = offers_of_others(model, &resolved, None, &nothing).need();
     let serving: Vec<ResolvedEngine<'_>> = resolved
         .iter()
         .copied()
         .filter(|it| !candidates.loading.contains(&it.engine.name))
         .collect();
-    let least_flow = REMAINING_FLOW * flow_without(model, &serving, None);
-    let flow = flow_moved(model, &resolved, None);
+    let held_by = |it: &ResolvedEngine<'_>| it.engine.layers;
+    let least_flow = REMAINING_FLOW * flow_with(model, &serving, held_by).tokens;
+    let flow = flow_with(model, &resolved, held_by).tokens;
     let mut least_need = need;
     let mut best = None;
     for mover in &resolved {
@@ -65,53 +64,30 @@
         else {
             continue;
         };
-        let offers = offers_of_others(model, &resolved, name, &nothing);
+        let offers = offers_of_others(model, &resolved, Some(name), &nothing);
         let Some(choice) = offers.best_range(model, mover.accelerator) else {
             continue;
         };
         if choice.need >= least_need || choice.layers == held {
             continue;
         }
-        let found = Move {
-            target: name.clone(),
-            layers: choice.layers,
+        let is_mover = |it: &ResolvedEngine<'_>| it.engine.name == *name;
+        let moved = |it: &ResolvedEngine<'_>| {
+            let layers = is_mover(it).then_some(choice.layers);
+            layers.or(it.engine.layers)
         };
-        let flow_after = flow_moved(model, &resolved, Some(&found));
+        let flow_after = flow_with(model, &resolved, moved).tokens;
         let is_relief = choice.need <= need * (1.0 - LEAST_RELIEF) && flow_after >= flow;
         let is_gain = flow_after >= flow * (1.0 + LEAST_GAIN);
         let is_worth_it = is_relief || is_gain;
-        if is_worth_it && flow_without(model, &serving, Some(name)) >= least_flow {
+        let others = |it: &ResolvedEngine<'_>| it.engine.layers.filter(|_| !is_mover(it));
+        if is_worth_it && flow_with(model, &serving, others).tokens >= least_flow {
             least_need = choice.need;
-            best = Some(found);
+            best = Some(Move {
+                target: name.clone(),
+                layers: choice.layers,
+            });
         }
     }
     best
 }
-
-/// Flow of a zone without one of its engines.
-fn flow_without(
-    model: &PipelineModel,
-    engines: &[ResolvedEngine<'_>],
-    left_out: Option<&TargetName>,
-) -> f64 {
-    let others = engines
-        .iter()
-        .filter(|it| Some(&it.engine.name) != left_out);
-    let holders: Vec<Holder> = others
-        .filter_map(|it| Some(it.holder(model, it.engine.layers?)))
-        .collect();
-    zone_flow(model.layers, &holders).tokens
-}
-
-/// Flow of a zone once a move is carried out.
-fn flow_moved(model: &PipelineModel, engines: &[ResolvedEngine<'_>], moved: Option<&Move>) -> f64 {
-    let holders: Vec<Holder> = engines
-        .iter()
-        .filter_map(|it| {
-            let target = moved.filter(|found| found.target == it.engine.name);
-            let layers = target.map(|found| found.layers).or(it.engine.layers)?;
-            Some(it.holder(model, layers))
-        })
-        .collect();
-    zone_flow(model.layers, &holders).tokens
-}
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -160,8 +160,8 @@
             *current = Arc::new(table);
         }
         self.metrics.routing_version.set(to_gauge(version.0));
-        self.update_models();
         self.update_admission(&self.routing());
+        self.update_models();
         self.update_targets();
         self.routing_set.notify_waiters();
     }
@@ -454,7 +454,7 @@
                 ChainRouter::new(self.settings.chains, model.clone(), place)
             });
             router.set_model(model.clone());
-            router.set_learns_room(routing.differs_in_urgency(&service.name));
+            router.set_learns_room(self.admission.lock().covers(&service.name));
         }
     }
 }
--- a/crates/mgw-relay/src/callers/call.rs
+++ b/crates/mgw-relay/src/callers/call.rs
@@ -8,7 +8,6 @@
 use hyper::header::{HOST, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
-use mgw_route::Objective;
 use mgw_routing::{KeyedWorkspace, NoRoute, Route, RouteTable, Split};
 use mgw_world::{Millis, RequestDigest, RoutingVersion, ServiceName, Subject, WorkspaceName};
 use rand::Rng;
@@ -115,15 +114,6 @@
         *self.digest.get_or_init(|| identity.digest())
     }
 
-    /// Times within which the answer is useful to the caller.
-    #[must_use]
-    pub const fn objective(&self) -> Objective {
-        Objective {
-            first_event_ms: self.route.target_latency_ms,
-            event_pause_ms: self.route.max_event_pause_ms,
-        }
-    }
-
     /// What a target that ends under this request may have ended for: the request itself, and the parts of
     /// its prompt that other requests may hold as well.
     #[must_use]
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -153,7 +153,7 @@
     /// Whether targets or the entry had no room for the request.
     #[must_use]
     pub fn is_for_room(&self) -> bool {
-        [Self::full().reason, Self::not_accepted().reason].contains(&self.reason)
+        [Self::full(), Self::not_accepted()].contains(self)
     }
 
     /// All targets are full.
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -15,9 +15,7 @@
 use crate::callers::{Call, Refusal, RelayBody, full_body};
 use crate::dialect::TargetHead;
 use crate::request_sends::{RequestSends, SendOutcome, says_not_run};
-use crate::targets::{
-    NoTarget, OutboundRequest, PlainReservation, SendFailure, probe_plain_after_break, send,
-};
+use crate::targets::{NoTarget, OutboundRequest, PlainReservation, probe_plain_after_break, send};
 
 /// Least time that a target gets to answer an idempotent call before another one is tried.
 const MIN_SEND_TIMEOUT_MS: Millis = Millis(250);
@@ -298,23 +296,9 @@
     let ends_at = app.clock.now() + timeout_ms;
     let answer = match send(app, &outbound).await {
         Ok(answer) => answer,
-        Err(SendFailure::NotSent) => {
-            return SendResult::NoAnswer(SendOutcome::NotSent, "no connection");
-        }
-        Err(SendFailure::Broken) => {
-            return SendResult::NoAnswer(SendOutcome::TargetLost, "connection broke");
-        }
-        Err(SendFailure::Late) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "no answer in time");
-        }
-        Err(SendFailure::Endless) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "no end of the answer's head");
-        }
-        Err(SendFailure::Foreign) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "answer of another request");
-        }
-        Err(SendFailure::Unsigned) => {
-            return SendResult::NoAnswer(SendOutcome::Unknown, "success without the target's seal");
+        Err(failure) => {
+            let (outcome, cause) = failure.describe();
+            return SendResult::NoAnswer(outcome, cause);
         }
     };
     if answer.head.not_run {
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -128,17 +128,7 @@
         reserved: &ReservedChain,
         failure: SendFailure,
     ) -> OpenError {
-        let (outcome, cause) = match failure {
-            SendFailure::NotSent => (SendOutcome::NotSent, "no connection"),
-            SendFailure::Broken => (
-                SendOutcome::TargetLost,
-                StreamFault::ConnectionBroke.as_str(),
-            ),
-            SendFailure::Late => (SendOutcome::Unknown, "no answer in time"),
-            SendFailure::Endless => (SendOutcome::Unknown, "no end of the answer's head"),
-            SendFailure::Foreign => (SendOutcome::Unknown, "answer of another request"),
-            SendFailure::Unsigned => (SendOutcome::Unknown, "success without the target's seal"),
-        };
+        let (outcome, cause) = failure.describe();
         self.record_first_target_disconnect(reserved, outcome);
         OpenError::SendFailed(outcome, cause)
     }
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -191,7 +191,7 @@
             .app
             .waiters
             .expected_wait_ms(&self.call.service, urgency);
-        let objective_ms = self.call.objective().first_event_ms;
+        let objective_ms = self.call.route.target_latency_ms;
         let since_ms = self.app.clock.now() - self.call.arrived_at;
         let in_time_ms = if objective_ms == Millis::ZERO {
             limit_ms
@@ -224,7 +224,6 @@
                 answer_tokens: answer_tokens.min(max_answer_tokens),
                 avoid: &self.avoid,
                 limits: None,
-                objective: self.call.objective(),
             };
             chains.choose_within_limits(&request, &mut limits, now)
         });
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -18,6 +18,7 @@
 use super::PooledConnection;
 use crate::app::App;
 use crate::dialect::{AnswerHead, TargetHead};
+use crate::request_sends::SendOutcome;
 
 /// Hop-by-hop header fields, which concern one connection only.
 const CONNECTION_FIELDS: [HeaderName; 7] = [
@@ -95,6 +96,21 @@
     Unsigned,
 }
 
+impl SendFailure {
+    /// What is known of the request after the failure, with the cause for log lines.
+    #[must_use]
+    pub const fn describe(self) -> (SendOutcome, &'static str) {
+        match self {
+            Self::NotSent => (SendOutcome::NotSent, "no connection"),
+            Self::Broken => (SendOutcome::TargetLost, "connection broke"),
+            Self::Late => (SendOutcome::Unknown, "no answer in time"),
+            Self::Endless => (SendOutcome::Unknown, "no end of the answer's head"),
+            Self::Foreign => (SendOutcome::Unknown, "answer of another request"),
+            Self::Unsigned => (SendOutcome::Unknown, "success without the target's seal"),
+        }
+    }
+}
+
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Errors
--- a/crates/mgw-route/src/chain/mod.rs
+++ b/crates/mgw-route/src/chain/mod.rs
@@ -22,5 +22,4 @@
 pub use health_checks::SilentTargets;
 pub use router::{
     Chain, ChainLoad, ChainRequest, ChainReservation, ChainRouter, ChainSettings, Hop, NoChain,
-    Objective,
 };
--- a/crates/mgw-route/src/chain/router.rs
+++ b/crates/mgw-route/src/chain/router.rs
@@ -56,15 +56,6 @@
     }
 }
 
-/// Times within which an answer is useful to its caller; zero where none is stated.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Objective {
-    /// Time until the first event.
-    pub first_event_ms: Millis,
-    /// Longest pause between two events.
-    pub event_pause_ms: Millis,
-}
-
 /// A request that needs a chain.
 #[derive(Debug, Clone, Copy)]
 pub struct ChainRequest<'a> {
@@ -76,8 +67,6 @@
     pub avoid: &'a [TargetName],
     /// Rate limits, which decide at which targets the chain may start; `None` if no target has one.
     pub limits: Option<&'a EntryRateLimits>,
-    /// Times that a chain should keep to.
-    pub objective: Objective,
 }
 
 /// One target of a chain.
--- a/crates/mgw-route/src/lib.rs
+++ b/crates/mgw-route/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use chain::{
     Chain, ChainLoad, ChainRequest, ChainReservation, ChainRouter, ChainSettings, ChainTarget,
-    EntryLoad, EntryLoadTable, FullTarget, HealthSettings, Hop, NoChain, Objective,
-    OtherEntriesLoad, ProbeOutcome, SilentTargets, TargetLoad, report_interval_ms, report_valid_ms,
+    EntryLoad, EntryLoadTable, FullTarget, HealthSettings, Hop, NoChain, OtherEntriesLoad,
+    ProbeOutcome, SilentTargets, TargetLoad, report_interval_ms, report_valid_ms,
 };
 pub use error::NoPath;
 pub use exclusions::{ExclusionSettings, Exclusions, TargetRun};
--- a/crates/mgw-route/src/limit/admission_turns.rs
+++ b/crates/mgw-route/src/limit/admission_turns.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use mgw_world::{Millis, RequestDigest, WorkspaceName};
+use mgw_world::{EMPTY_HASH, Millis, RequestDigest, WorkspaceName, extend_hash, hash_bytes};
 
 use super::level::RETURN_CYCLE_MS;
 
@@ -14,25 +14,22 @@
 const MAX_EXTRA_CYCLES: u64 = 1;
 /// Requests after which counts are halved, so that they follow the load.
 const COUNTED_REQUESTS: f64 = 64.0;
+/// Lowest bits of a hash, which are the least mixed.
+const HASH_SHIFT: u32 = 16;
+/// Spreads the seeds of entries over all bits.
+const SEED_SPREAD: u64 = 0x0100_0000_01b3;
 /// Requests that the usual fraction of turns weighs at the start.
 const PRIOR_REQUESTS: f64 = 6.0;
 
 /// Time since the turn of a request began, at a position in the cycle. The digest is the same in each
 /// attempt, so that every entry finds the same turn.
 fn since_turn_ms(digest: &RequestDigest, phase_ms: Millis) -> Millis {
-    let hash = digest.0.iter().fold(FNV_BASIS, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
-    });
+    let hash = hash_bytes(digest.0);
     let cycle = RETURN_CYCLE_MS.0;
     let turn_ms = (hash >> HASH_SHIFT) % cycle;
     Millis((phase_ms.0 % cycle + cycle - turn_ms) % cycle)
 }
 
-const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-/// The lowest bits of the hash are the least mixed.
-const HASH_SHIFT: u32 = 16;
-
 /// Whether a request has its turn.
 pub(super) fn has_turn(digest: &RequestDigest, phase_ms: Millis) -> bool {
     since_turn_ms(digest, phase_ms) < TURN_MS
@@ -116,9 +113,7 @@
 fn start_of(seed: u64, workspace: Option<&WorkspaceName>, has_turn: bool) -> f64 {
     let name = workspace.map(WorkspaceName::as_str).unwrap_or_default();
     let bytes = name.bytes().chain([u8::from(has_turn)]);
-    let hash = bytes.fold(FNV_BASIS ^ seed.wrapping_mul(FNV_PRIME), |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
+    let hash = extend_hash(EMPTY_HASH ^ seed.wrapping_mul(SEED_SPREAD), bytes);
     let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (mixed >> 11) as f64 / (1_u64 << 53) as f64
 }
--- a/crates/mgw-route/src/prefix/mod.rs
+++ b/crates/mgw-route/src/prefix/mod.rs
@@ -8,7 +8,6 @@
 
 pub(crate) use demand::PrefixDemand;
 pub use digest::{PREFIX_BLOCK_TOKENS, PrefixDigest, digest_prefixes};
-pub(crate) use digest::{digest_name, mix_digest};
 pub use index::CacheSyncState;
 pub(crate) use index::{Holder, PrefixIndex};
 pub use weigh::{PrefillTarget, choose_prefill_target, follow_probability};
--- a/crates/mgw-route/src/router/fleet.rs
+++ b/crates/mgw-route/src/router/fleet.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 
 use mgw_contract::target::LoadReport;
-use mgw_world::{Millis, Target, TargetName};
+use mgw_world::{Millis, Target, TargetName, hash_bytes};
 use slotmap::SlotMap;
 
 use super::{RouterSettings, TargetInput, TargetView};
-use crate::prefix::digest_name;
 use crate::{LatencyLimit, LatencyLimitSettings};
 
 slotmap::new_key_type! {
@@ -75,7 +74,7 @@
         });
         Self {
             load_reported_at: now - input.load_age_ms,
-            name_digest: digest_name(input.target.name.as_str()),
+            name_digest: hash_bytes(input.target.name.as_str().bytes()),
             target: input.target,
             warm_share: input.warm_share,
             load: input.load,
--- a/crates/mgw-route/src/router/prefix_choice.rs
+++ b/crates/mgw-route/src/router/prefix_choice.rs
@@ -1,11 +1,12 @@
 //! Weighs the targets of a stage for a prompt whose prefix may be cached, and finds its home.
 
+use mgw_world::mix_bits;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use super::path_search::{Goal, PathSearch, SelectedTarget};
 use super::routing_table::{Choice, Member};
-use crate::prefix::{Holder, PrefillTarget, choose_prefill_target, follow_probability, mix_digest};
+use crate::prefix::{Holder, PrefillTarget, choose_prefill_target, follow_probability};
 use crate::{PREFIX_BLOCK_TOKENS, PrefixDigest};
 
 /// Bits of a 64-bit digest that don't fit into the mantissa of an `f64`.
@@ -227,6 +228,6 @@
 
 /// Returns a pseudorandom number in (0, 1] that depends only on the prefix and the target's name.
 fn rendezvous_sample(prefix: PrefixDigest, name_digest: u64) -> f64 {
-    let mixed = mix_digest(prefix.0 ^ name_digest);
+    let mixed = mix_bits(prefix.0 ^ name_digest);
     ((mixed >> DROPPED_BITS) + 1) as f64 / (1_u64 << (u64::BITS - DROPPED_BITS)) as f64
 }
--- a/crates/mgw-route/tests/chain_support/mod.rs
+++ b/crates/mgw-route/tests/chain_support/mod.rs
@@ -3,9 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 #![allow(clippy::unwrap_used)]
 
-use mgw_route::{
-    Chain, ChainRequest, ChainRouter, ChainSettings, ChainTarget, Objective, TargetRun,
-};
+use mgw_route::{Chain, ChainRequest, ChainRouter, ChainSettings, ChainTarget, TargetRun};
 use mgw_world::{Accelerator, Incarnation, LayerRange, Millis, PipelineModel};
 
 /// A model of 80 layers and two kinds of accelerators; decoding steps take four times as long on
@@ -71,10 +69,6 @@
     answer_tokens: 200,
     avoid: &[],
     limits: None,
-    objective: Objective {
-        first_event_ms: Millis(0),
-        event_pause_ms: Millis(0),
-    },
 };
 
 pub fn names(chain: &Chain) -> Vec<&str> {
--- a/crates/mgw-route/tests/ended_targets.rs
+++ b/crates/mgw-route/tests/ended_targets.rs
@@ -5,7 +5,7 @@
 mod chain_support;
 
 use chain_support::{router, target};
-use mgw_route::{ChainRequest, Objective, ProbeOutcome};
+use mgw_route::{ChainRequest, ProbeOutcome};
 use mgw_world::Millis;
 
 const REQUEST: ChainRequest<'_> = ChainRequest {
@@ -13,10 +13,6 @@
     answer_tokens: 200,
     avoid: &[],
     limits: None,
-    objective: Objective {
-        first_event_ms: Millis(0),
-        event_pause_ms: Millis(0),
-    },
 };
 
 /// The target in the middle ends, and those beside it only stall.
--- a/crates/mgw-route/tests/rate_limit.rs
+++ b/crates/mgw-route/tests/rate_limit.rs
@@ -7,8 +7,8 @@
 
 use chain_support::{router, target};
 use mgw_route::{
-    ChainRequest, EntryCounts, EntryRateLimits, LimitReport, LimitUpdate, NoChain, Objective,
-    RateLimitTable, RequestRate, ReturnTimes, StatedRate, TargetRun, TokenDemand, ToldLimit,
+    ChainRequest, EntryCounts, EntryRateLimits, LimitReport, LimitUpdate, NoChain, RateLimitTable,
+    RequestRate, ReturnTimes, StatedRate, TargetRun, TokenDemand, ToldLimit,
 };
 use mgw_world::{Incarnation, Millis};
 use rate_limit_support::{Play, SIZES, allowed, run_of};
@@ -24,10 +24,6 @@
     answer_tokens: 200,
     avoid: &[],
     limits: None,
-    objective: Objective {
-        first_event_ms: Millis(0),
-        event_pause_ms: Millis(0),
-    },
 };
 
 fn rate(per_s: f64) -> RequestRate {
--- a/crates/mgw-routing/src/objects.rs
+++ b/crates/mgw-routing/src/objects.rs
@@ -137,12 +137,15 @@
             let mut splits = route.splits.iter();
             splits.any(|split| split.service == *service && split.weight > 0)
         };
-        let urgencies = self.routes.iter().filter(leads_there).flat_map(|route| {
-            let of_workspaces = self.workspaces.iter();
-            let of_workspaces = of_workspaces.map(|it| it.priority.unwrap_or(route.priority));
-            let without_workspace = route.is_public || self.workspaces.is_empty();
-            of_workspaces.chain(without_workspace.then_some(route.priority))
-        });
+        let routes: Vec<&Route> = self.routes.iter().filter(leads_there).collect();
+        if routes.is_empty() {
+            return false;
+        }
+        let of_workspaces = self.workspaces.iter().filter_map(|it| it.priority);
+        let keeps_route =
+            self.workspaces.is_empty() || self.workspaces.iter().any(|it| it.priority.is_none());
+        let of_routes = routes.iter().filter(|it| it.is_public || keeps_route);
+        let urgencies = of_workspaces.chain(of_routes.map(|route| route.priority));
         let urgencies: BTreeSet<u8> = urgencies.collect();
         urgencies.len() > 1
     }
--- a/crates/mgw-world/src/lib.rs
+++ b/crates/mgw-world/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every other crate builds on this one. Nothing here performs I/O.
 
 mod clock;
+mod hash;
 mod layers;
 mod names;
 mod objects;
@@ -13,6 +14,7 @@
 mod versions;
 
 pub use clock::{Clock, ManualClock, Millis, UnixMillis};
+pub use hash::{EMPTY_HASH, extend_hash, hash_bytes, mix_bits};
 pub use layers::{LayerRange, LayerRangeError};
 pub use names::{
     AcceleratorKind, AdapterName, EntryName, KeyName, ModelName, ModelVersion, NodeName,
