--- /dev/null
+++ b/review/standins-2/endless_answers.rs
@@ -0,0 +1,139 @@
+//! Some workers are in trouble: each answer of theirs is interim responses without end. The controls are
+//! restarted one after the other meanwhile, and the operator changes the configuration.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::Verdict;
+use crate::record::Record;
+use crate::reused_address::configuration;
+use crate::system::{Role, SIGTERM, System, replace_configuration, wait_until};
+use crate::worker::{Behaviour, Description, Worker};
+
+const LARGE: Option<(&str, u64)> = Some(("a100", 72_000));
+const WORKERS: u8 = 30;
+/// Workers that are in trouble, the last ones.
+const IN_TROUBLE: u8 = 15;
+/// `ackTimeoutMs` of the settings.
+const ACK_TIMEOUT_MS: u64 = 4_000;
+/// `stabilityWindowMs` of the settings.
+const STABILITY_WINDOW: Duration = Duration::from_millis(3_000);
+/// `gracePeriodS` of the settings.
+const GRACE_PERIOD_MS: u64 = 8_000;
+/// Time from the start of the run until the last change is sent.
+const LAST_CHANGE_MS: u64 = 95_000;
+/// Interim responses that a worker in trouble sends at a time: 50,000 bytes.
+const PIECE_RESPONSES: usize = 2_000;
+/// Pause after them: a worker sends at most 125 MB/s, as much as a link of 1,000 Mbit/s takes.
+const PIECE_PAUSE: Duration = Duration::from_micros(400);
+
+pub fn run(record: &Arc<Record>, has_trouble: bool) -> Result<Verdict, String> {
+    let zones = ["regina", "saskatoon", "regina"];
+    let system = System::start(&zones, &["regina"]).map_err(|error| error.to_string())?;
+    if !replace_configuration(&system, record, &configuration(7), 20_000) {
+        return Err("no control acknowledged the configuration".to_owned());
+    }
+    let is_in_trouble = Arc::new(AtomicBool::new(false));
+    let mut workers = Vec::new();
+    for number in 0..WORKERS {
+        let description = Description {
+            id: format!("i-drafts-{number}"),
+            service: "drafts",
+            zone: "regina",
+            address: system.addresses.worker(number),
+            card: LARGE,
+            model_layers: 80,
+        };
+        let behaviour = (number >= WORKERS - IN_TROUBLE).then(|| endless(&is_in_trouble));
+        let started = Worker::start(
+            description,
+            system.controls(),
+            Arc::clone(record),
+            behaviour,
+        );
+        workers.push(started.map_err(|error| error.to_string())?);
+    }
+    if !wait_until(30_000, || {
+        workers.iter().all(|worker| worker.layers().is_some())
+    }) {
+        return Err("not all workers were ordered to load layers".to_owned());
+    }
+    sleep(Duration::from_secs(2));
+    if has_trouble {
+        record.line(&format!(
+            "{IN_TROUBLE} workers send answers without end from now on"
+        ));
+        is_in_trouble.store(true, Ordering::SeqCst);
+    }
+    restart_controls(&system, record)?;
+    sleep(STABILITY_WINDOW + Duration::from_secs(1));
+    record.line("the core is stable from now on");
+    let mut late = 0;
+    let mut version = 8;
+    while record.now_ms() < LAST_CHANGE_MS {
+        let sent_ms = record.now_ms();
+        replace_configuration(&system, record, &configuration(version), ACK_TIMEOUT_MS);
+        let took_ms = record.now_ms() - sent_ms;
+        if took_ms > ACK_TIMEOUT_MS {
+            late += 1;
+            record.line(&format!(
+                "version {version} had no acknowledgement after {ACK_TIMEOUT_MS} ms"
+            ));
+        }
+        version += 1;
+        sleep(Duration::from_secs(1));
+    }
+    for machine in system.machines_of(Role::Control) {
+        let cpu_ms = machine.cpu_ms().unwrap_or_default();
+        record.line(&format!(
+            "{} used {cpu_ms} ms of processor time since its restart",
+            machine.name
+        ));
+    }
+    record.line(&format!("ended by themselves: {:?}", system.ended()));
+    record.line(&format!(
+        "{late} of {} changes had no acknowledgement in time",
+        version - 8
+    ));
+    Ok(if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
+
+/// Stops one control after the other with SIGTERM and starts it again, as in a rolling restart.
+fn restart_controls(system: &System, record: &Record) -> Result<(), String> {
+    for machine in system.machines_of(Role::Control) {
+        record.line(&format!("{} gets SIGTERM", machine.name));
+        machine.signal(SIGTERM);
+        wait_until(GRACE_PERIOD_MS, || machine.has_ended());
+        machine.end();
+        system
+            .start_machine(machine, false)
+            .map_err(|error| error.to_string())?;
+        record.line(&format!("{} is started again", machine.name));
+        sleep(Duration::from_secs(2));
+    }
+    Ok(())
+}
+
+/// Once in trouble, a worker answers each call with interim responses until the caller closes.
+fn endless(is_in_trouble: &Arc<AtomicBool>) -> Box<Behaviour> {
+    let is_in_trouble = Arc::clone(is_in_trouble);
+    Box::new(move |_, mut stream: &TcpStream| {
+        if !is_in_trouble.load(Ordering::SeqCst) {
+            return false;
+        }
+        let piece = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(PIECE_RESPONSES);
+        let started = Instant::now();
+        while stream.write_all(&piece).is_ok() && started.elapsed() < Duration::from_secs(10) {
+            sleep(PIECE_PAUSE);
+        }
+        true
+    })
+}
