--- a/review/standins-2/endless_answers.rs
+++ b/review/standins-2/endless_answers.rs
@@ -9,12 +9,18 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
+use crate::configuration::{ModelService, configuration};
 use crate::record::Record;
-use crate::reused_address::configuration;
 use crate::system::{Role, SIGTERM, System, replace_configuration, wait_until};
 use crate::worker::{Behaviour, Description, Worker};
 
 const LARGE: Option<(&str, u64)> = Some(("a100", 72_000));
+const DRAFTS: ModelService = ModelService {
+    name: "drafts",
+    layers: 80,
+    layer_mb: 1_750,
+    kv_token_bytes: 918_000,
+};
 const WORKERS: u8 = 30;
 /// Workers that are in trouble, the last ones.
 const IN_TROUBLE: u8 = 15;
@@ -34,7 +40,7 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Result<Verdict, String> {
     let zones = ["regina", "saskatoon", "regina"];
     let system = System::start(&zones, &["regina"]).map_err(|error| error.to_string())?;
-    if !replace_configuration(&system, record, &configuration(7), 20_000) {
+    if !replace_configuration(&system, record, &configuration(7, &[DRAFTS]), 20_000) {
         return Err("no control acknowledged the configuration".to_owned());
     }
     let is_in_trouble = Arc::new(AtomicBool::new(false));
@@ -46,7 +52,8 @@
             zone: "regina",
             address: system.addresses.worker(number),
             card: LARGE,
-            model_layers: 80,
+            model_layers: DRAFTS.layers,
+            layer_mb: DRAFTS.layer_mb,
         };
         let behaviour = (number >= WORKERS - IN_TROUBLE).then(|| endless(&is_in_trouble));
         let started = Worker::start(
@@ -76,7 +83,12 @@
     let mut version = 8;
     while record.now_ms() < LAST_CHANGE_MS {
         let sent_ms = record.now_ms();
-        replace_configuration(&system, record, &configuration(version), ACK_TIMEOUT_MS);
+        replace_configuration(
+            &system,
+            record,
+            &configuration(version, &[DRAFTS]),
+            ACK_TIMEOUT_MS,
+        );
         let took_ms = record.now_ms() - sent_ms;
         if took_ms > ACK_TIMEOUT_MS {
             late += 1;
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -113,7 +113,8 @@
     let status = first.split(' ').nth(1).and_then(|it| it.parse().ok());
     let status = status.ok_or_else(|| Error::new(ErrorKind::InvalidData, "no answer"))?;
     let headers = read_headers(reader)?;
-    let (body, is_whole) = read_body(reader, &headers, true)?;
+    let has_body = !(100..200).contains(&status);
+    let (body, is_whole) = read_body(reader, &headers, has_body)?;
     Ok(Answer {
         status,
         headers,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,11 +1,14 @@
 //! The cases of the second review: `cases NAME FOLDER` runs one of them and writes `record.txt` to the folder.
 //! Exit codes: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod configuration;
 mod endless_answers;
 mod http;
+mod lost_card;
 mod other_writer;
 mod record;
 mod reused_address;
+mod spoilt_answers;
 mod system;
 mod worker;
 
@@ -33,8 +36,10 @@
     let record = Arc::new(record);
     let ended = match name.as_str() {
         "endless-answers" => endless_answers::run(&record, has_trouble),
+        "lost-card" => lost_card::run(&record, has_trouble),
         "other-writer" => other_writer::run(&record, has_trouble),
         "reused-address" => reused_address::run(&record, has_trouble),
+        "spoilt-answers" => spoilt_answers::run(&record, has_trouble),
         _ => Err(format!("no case is called {name}")),
     };
     match ended {
--- a/review/standins-2/other_writer.rs
+++ b/review/standins-2/other_writer.rs
@@ -30,6 +30,7 @@
             address: system.addresses.worker(host),
             card: None,
             model_layers: 0,
+            layer_mb: 0,
         };
         let controls = if registers {
             system.controls()
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -13,8 +13,6 @@
 
 /// Time between two heartbeats, as in the settings of the system's processes.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Size of one layer, as the configuration states it.
-pub const LAYER_MB: u64 = 1_750;
 /// Time to load all layers of a model, as the configuration states it.
 const LOAD_MS: u64 = 2_000;
 
@@ -29,6 +27,8 @@
     pub card: Option<(&'static str, u64)>,
     /// Number of layers of its model.
     pub model_layers: u64,
+    /// Size of one layer, as the configuration states it.
+    pub layer_mb: u64,
 }
 
 #[derive(Debug, Default)]
@@ -279,7 +279,7 @@
         }
         state.orders += 1;
         let layers = to.saturating_sub(from);
-        if layers * LAYER_MB > memory_mb {
+        if layers * self.description.layer_mb > memory_mb {
             self.oversized.fetch_add(1, Ordering::SeqCst);
         }
         let load_ms = LOAD_MS * layers / self.description.model_layers.max(1);
