--- a/review/standins-2/endless_answers.rs
+++ b/review/standins-2/endless_answers.rs
@@ -137,7 +137,7 @@
 /// Once in trouble, a worker answers each call with interim responses until the caller closes.
 fn endless(is_in_trouble: &Arc<AtomicBool>) -> Box<Behaviour> {
     let is_in_trouble = Arc::clone(is_in_trouble);
-    Box::new(move |_, mut stream: &TcpStream| {
+    Box::new(move |_, _, mut stream: &TcpStream| {
         if !is_in_trouble.load(Ordering::SeqCst) {
             return false;
         }
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -18,7 +18,6 @@
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
     /// Whether the body came to its end.
     pub is_whole: bool,
 }
@@ -37,10 +36,6 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         find(&self.headers, name)
     }
-
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
@@ -114,11 +109,10 @@
     let status = status.ok_or_else(|| Error::new(ErrorKind::InvalidData, "no answer"))?;
     let headers = read_headers(reader)?;
     let has_body = !(100..200).contains(&status);
-    let (body, is_whole) = read_body(reader, &headers, has_body)?;
+    let (_, is_whole) = read_body(reader, &headers, has_body)?;
     Ok(Answer {
         status,
         headers,
-        body,
         is_whole,
     })
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,12 +3,12 @@
 
 mod configuration;
 mod endless_answers;
+mod harmful_part;
 mod http;
 mod lost_card;
 mod other_writer;
 mod record;
 mod reused_address;
-mod spoilt_answers;
 mod system;
 mod worker;
 
@@ -36,10 +36,10 @@
     let record = Arc::new(record);
     let ended = match name.as_str() {
         "endless-answers" => endless_answers::run(&record, has_trouble),
+        "harmful-part" => harmful_part::run(&record, has_trouble),
         "lost-card" => lost_card::run(&record, has_trouble),
         "other-writer" => other_writer::run(&record, has_trouble),
         "reused-address" => reused_address::run(&record, has_trouble),
-        "spoilt-answers" => spoilt_answers::run(&record, has_trouble),
         _ => Err(format!("no case is called {name}")),
     };
     match ended {
--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -228,7 +228,6 @@
         });
         ended.collect()
     }
-
 }
 
 impl Drop for System {
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -40,7 +40,7 @@
 }
 
 /// How a worker answers a call in place of what it does usually. Returns whether it has answered.
-pub type Behaviour = dyn Fn(&Request, &TcpStream) -> bool + Send + Sync;
+pub type Behaviour = dyn Fn(&Worker, &Request, &TcpStream) -> bool + Send + Sync;
 
 /// A running worker.
 pub struct Worker {
@@ -48,7 +48,7 @@
     born_ms: u64,
     state: Mutex<State>,
     /// Set once the worker has ended: it sends and answers nothing any more.
-    has_ended: AtomicBool,
+    pub has_ended: AtomicBool,
     /// Set once it says that it leaves.
     pub is_draining: AtomicBool,
     /// Orders that asked for more layers than its card holds.
@@ -112,6 +112,12 @@
             .line(&format!("worker {} has crashed", self.description.id));
     }
 
+    /// Adds a line about this worker to the record.
+    pub fn note(&self, text: &str) {
+        self.record
+            .line(&format!("worker {} {text}", self.description.id));
+    }
+
     /// Layers that the worker holds.
     pub fn layers(&self) -> Option<(u64, u64)> {
         self.settled().layers
@@ -168,7 +174,7 @@
 
     fn handle(&self, request: &Request, stream: &TcpStream) -> Result<()> {
         if let Some(behaviour) = &self.behaviour
-            && behaviour(request, stream)
+            && behaviour(self, request, stream)
         {
             return Err(ErrorKind::Other.into());
         }
