--- a/review/standins-2/system.rs
+++ b/review/standins-2/system.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{Error, ErrorKind, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -21,8 +22,13 @@
 /// Port that workers use; each has an address of its own.
 pub const WORKER_PORT: u16 = 8_080;
 
+/// Option of `prctl` that sets the signal which a process gets when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// Addresses of one run: 127.A.B.1 and those after it.
@@ -155,7 +161,15 @@
             .create(true)
             .append(true)
             .open(machine.folder.join("log"))?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // SAFETY: `prctl` with this option touches no memory, so that it may be called after the fork.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["--metrics-port", "9464"])
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
