--- a/review/standins-2/harmful_part.rs
+++ b/review/standins-2/harmful_part.rs
@@ -101,8 +101,9 @@
             Arc::clone(&whole),
             Arc::clone(&sound),
         );
+        let record = Arc::clone(record);
         clients.push(thread::spawn(move || {
-            send_sound(number, entry, &has_ended, &whole, &sound);
+            send_sound(&record, number, entry, &has_ended, &whole, &sound);
         }));
     }
     let harmful = {
@@ -245,6 +246,7 @@
 
 /// Sends sound streams, one after the other.
 fn send_sound(
+    record: &Record,
     client: usize,
     entry: SocketAddr,
     has_ended: &AtomicBool,
@@ -260,7 +262,8 @@
         );
         let prompt = format!("{SOUND_PART},{id}:60");
         sound.fetch_add(1, Ordering::SeqCst);
-        if send_stream(entry, &id, &prompt) {
+        record.line(&format!("client: sends {id}, a sound stream, to {entry}"));
+        if send_stream(record, entry, &id, &prompt) {
             whole.fetch_add(1, Ordering::SeqCst);
         }
         sleep(SOUND_PAUSE);
@@ -284,16 +287,17 @@
         record.line(&format!(
             "client: sends {id} with the harmful part to {entry}"
         ));
+        let record = Arc::clone(record);
         thread::spawn(move || {
             let prompt = format!("{HARMFUL_PART},{SOUND_PART},{id}:60");
-            send_stream(entry, &id, &prompt)
+            send_stream(&record, entry, &id, &prompt)
         });
         sleep(HARMFUL_PAUSE);
     }
 }
 
 /// Sends a stream and returns whether its answer is whole.
-fn send_stream(entry: SocketAddr, id: &str, prompt: &str) -> bool {
+fn send_stream(record: &Record, entry: SocketAddr, id: &str, prompt: &str) -> bool {
     let headers = [
         ("Host", "studio.example"),
         ("Masticgw-Attempt-Id", id),
@@ -311,5 +315,10 @@
         body,
         Duration::from_secs(6),
     );
+    let text = match &answer {
+        Ok(answer) => format!("{}, whole: {}", answer.status, answer.is_whole),
+        Err(error) => error.to_string(),
+    };
+    record.line(&format!("client: {id} got {text}"));
     answer.is_ok_and(|answer| answer.status == 200 && answer.is_whole)
 }
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -29,7 +29,8 @@
     /// Adds a line to the file and shows it.
     pub fn line(&self, text: &str) {
         let line = format!("{:>7} ms  {text}\n", self.now_ms());
-        print!("{line}");
+        // The output may be closed.
+        let _ = std::io::stdout().write_all(line.as_bytes());
         let mut file = self
             .file
             .lock()
