--- a/review/standins-2/endless_answers.rs
+++ b/review/standins-2/endless_answers.rs
@@ -29,6 +29,8 @@
 const ACK_TIMEOUT_MS: u64 = 4_000 + 3;
 /// `stabilityWindowMs` of the settings.
 const STABILITY_WINDOW_MS: u64 = 3_000;
+/// `catchUpS` of the settings is 4: a control counts as lost for so long after its start.
+const CATCH_UP: Duration = Duration::from_millis(4_500);
 /// `gracePeriodS` of the settings.
 const GRACE_PERIOD_MS: u64 = 8_000;
 /// Time from the start of the run until the last change is sent.
@@ -198,7 +200,7 @@
             .start_machine(machine, false)
             .map_err(|error| error.to_string())?;
         record.line(&format!("{} is started again", machine.name));
-        sleep(Duration::from_secs(2));
+        sleep(CATCH_UP);
     }
     Ok(())
 }
