Relay: connections to targets are counted, and opened by a function that a test may set

Logs and metrics didn't tell whether an entry can't connect to targets itself or the targets are lost for all, nor whether a target is suspected because of other entries' reports; and no test could cut the links of one entry alone, as all processes of a test share one machine's network. Change: mgw_relay_connections_total by outcome, mgw_relay_lost_by_others with a log line at each change; Relay::start_with takes the function that opens TCP connections to targets. No decision changes.

--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -26,7 +26,7 @@
 use crate::retries::ServiceRetries;
 use crate::settings::RelaySettings;
 use crate::stream::PauseLimits;
-use crate::targets::{ConnectionPool, PlainBalancer, UsableTargets};
+use crate::targets::{ConnectionPool, Dial, PlainBalancer, UsableTargets};
 use crate::wait_limits::WaitLimits;
 use crate::waiters::CapacityWaiters;
 
@@ -105,9 +105,10 @@
         shutdown: Shutdown,
         view: Arc<Mutex<View>>,
         clock: Clock,
+        dial: Dial,
     ) -> Result<Self, prometheus::Error> {
         Ok(Self {
-            connection_pool: ConnectionPool::new(clock.clone()),
+            connection_pool: ConnectionPool::new(clock.clone(), dial),
             peers: Arc::new(PeerPool::new(None)),
             pause_limits: PauseLimits::default(),
             wait_limits: WaitLimits::default(),
@@ -259,6 +260,7 @@
         for router in self.chains.lock().values_mut() {
             router.set_other_entries_load(&other_entries.uses, &other_entries.lost, now);
         }
+        self.record_lost_by_others(other_entries.lost.len());
         self.learn_full_targets(&other_entries.full);
         if other_entries.is_complete {
             self.set_entries(other_entries.entries + 1);
@@ -276,6 +278,20 @@
         });
     }
 
+    /// Shows how many targets are suspected because other entries have lost them.
+    fn record_lost_by_others(&self, lost: usize) {
+        let gauge = &self.metrics.lost_by_others;
+        let lost = to_gauge(lost as u64);
+        if gauge.get() != lost {
+            info!(
+                from = gauge.get(),
+                to = lost,
+                "targets lost by other entries"
+            );
+            gauge.set(lost);
+        }
+    }
+
     /// Lowers the room of targets that refused requests of other entries.
     fn learn_full_targets(&self, full: &[FullTarget]) {
         let now = self.clock.now();
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -28,6 +28,10 @@
     pub failed_probes: IntCounterVec,
     /// Calls whose connection to the target broke, by what a probe of the target found.
     pub broken_sends: IntCounterVec,
+    /// Connections to targets that requests and probes asked for, by outcome.
+    pub connections: IntCounterVec,
+    /// Targets that other entries have lost, by the last load report.
+    pub lost_by_others: IntGauge,
     /// Targets with a rate limit.
     pub limited_targets: IntGauge,
     /// Sends to targets with a rate limit.
@@ -114,6 +118,17 @@
                 ),
                 &["target"],
             )?,
+            connections: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_connections_total",
+                    "Connections to targets that were asked for, by outcome.",
+                ),
+                &["outcome"],
+            )?,
+            lost_by_others: IntGauge::new(
+                "mgw_relay_lost_by_others",
+                "Targets that several other entries have lost.",
+            )?,
             limited_targets: IntGauge::new(
                 "mgw_relay_limited_targets",
                 "Targets with a rate limit.",
@@ -192,6 +207,8 @@
         registry.register(Box::new(metrics.exclusions.clone()))?;
         registry.register(Box::new(metrics.failed_probes.clone()))?;
         registry.register(Box::new(metrics.broken_sends.clone()))?;
+        registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.lost_by_others.clone()))?;
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
         registry.register(Box::new(metrics.limited_refusals.clone()))?;
@@ -214,6 +231,11 @@
         self.failed_probes.with_label_values(&[failure]).inc();
     }
 
+    /// Counts a connection to a target that was asked for.
+    pub fn count_connection(&self, outcome: &str) {
+        self.connections.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a refusal for lack of room that this entry got.
     pub fn count_full_refusal(&self) {
         self.full_refusals.with_label_values(&["own"]).inc();
--- a/crates/mgw-relay/src/relay.rs
+++ b/crates/mgw-relay/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::drain::drain;
 use crate::follow::{ReloadControls, follow_controls, run_load_exchange, run_view_sync};
 use crate::settings::RelaySettings;
+use crate::targets::{Dial, dial_tcp};
 
 /// Why a relay couldn't start.
 #[derive(Debug, displaydoc::Display, derive_more::Error)]
@@ -56,6 +57,20 @@
         adapter: RelayAdapter,
         reload_controls: ReloadControls,
         shutdown: Shutdown,
+    ) -> Result<Self, RunError> {
+        Self::start_with(settings, adapter, reload_controls, shutdown, dial_tcp()).await
+    }
+
+    /// Starts a relay that opens its connections to targets with `dial`.
+    ///
+    /// # Errors
+    /// As [`Self::start`].
+    pub async fn start_with(
+        settings: RelaySettings,
+        adapter: RelayAdapter,
+        reload_controls: ReloadControls,
+        shutdown: Shutdown,
+        dial: Dial,
     ) -> Result<Self, RunError> {
         let clock = Clock::monotonic();
         let listener = listen(settings.listen).await?;
@@ -67,7 +82,7 @@
                 source,
             })?;
         let view = start_view(&settings, &clock);
-        let app = App::new(settings, adapter, shutdown, view, clock);
+        let app = App::new(settings, adapter, shutdown, view, clock, dial);
         let app = Arc::new(app.map_err(|source| RunError::Metrics { source })?);
         let relay = Self {
             app,
--- a/crates/mgw-relay/src/targets/connection_pool.rs
+++ b/crates/mgw-relay/src/targets/connection_pool.rs
@@ -2,9 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -30,6 +33,16 @@
 /// Largest number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 48;
 
+/// Opens a TCP connection to a target.
+pub type Dial =
+    Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, std::io::Result<TcpStream>> + Send + Sync>;
+
+/// The [`Dial`] that connects over the machine's own network.
+#[must_use]
+pub fn dial_tcp() -> Dial {
+    Arc::new(|address| TcpStream::connect(address).boxed())
+}
+
 /// A connection to a target. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct PooledConnection {
@@ -70,15 +83,17 @@
 /// Keeps idle connections by address and opens new ones.
 pub struct ConnectionPool {
     clock: Clock,
+    dial: Dial,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections.
     #[must_use]
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, dial: Dial) -> Self {
         Self {
             clock,
+            dial,
             idle: Mutex::default(),
         }
     }
@@ -95,7 +110,7 @@
         if !needs_new_connection && let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
-        let connecting = timeout(CONNECT_TIMEOUT_MS.to_duration(), connect(address));
+        let connecting = timeout(CONNECT_TIMEOUT_MS.to_duration(), self.connect(address));
         connecting
             .await
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
@@ -132,6 +147,11 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
+        let stream = (self.dial)(address).await?;
+        handshake(address, stream).await
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
@@ -146,8 +166,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<PooledConnection> {
-    let stream = TcpStream::connect(address).await?;
+async fn handshake(address: SocketAddr, stream: TcpStream) -> std::io::Result<PooledConnection> {
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let stream = GuardedStream::new(stream);
--- a/crates/mgw-relay/src/targets/mod.rs
+++ b/crates/mgw-relay/src/targets/mod.rs
@@ -8,7 +8,7 @@
 mod send;
 mod usable;
 
-pub use connection_pool::{ConnectionPool, PooledConnection};
+pub use connection_pool::{ConnectionPool, Dial, PooledConnection, dial_tcp};
 pub use plain_balancer::{NoTarget, PlainBalancer, PlainReservation};
 pub use plain_probe::probe_plain_after_break;
 pub use probe::{probe_after_break, probe_hops};
--- a/crates/mgw-relay/src/targets/plain_probe.rs
+++ b/crates/mgw-relay/src/targets/plain_probe.rs
@@ -66,7 +66,7 @@
 }
 
 async fn probe(app: &App, reservation: &PlainReservation) -> ProcessState {
-    let connecting = app.connection_pool.acquire(reservation.address, true);
+    let connecting = app.connect(reservation.address, true);
     let connection = match connecting.await {
         Ok(connection) => connection,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return ProcessState::Ended,
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -166,7 +166,7 @@
 /// Fetches the engine's report over a new connection, because an idle one may be dead while the
 /// engine is not. Returns the engine's slowness.
 async fn fetch_report(app: &App, hop: &Hop) -> Result<f64, ProbeFailure> {
-    let connected = app.connection_pool.acquire(hop.address, true).await;
+    let connected = app.connect(hop.address, true).await;
     let mut connection = connected.map_err(|error| match error.kind() {
         ErrorKind::ConnectionRefused => ProbeFailure::Refused,
         _ => ProbeFailure::NotConnected,
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -121,9 +121,7 @@
     let mut needs_new_connection = outbound.needs_new_connection;
     count_limited_send(app, outbound);
     loop {
-        let acquiring = app
-            .connection_pool
-            .acquire(outbound.address, needs_new_connection);
+        let acquiring = app.connect(outbound.address, needs_new_connection);
         let mut connection = acquiring.await.map_err(|_| SendFailure::NotSent)?;
         let left = (ends_at - app.clock.now()).to_duration();
         let answered = timeout(left, connection.send(request)).await;
