--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod control_front;
+mod cut;
 mod fleet;
 mod raw;
 mod standin;
@@ -40,6 +41,8 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use control_front::{ControlFront, FrontState};
 #[allow(unused_imports, reason = "each test uses a part")]
+pub use cut::{Cut, CutFleet, Entry, Links};
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use fleet::{Engine, Fleet, FleetSettings, HARMFUL_PART, HARMFUL_PATH, SHARED_PART};
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
@@ -59,6 +62,8 @@
     pub shutdown: Shutdown,
     pub control_handle: ControlHandle,
     pub listen: SocketAddr,
+    /// Address at which the other processes reach the control.
+    pub control_address: SocketAddr,
     /// Number of the next announcement of any target.
     sequence: Arc<AtomicU64>,
     /// Tasks that renew the leases of targets, by the target's name.
@@ -130,12 +135,14 @@
     async fn start_relay(settings: RelaySettings, control: Control, data: TempDir) -> Self {
         let shutdown = Shutdown::default();
         let listen = settings.listen;
+        let control_address = settings.controls[0];
         let relay = Relay::start(settings, ADAPTER, Box::new(Vec::new), shutdown.clone());
         Self {
             relay: relay.await.unwrap(),
             shutdown,
             control_handle: control.handle(),
             listen,
+            control_address,
             sequence: Arc::new(AtomicU64::new(1)),
             renewals: HashMap::new(),
             others: Vec::new(),
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -27,6 +27,10 @@
 /// Number of events in a whole answer.
 pub const EVENTS: u64 = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Pause of a target that is slow.
+const LONG_PAUSE: Duration = Duration::from_millis(190);
+/// Time that a slow target takes to answer a call.
+const SLOW_CALL: Duration = Duration::from_millis(1_000);
 /// Time to a late first event: longer than callers aim for, shorter than they tolerate.
 const LATE_FIRST: Duration = Duration::from_millis(1_000);
 
@@ -41,6 +45,8 @@
     SilentAfter(u64),
     /// Sends the first event of a stream late, as under load.
     LateFirst,
+    /// Pauses long between the events of a stream, and before it answers a call.
+    Slow,
     /// Breaks any stream in the middle of the second event that it sends.
     BreakEarly,
     /// States that it didn't run the request.
@@ -121,6 +127,11 @@
         }
     }
 
+    /// Adds what the target does with its next requests.
+    pub fn plan(&self, behaviour: Behaviour) {
+        self.plan.lock().extend([behaviour; 8]);
+    }
+
     pub fn record(&self, seen: Seen) {
         self.seen.lock().push(seen);
     }
@@ -200,6 +211,7 @@
             _ if self.is_engine => {
                 *response.body_mut() = self.stream(last_event.unwrap_or(0), behaviour);
             }
+            Behaviour::Slow => sleep(SLOW_CALL).await,
             _ => {}
         }
         let answered_id = if behaviour == Behaviour::Foreign {
@@ -227,6 +239,10 @@
             _ => (None, false),
         };
         let stream = AnswerStream {
+            event_pause: match behaviour {
+                Behaviour::Slow => LONG_PAUSE,
+                _ => EVENT_PAUSE,
+            },
             first_pause: match behaviour {
                 Behaviour::LateFirst => LATE_FIRST,
                 _ => Duration::ZERO,
@@ -247,6 +263,7 @@
 
 /// State of an answer in events.
 struct AnswerStream {
+    event_pause: Duration,
     first_pause: Duration,
     last: u64,
     fault_after: Option<u64>,
@@ -257,7 +274,7 @@
 
 impl AnswerStream {
     async fn next(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
-        sleep(EVENT_PAUSE + std::mem::take(&mut self.first_pause)).await;
+        sleep(self.event_pause + std::mem::take(&mut self.first_pause)).await;
         if self.is_broken {
             self.unfinished.is_finished = true;
             return Some((Err(std::io::Error::other("broken off")), self));
