An entry whose own links to the targets are cut reaches them over another entry's links

What callers saw: at entries that had lost their links to all targets nearly all requests ended in 503 for as long as the cut lasted (12 of 282 served at the first attempt), while targets and other entries were idle. Cause: an entry was the only witness of its connections and had one way to a target. Each connect that failed was taken for the end of that target: 28 of 33 were suspected within 2 s, and reported as lost to the other entries. The class: a failure of the observer's own link taken for the failure of what it observes. Change: a failed connection counts against a target only once another target was reached (five are connected to at once); while none is, connections go through another entry as a tunnel, a stream of bytes with an end of its own. Requests, retries, deadline, key and limits stay where they were. Streams sent before the cut leave their silent chains without avoiding their targets. The time that a connection takes is taken off the deadline that the target gets.

--- a/crates/mgw-peer/src/lib.rs
+++ b/crates/mgw-peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod rpc;
 mod serve;
 mod tls;
+mod tunnel;
 mod view_server;
 mod watch;
 
@@ -18,8 +19,12 @@
     PeerError, PeerRpc, PeerRpcClient, PeerRpcRequest, PeerRpcResponse, RoutingPartRequest,
     RoutingPartResponse, RoutingRequest, WatchRequest, WatchResponse,
 };
-pub use serve::{PeerChannel, PeerTransport, bind_peer_listener, serve_peers};
+pub use serve::{
+    PeerChannel, PeerTransport, TunnelHandler, bind_peer_listener, serve_peers,
+    serve_peers_and_tunnels,
+};
 pub use tls::{GROUP_NAME, GroupError, GroupFiles, GroupIdentity, PeerStream};
+pub use tunnel::{ByteStream, IncomingTunnel, TunnelFailure, TunnelRefusal, TunnelRequest};
 pub use view_server::ViewServer;
 pub use watch::{ControlsCallback, Watch, watch_control};
 
--- a/crates/mgw-peer/src/pool.rs
+++ b/crates/mgw-peer/src/pool.rs
@@ -12,12 +12,13 @@
 use tarpc::context::Context;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::LengthDelimitedCodec;
 use tracing::warn;
 
-use crate::codec::{MAX_FRAME_BYTES, Postcard};
+use crate::codec::Postcard;
+use crate::serve::frame;
 use crate::tls::{GroupIdentity, PeerStream};
-use crate::{PeerError, PeerRpcClient};
+use crate::tunnel::{self, Frames};
+use crate::{ByteStream, PeerError, PeerRpcClient, TunnelFailure, TunnelRequest};
 
 /// Time within which a connection, TLS handshake included, must be established.
 const CONNECT_TIMEOUT_MS: Millis = Millis(500);
@@ -101,17 +102,39 @@
         if let Some(client) = self.clients.lock().get(&address) {
             return Ok(client.clone());
         }
-        let connected = timeout(CONNECT_TIMEOUT_MS.to_duration(), self.connect(address)).await;
-        let stream = connected.map_err(|_| CallFailure::NotConnected)??;
-        let framed = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .new_framed(stream);
-        let transport = tarpc::serde_transport::new(framed, Postcard);
+        let frames = self.open_frames(address).await?;
+        let transport = tarpc::serde_transport::new(frames, Postcard);
         let client = PeerRpcClient::new(client::Config::default(), transport).spawn();
         self.clients.lock().insert(address, client.clone());
         Ok(client)
     }
 
+    /// Opens a tunnel to a target through the process at an address.
+    ///
+    /// # Errors
+    /// When no connection to the process can be established, or it opens none to the target within the timeout.
+    /// Nothing was sent to the target then.
+    pub async fn open_tunnel(
+        &self,
+        address: SocketAddr,
+        open_timeout: Millis,
+        request: &TunnelRequest,
+    ) -> Result<Box<dyn ByteStream>, TunnelFailure> {
+        let opening = async {
+            let frames = self.open_frames(address).await;
+            tunnel::ask(frames.map_err(TunnelFailure::NoPeer)?, request).await
+        };
+        timeout(open_timeout.to_duration(), opening)
+            .await
+            .unwrap_or(Err(TunnelFailure::NoPeer(CallFailure::NoAnswer)))
+    }
+
+    async fn open_frames(&self, address: SocketAddr) -> Result<Frames, CallFailure> {
+        let connected = timeout(CONNECT_TIMEOUT_MS.to_duration(), self.connect(address)).await;
+        let stream = connected.map_err(|_| CallFailure::NotConnected)??;
+        Ok(frame(stream))
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<PeerStream, CallFailure> {
         let stream = TcpStream::connect(address)
             .await
--- a/crates/mgw-peer/src/serve.rs
+++ b/crates/mgw-peer/src/serve.rs
@@ -16,11 +16,14 @@
 
 use crate::codec::{MAX_FRAME_BYTES, Postcard};
 use crate::tls::{GroupIdentity, PeerStream};
+use crate::tunnel::{FirstFrame, Frames, IncomingTunnel, read_first_frame};
 use crate::{PeerRpcRequest, PeerRpcResponse};
 
 /// Time within which the TLS handshake of an accepted connection must end.
 const ACCEPT_TIMEOUT_MS: Millis = Millis(2_000);
 
+/// Serves a tunnel that another process asks for; returns at once.
+pub type TunnelHandler = Arc<dyn Fn(IncomingTunnel) + Send + Sync>;
 /// Framed connection from one other process.
 pub type PeerTransport =
     Transport<PeerStream, ClientMessage<PeerRpcRequest>, Response<PeerRpcResponse>, Postcard>;
@@ -43,6 +46,17 @@
     identity: Option<GroupIdentity>,
     handle_channel: impl Fn(PeerChannel) + Send + Sync + 'static,
     stop: CancellationToken,
+) {
+    serve_peers_and_tunnels(listener, identity, handle_channel, None, stop).await;
+}
+
+/// As [`serve_peers`], and passes each tunnel that is asked for to `handle_tunnel`, which returns at once.
+pub async fn serve_peers_and_tunnels(
+    listener: TcpListener,
+    identity: Option<GroupIdentity>,
+    handle_channel: impl Fn(PeerChannel) + Send + Sync + 'static,
+    handle_tunnel: Option<TunnelHandler>,
+    stop: CancellationToken,
 ) {
     let handle_channel = Arc::new(handle_channel);
     while let Some(connection) = stop.run_until_cancelled(listener.accept()).await {
@@ -51,11 +65,24 @@
         };
         let _ = stream.set_nodelay(true);
         let handle_channel = Arc::clone(&handle_channel);
+        let handle_tunnel = handle_tunnel.clone();
         let identity = identity.clone();
         tokio::spawn(async move {
-            match authenticate(identity.as_ref(), stream).await {
-                Ok(stream) => handle_channel(open_channel(stream)),
-                Err(error) => warn!(%peer, %error, "refused a peer: TLS handshake failed"),
+            let frames = match authenticate(identity.as_ref(), stream).await {
+                Ok(stream) => frame(stream),
+                Err(error) => {
+                    warn!(%peer, %error, "refused a peer: TLS handshake failed");
+                    return;
+                }
+            };
+            let Some(handle_tunnel) = handle_tunnel else {
+                handle_channel(open_channel(frames));
+                return;
+            };
+            match read_first_frame(frames).await {
+                Some(FirstFrame::Tunnel(tunnel)) => handle_tunnel(tunnel),
+                Some(FirstFrame::Calls(frames)) => handle_channel(open_channel(frames)),
+                None => {}
             }
         });
     }
@@ -72,11 +99,15 @@
     accepted.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
 }
 
-fn open_channel(stream: PeerStream) -> PeerChannel {
-    let framed = LengthDelimitedCodec::builder()
+/// Divides a connection between processes into frames.
+pub(crate) fn frame(stream: PeerStream) -> Frames {
+    LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
-        .new_framed(stream);
-    BaseChannel::with_defaults(tarpc::serde_transport::new(framed, Postcard))
+        .new_framed(stream)
+}
+
+fn open_channel(frames: Frames) -> PeerChannel {
+    BaseChannel::with_defaults(tarpc::serde_transport::new(frames, Postcard))
 }
 
 /// Makes the `handle_channel` closure of [`serve_peers`] from a server that implements
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -1,6 +1,7 @@
 //! State shared by all request handlers and background tasks of a relay.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -22,6 +23,7 @@
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
 use crate::follow::RoutingUpdates;
+use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::retries::ServiceRetries;
 use crate::settings::RelaySettings;
@@ -50,6 +52,8 @@
     pub peers: Arc<PeerPool>,
     /// Connections to targets.
     pub connection_pool: ConnectionPool,
+    /// Whether the entry's own links to targets work.
+    pub links: Links,
     /// Limits on the time that requests wait before they are sent.
     pub wait_limits: WaitLimits,
     /// Requests that wait until a stream releases its chain.
@@ -109,6 +113,7 @@
     ) -> Result<Self, prometheus::Error> {
         Ok(Self {
             connection_pool: ConnectionPool::new(clock.clone(), dial),
+            links: Links::default(),
             peers: Arc::new(PeerPool::new(None)),
             pause_limits: PauseLimits::default(),
             wait_limits: WaitLimits::default(),
@@ -371,6 +376,13 @@
         self.retries.lock().try_retry(service)
     }
 
+    /// Forgets which targets are suspected in chains.
+    pub fn clear_suspicions(&self) {
+        for router in self.chains.lock().values_mut() {
+            router.clear_suspicions();
+        }
+    }
+
     /// Leaves a target out of new chains until then.
     pub fn pause_in_chains(&self, target: &TargetRun, until: Millis) {
         for router in self.chains.lock().values_mut() {
@@ -426,6 +438,25 @@
         self.apply_pauses();
     }
 
+    /// Addresses of the targets that may get new work.
+    #[must_use]
+    pub fn target_addresses(&self) -> Vec<SocketAddr> {
+        let usable_targets = self.usable_targets.lock();
+        usable_targets.iter().map(|target| target.address).collect()
+    }
+
+    /// Whether this entry would send requests to the target at an address.
+    #[must_use]
+    pub fn may_use(&self, run: &TargetRun, address: SocketAddr) -> bool {
+        let usable_targets = self.usable_targets.lock();
+        let mut usable = usable_targets.iter();
+        let is_usable =
+            usable.any(|target| target.address == address && TargetRun::from(target) == *run);
+        drop(usable);
+        drop(usable_targets);
+        is_usable && !self.is_excluded(run)
+    }
+
     /// The targets that may get new work, without those that said that they are leaving.
     fn list_targets(&self, now: Millis) -> Vec<Target> {
         let usable_targets = self.usable_targets.lock();
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -26,6 +26,7 @@
     AnswerHead, CallerHead, Dialect, RelayAdapter, RequestedPause, StatedLimit, TargetHead,
 };
 pub use follow::{ReloadControls, RoutingSource, RoutingSources};
+pub use links::{LinkChange, LinkCheck, LinkHealth};
 pub use relay::{Relay, RunError};
 pub use request_sends::{RequestSends, SendOutcome};
 pub use retries::ServiceRetries;
--- a/crates/mgw-relay/src/metrics.rs
+++ b/crates/mgw-relay/src/metrics.rs
@@ -30,6 +30,10 @@
     pub broken_sends: IntCounterVec,
     /// Connections to targets that requests and probes asked for, by outcome.
     pub connections: IntCounterVec,
+    /// Whether the entry's own links to the targets are cut: 1 or 0.
+    pub links_cut: IntGauge,
+    /// Tunnels to targets that other entries asked for, by outcome.
+    pub tunnels: IntCounterVec,
     /// Targets that other entries have lost, by the last load report.
     pub lost_by_others: IntGauge,
     /// Targets with a rate limit.
@@ -125,6 +129,17 @@
                 ),
                 &["outcome"],
             )?,
+            links_cut: IntGauge::new(
+                "mgw_relay_links_cut",
+                "Whether the own links to the targets are cut.",
+            )?,
+            tunnels: IntCounterVec::new(
+                Opts::new(
+                    "mgw_relay_tunnels_total",
+                    "Tunnels to targets that other entries asked for, by outcome.",
+                ),
+                &["outcome"],
+            )?,
             lost_by_others: IntGauge::new(
                 "mgw_relay_lost_by_others",
                 "Targets that several other entries have lost.",
@@ -208,6 +223,8 @@
         registry.register(Box::new(metrics.failed_probes.clone()))?;
         registry.register(Box::new(metrics.broken_sends.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.links_cut.clone()))?;
+        registry.register(Box::new(metrics.tunnels.clone()))?;
         registry.register(Box::new(metrics.lost_by_others.clone()))?;
         registry.register(Box::new(metrics.limited_targets.clone()))?;
         registry.register(Box::new(metrics.limited_sends.clone()))?;
@@ -236,6 +253,11 @@
         self.connections.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a tunnel that another entry asked for.
+    pub fn count_tunnel(&self, outcome: &str) {
+        self.tunnels.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a refusal for lack of room that this entry got.
     pub fn count_full_refusal(&self) {
         self.full_refusals.with_label_values(&["own"]).inc();
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -15,7 +15,9 @@
 use crate::callers::{Call, Refusal, RelayBody, full_body};
 use crate::dialect::TargetHead;
 use crate::request_sends::{RequestSends, SendOutcome, says_not_run};
-use crate::targets::{NoTarget, OutboundRequest, PlainReservation, probe_plain_after_break, send};
+use crate::targets::{
+    NoTarget, OutboundRequest, PlainReservation, SentAt, probe_plain_after_break, send,
+};
 
 /// Least time that a target gets to answer an idempotent call before another one is tried.
 const MIN_SEND_TIMEOUT_MS: Millis = Millis(250);
@@ -292,6 +294,7 @@
         },
         needs_new_connection: sends.needs_new_connection(),
         timeout_ms,
+        sent_at: &SentAt::default(),
     };
     let ends_at = app.clock.now() + timeout_ms;
     let answer = match send(app, &outbound).await {
--- a/crates/mgw-relay/src/relay.rs
+++ b/crates/mgw-relay/src/relay.rs
@@ -5,7 +5,9 @@
 
 use hyper::Response;
 use mgw_member::{NodeInfo, NodePhase, NodeRole, View};
-use mgw_peer::{Gossip, ViewServer, bind_peer_listener, channel_handler, run_gossip, serve_peers};
+use mgw_peer::{
+    Gossip, ViewServer, bind_peer_listener, channel_handler, run_gossip, serve_peers_and_tunnels,
+};
 use mgw_serve::http::Body;
 use mgw_serve::{Shutdown, render_metrics};
 use mgw_world::{Clock, Incarnation, Revision};
@@ -19,6 +21,7 @@
 use crate::dialect::RelayAdapter;
 use crate::drain::drain;
 use crate::follow::{ReloadControls, follow_controls, run_load_exchange, run_view_sync};
+use crate::links::{run_link_checks, tunnel_handler};
 use crate::settings::RelaySettings;
 use crate::targets::{Dial, dial_tcp};
 
@@ -136,12 +139,14 @@
             count_bytes: Arc::new(|_| {}),
         };
         let ended = &self.ended;
-        tokio::spawn(serve_peers(
+        tokio::spawn(serve_peers_and_tunnels(
             peers,
             None,
             channel_handler!(server),
+            Some(tunnel_handler(app, &self.callers.tasks)),
             ended.clone(),
         ));
+        tokio::spawn(run_link_checks(Arc::clone(app), ended.clone()));
         tokio::spawn(run_gossip(gossip, ended.clone()));
         tokio::spawn(updates.clone().run(Arc::clone(app)));
         tokio::spawn(follow_controls(
--- a/crates/mgw-relay/src/stream/chain_move.rs
+++ b/crates/mgw-relay/src/stream/chain_move.rs
@@ -31,9 +31,10 @@
         if let Some(chain_stream) = &previous {
             self.record_ended_targets(&chain_stream.reserved, fault);
             self.record_first_target_disconnect(&chain_stream.reserved, outcome);
-            self.avoid_chain(&chain_stream.reserved);
+            self.avoid_chain(&chain_stream.reserved, fault);
         }
         let from = self.chain.clone();
+        let sent_at = self.sent_at.get();
         match self.open().await {
             Ok((_, chain_stream)) => {
                 self.sends = sends;
@@ -67,6 +68,7 @@
                     "stream found no other chain to resume on"
                 );
                 self.chain = from;
+                self.sent_at.set(sent_at);
                 self.chain_stream = previous;
                 self.keep_waiting(fault)
             }
@@ -96,8 +98,12 @@
         fault.leaves_chain_open() && self.chain_stream.is_some()
     }
 
-    /// Excludes all targets of a chain from the next choice, as long as others cover the layers.
-    pub(super) fn avoid_chain(&mut self, reserved: &ReservedChain) {
+    /// Excludes all targets of a chain from the next choice, as long as others cover the layers. They stay in it if
+    /// the entry's own links are at fault.
+    pub(super) fn avoid_chain(&mut self, reserved: &ReservedChain, fault: StreamFault) {
+        if fault == StreamFault::OwnLinks {
+            return;
+        }
         let names = reserved.hops.iter().map(|hop| hop.target.clone());
         self.avoid.extend(names);
     }
--- a/crates/mgw-relay/src/stream/fault.rs
+++ b/crates/mgw-relay/src/stream/fault.rs
@@ -19,6 +19,8 @@
     NoNewEvent,
     /// The number of an event doesn't follow that of the previous one.
     EventMissing,
+    /// The entry's own links to the targets were cut under the stream.
+    OwnLinks,
     /// The deadline of the request has passed.
     TimeOver,
 }
@@ -34,6 +36,7 @@
             Self::EventTooLong => "event too long",
             Self::NoNewEvent => "no new event",
             Self::EventMissing => "event missing",
+            Self::OwnLinks => "own links cut",
             Self::TimeOver => "time is over",
         }
     }
@@ -41,7 +44,7 @@
     /// Whether the chain may still deliver the rest of the stream.
     #[must_use]
     pub const fn leaves_chain_open(self) -> bool {
-        matches!(self, Self::Silence | Self::LongPause)
+        matches!(self, Self::Silence | Self::LongPause | Self::OwnLinks)
     }
 
     /// The outcome of the send over the chain that had this fault.
--- a/crates/mgw-relay/src/stream/open.rs
+++ b/crates/mgw-relay/src/stream/open.rs
@@ -62,6 +62,7 @@
             self.app.count_first_send(&self.call.service);
         }
         let sent_at = self.app.clock.now();
+        self.sent_at.set(None);
         reserved.sent_at = sent_at;
         let waited = {
             let outbound = self.outbound_request(&reserved);
@@ -75,7 +76,7 @@
             }
             ChainWait::Abandoned(fault) => {
                 self.record_ended_targets(&reserved, fault);
-                self.avoid_chain(&reserved);
+                self.avoid_chain(&reserved, fault);
                 return Err(OpenError::SendFailed(SendOutcome::Unknown, fault.as_str()));
             }
             ChainWait::DeadlineExceeded => {
@@ -140,6 +141,7 @@
             },
             needs_new_connection: self.has_begun || self.sends.needs_new_connection(),
             timeout_ms: self.time_left(),
+            sent_at: &self.sent_at,
         }
     }
 
@@ -263,6 +265,9 @@
             if now < self.next_move_at {
                 continue;
             }
+            if self.has_lost_links() && self.could_move() {
+                return ChainWait::Abandoned(StreamFault::OwnLinks);
+            }
             match pause_limits.action_for(now - received_at, self.has_begun) {
                 PauseAction::Wait => {}
                 PauseAction::Probe => {
@@ -281,6 +286,14 @@
         }
     }
 
+    /// Whether the entry's own links were cut after the request was sent, so that the chain's silence isn't its
+    /// targets' fault.
+    fn has_lost_links(&self) -> bool {
+        let cut_since = self.app.links.health().cut_since();
+        let times = cut_since.zip(self.sent_at.get());
+        times.is_some_and(|(since, sent_at)| sent_at < since)
+    }
+
     /// Probes the targets of a chain that have delivered nothing to any stream for a while.
     fn probe_silent_targets(&self, reservation: ChainReservation) {
         let now = self.app.clock.now();
--- a/crates/mgw-relay/src/stream/relayed_stream.rs
+++ b/crates/mgw-relay/src/stream/relayed_stream.rs
@@ -18,7 +18,7 @@
 use crate::callers::{Call, Refusal, RelayBody, TruncatedAnswer};
 use crate::quarantine::list_subjects;
 use crate::request_sends::RequestSends;
-use crate::targets::probe_hops;
+use crate::targets::{SentAt, probe_hops};
 
 /// Least time left before the deadline for a stream to be started or moved.
 pub(super) const MIN_SEND_TIME_MS: Millis = Millis(100);
@@ -56,6 +56,8 @@
     pub(super) chain_stream: Option<ChainStream>,
     /// Description of the last chain that the request was sent over, for log lines.
     pub(super) chain: String,
+    /// When the request was sent over that chain.
+    pub(super) sent_at: SentAt,
     /// Whether the caller got the first events.
     pub(super) has_begun: bool,
     /// Content type of the answer that the caller gets, once it has begun.
@@ -85,6 +87,7 @@
             splitter: EventSplitter::default(),
             chain_stream: None,
             chain: String::new(),
+            sent_at: SentAt::default(),
             has_begun: false,
             content_type: None,
             waited_ms: Millis::ZERO,
@@ -289,7 +292,7 @@
         if let Some(chain_stream) = self.chain_stream.take() {
             self.record_ended_targets(&chain_stream.reserved, fault);
             self.record_first_target_disconnect(&chain_stream.reserved, outcome);
-            self.avoid_chain(&chain_stream.reserved);
+            self.avoid_chain(&chain_stream.reserved, fault);
         }
         self.splitter = EventSplitter::default();
         self.record_failed_send(outcome, fault.as_str());
--- a/crates/mgw-relay/src/targets/connection_pool.rs
+++ b/crates/mgw-relay/src/targets/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use mgw_peer::ByteStream;
 use mgw_serve::{AwaitedHead, GuardedStream, MAX_HEAD_BYTES};
 use mgw_world::{Clock, Millis};
 use parking_lot::Mutex;
@@ -50,6 +51,8 @@
     pub address: SocketAddr,
     /// Whether the connection has carried an earlier request.
     pub is_reused: bool,
+    /// Whether the connection goes through another entry.
+    pub is_tunnelled: bool,
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// Tells the connection that the head of an answer is awaited.
     pub(super) awaited_head: AwaitedHead,
@@ -98,27 +101,44 @@
         }
     }
 
-    /// Returns an idle connection that still looks open, or else a new one.
+    /// Opens a new connection.
     ///
     /// # Errors
-    /// When no connection can be established. Nothing was sent then.
-    pub async fn acquire(
+    /// When no connection can be established in time.
+    pub async fn open(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
+        let stream = self.dial(address).await?;
+        handshake(address, stream, false).await
+    }
+
+    /// Opens a TCP connection that isn't for the pool.
+    ///
+    /// # Errors
+    /// When no connection can be established in time.
+    pub async fn dial(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let connecting = timeout(CONNECT_TIMEOUT_MS.to_duration(), (self.dial)(address));
+        let connected = connecting.await;
+        let stream = connected.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        Ok(stream)
+    }
+
+    /// Takes a tunnel to a target for a connection. It serves one request.
+    ///
+    /// # Errors
+    /// When the tunnel has broken.
+    pub async fn adopt_tunnel(
         &self,
         address: SocketAddr,
-        needs_new_connection: bool,
+        tunnel: Box<dyn ByteStream>,
     ) -> std::io::Result<PooledConnection> {
-        if !needs_new_connection && let Some(connection) = self.take_idle(address) {
-            return Ok(connection);
-        }
-        let connecting = timeout(CONNECT_TIMEOUT_MS.to_duration(), self.connect(address));
-        connecting
-            .await
-            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+        handshake(address, tunnel, true).await
     }
 
-    /// Returns a connection to the pool after its answer was read to the end.
+    /// Returns a connection to the pool after its answer was read to the end. A tunnel is closed instead: the entry
+    /// that serves it doesn't see what the target says about itself.
     pub fn put_back(&self, mut connection: PooledConnection) {
-        if connection.sender.is_closed() {
+        if connection.is_tunnelled || connection.sender.is_closed() {
             return;
         }
         connection.is_reused = true;
@@ -136,6 +156,11 @@
         self.idle.lock().remove(&address);
     }
 
+    /// Drops all idle connections.
+    pub fn drop_all_idle(&self) {
+        self.idle.lock().clear();
+    }
+
     /// Drops connections that were idle for too long or were closed by the target.
     pub fn drop_expired(&self) {
         let now = self.clock.now();
@@ -147,12 +172,8 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<PooledConnection> {
-        let stream = (self.dial)(address).await?;
-        handshake(address, stream).await
-    }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
+    /// Takes an idle connection that still looks open.
+    pub fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
@@ -166,9 +187,11 @@
     }
 }
 
-async fn handshake(address: SocketAddr, stream: TcpStream) -> std::io::Result<PooledConnection> {
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+async fn handshake(
+    address: SocketAddr,
+    stream: impl ByteStream + 'static,
+    is_tunnelled: bool,
+) -> std::io::Result<PooledConnection> {
     let stream = GuardedStream::new(stream);
     let awaited_head = stream.awaited_head();
     let mut builder = Builder::new();
@@ -182,6 +205,7 @@
     Ok(PooledConnection {
         address,
         is_reused: false,
+        is_tunnelled,
         sender,
         awaited_head,
         task: task.abort_handle(),
--- a/crates/mgw-relay/src/targets/mod.rs
+++ b/crates/mgw-relay/src/targets/mod.rs
@@ -12,5 +12,5 @@
 pub use plain_balancer::{NoTarget, PlainBalancer, PlainReservation};
 pub use plain_probe::probe_plain_after_break;
 pub use probe::{probe_after_break, probe_hops};
-pub use send::{Answer, OutboundRequest, SendFailure, send};
+pub use send::{Answer, OutboundRequest, SendFailure, SentAt, send};
 pub use usable::{UsableTarget, UsableTargets};
--- a/crates/mgw-relay/src/targets/plain_probe.rs
+++ b/crates/mgw-relay/src/targets/plain_probe.rs
@@ -10,7 +10,9 @@
 use tracing::info;
 
 use super::PlainReservation;
+use super::probe::PROBE_ID;
 use crate::app::App;
+use crate::links::TargetLink;
 use crate::quarantine::list_subjects;
 
 /// How long a new connection has to stay open: a proxy in front of a process that has ended accepts it
@@ -66,8 +68,14 @@
 }
 
 async fn probe(app: &App, reservation: &PlainReservation) -> ProcessState {
-    let connecting = app.connect(reservation.address, true);
-    let connection = match connecting.await {
+    let link = TargetLink {
+        id: PROBE_ID,
+        run: &reservation.run,
+        address: reservation.address,
+        needs_new_connection: true,
+        time_left_ms: OPEN_FOR_MS.times(2),
+    };
+    let connection = match app.connect(&link).await {
         Ok(connection) => connection,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return ProcessState::Ended,
         Err(_) => return ProcessState::Silent,
--- a/crates/mgw-relay/src/targets/probe.rs
+++ b/crates/mgw-relay/src/targets/probe.rs
@@ -14,8 +14,12 @@
 
 use crate::app::App;
 use crate::dialect::{AnswerHead, StatedLimit};
+use crate::links::TargetLink;
+use crate::targets::PooledConnection;
 
-/// Time within which an engine must answer a probe.
+/// Id in log lines of connections for probes.
+pub(super) const PROBE_ID: &str = "probe";
+/// Time within which an engine must answer a probe once it is connected.
 const PROBE_TIMEOUT_MS: Millis = Millis(400);
 /// Pause before an engine that didn't answer is probed again.
 const RETRY_INTERVAL_MS: Millis = Millis(1_000);
@@ -125,8 +129,7 @@
             resolve_sends(app, hop, ProbeOutcome::Dead);
             return;
         }
-        let fetching = timeout(PROBE_TIMEOUT_MS.to_duration(), fetch_report(app, hop));
-        let probed = fetching.await.unwrap_or(Err(ProbeFailure::Late));
+        let probed = probe_once(app, hop).await;
         if probed == Err(ProbeFailure::Limited) {
             resolve_sends(app, hop, ProbeOutcome::Dead);
             info!(target_name = %hop.target, cause, repeat, "engine not probed: its rate limit is reached");
@@ -163,14 +166,34 @@
     }
 }
 
-/// Fetches the engine's report over a new connection, because an idle one may be dead while the
-/// engine is not. Returns the engine's slowness.
-async fn fetch_report(app: &App, hop: &Hop) -> Result<f64, ProbeFailure> {
-    let connected = app.connect(hop.address, true).await;
-    let mut connection = connected.map_err(|error| match error.kind() {
+/// Probes the engine over a new connection, because an idle one may be dead while the engine is not. Returns the
+/// engine's slowness.
+async fn probe_once(app: &App, hop: &Hop) -> Result<f64, ProbeFailure> {
+    let run = hop.run();
+    let link = TargetLink {
+        id: PROBE_ID,
+        run: &run,
+        address: hop.address,
+        needs_new_connection: true,
+        time_left_ms: PROBE_TIMEOUT_MS,
+    };
+    let connected = app.connect(&link).await;
+    let connection = connected.map_err(|error| match error.kind() {
         ErrorKind::ConnectionRefused => ProbeFailure::Refused,
         _ => ProbeFailure::NotConnected,
     })?;
+    let fetching = timeout(
+        PROBE_TIMEOUT_MS.to_duration(),
+        fetch_report(app, hop, connection),
+    );
+    fetching.await.unwrap_or(Err(ProbeFailure::Late))
+}
+
+async fn fetch_report(
+    app: &App,
+    hop: &Hop,
+    mut connection: PooledConnection,
+) -> Result<f64, ProbeFailure> {
     if !app.rate_limits.lock().take(&hop.run(), app.clock.now()) {
         return Err(ProbeFailure::Limited);
     }
--- a/crates/mgw-relay/src/targets/send.rs
+++ b/crates/mgw-relay/src/targets/send.rs
@@ -12,12 +12,14 @@
 use hyper::{Method, Request};
 use mgw_route::TargetRun;
 use mgw_world::{Incarnation, Millis};
+use parking_lot::Mutex;
 use tokio::time::timeout;
 use tracing::info;
 
 use super::PooledConnection;
 use crate::app::App;
 use crate::dialect::{AnswerHead, TargetHead};
+use crate::links::TargetLink;
 use crate::request_sends::SendOutcome;
 
 /// Hop-by-hop header fields, which concern one connection only.
@@ -31,6 +33,23 @@
     UPGRADE,
 ];
 
+/// When a connection to the target was there, so that the request was sent; empty while it is being established.
+#[derive(Debug, Default)]
+pub struct SentAt(Mutex<Option<Millis>>);
+
+impl SentAt {
+    /// The time, if the request was sent.
+    #[must_use]
+    pub fn get(&self) -> Option<Millis> {
+        *self.0.lock()
+    }
+
+    /// Replaces the time.
+    pub fn set(&self, sent_at: Option<Millis>) {
+        *self.0.lock() = sent_at;
+    }
+}
+
 /// A request as it is sent to one target.
 #[derive(Debug, Clone, Copy)]
 pub struct OutboundRequest<'a> {
@@ -54,6 +73,8 @@
     pub needs_new_connection: bool,
     /// Longest wait for the head of the answer.
     pub timeout_ms: Millis,
+    /// Where the time of the send is recorded.
+    pub sent_at: &'a SentAt,
 }
 
 impl OutboundRequest<'_> {
@@ -116,23 +137,33 @@
 /// # Errors
 /// When no answer arrives. The error shows whether the request may have run.
 pub async fn send(app: &App, outbound: &OutboundRequest<'_>) -> Result<Answer, SendFailure> {
-    let mut request = write_request(app, outbound).map_err(|_| SendFailure::NotSent)?;
-    let ends_at = app.clock.now() + outbound.timeout_ms;
+    let began_at = app.clock.now();
+    let ends_at = began_at + outbound.timeout_ms;
+    let run = outbound.run();
     let mut needs_new_connection = outbound.needs_new_connection;
-    count_limited_send(app, outbound);
+    count_limited_send(app, outbound, &run);
     loop {
-        let acquiring = app.connect(outbound.address, needs_new_connection);
-        let mut connection = acquiring.await.map_err(|_| SendFailure::NotSent)?;
+        let link = TargetLink {
+            id: outbound.id,
+            run: &run,
+            address: outbound.address,
+            needs_new_connection,
+            time_left_ms: outbound.head.time_left_ms,
+        };
+        let left = (ends_at - app.clock.now()).to_duration();
+        let connecting = timeout(left, app.connect(&link)).await;
+        let connected = connecting.map_err(|_| SendFailure::NotSent)?;
+        let mut connection = connected.map_err(|_| SendFailure::NotSent)?;
+        outbound.sent_at.set(Some(app.clock.now()));
+        let waited_ms = app.clock.now() - began_at;
+        let request = write_request(app, outbound, waited_ms).map_err(|_| SendFailure::NotSent)?;
         let left = (ends_at - app.clock.now()).to_duration();
         let answered = timeout(left, connection.send(request)).await;
         match answered {
             Ok(Ok(response)) => return read_head(app, outbound, response, connection),
             Ok(Err(mut error)) => match error.take_message() {
                 // The idle connection was closed, so nothing of the request left this process.
-                Some(unsent) if connection.is_reused => {
-                    request = unsent;
-                    needs_new_connection = true;
-                }
+                Some(_) if connection.is_reused => needs_new_connection = true,
                 Some(_) => return Err(SendFailure::NotSent),
                 None if connection.awaited_head.is_exceeded() => return Err(SendFailure::Endless),
                 None => return Err(SendFailure::Broken),
@@ -146,9 +177,8 @@
 }
 
 /// Counts and logs a send to a target with a rate limit.
-fn count_limited_send(app: &App, outbound: &OutboundRequest<'_>) {
-    let run = outbound.run();
-    let stated_age_ms = app.rate_limits.lock().stated_age_ms(&run, app.clock.now());
+fn count_limited_send(app: &App, outbound: &OutboundRequest<'_>, run: &TargetRun) {
+    let stated_age_ms = app.rate_limits.lock().stated_age_ms(run, app.clock.now());
     let Some(stated_age_ms) = stated_age_ms else {
         return;
     };
@@ -194,15 +224,21 @@
     })
 }
 
+/// Writes the request for the target, after `waited_ms` for the connection.
 fn write_request(
     app: &App,
     outbound: &OutboundRequest<'_>,
+    waited_ms: Millis,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let mut headers = outbound.headers.clone();
     strip_connection_fields(&mut headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove(hyper::header::EXPECT);
-    (app.adapter.dialect.write_request)(&mut headers, &outbound.head);
+    let head = TargetHead {
+        time_left_ms: outbound.head.time_left_ms - waited_ms,
+        ..outbound.head
+    };
+    (app.adapter.dialect.write_request)(&mut headers, &head);
     let mut request = Request::builder()
         .method(outbound.method.clone())
         .uri(outbound.path)
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -6,8 +6,8 @@
 use mgw_contract::target::{Announcement, LoadReport, Readiness};
 use mgw_member::{MemberSettings, NodeInfo, NodePhase, NodeRole, View};
 use mgw_relay::{
-    NoTarget, OtherEntriesRequests, PauseAction, PauseLimits, PlainBalancer, RequestSends,
-    SendOutcome, UsableTargets, WaitLimits,
+    LinkChange, LinkCheck, LinkHealth, NoTarget, OtherEntriesRequests, PauseAction, PauseLimits,
+    PlainBalancer, RequestSends, SendOutcome, UsableTargets, WaitLimits,
 };
 use mgw_route::{EntryRateLimits, RequestRate, TargetRun};
 use mgw_world::{
@@ -271,3 +271,34 @@
     assert_eq!(wanted[0].run.name, "one".into());
     assert!(wanted[0].wanted > 0);
 }
+
+/// One target that is reached shows that the others are at fault. Once the links are cut, a single connection that gets
+/// through doesn't show that they work again.
+#[test]
+fn links_are_cut_when_no_target_is_reached_and_work_again_when_half_are() {
+    use LinkChange::{Cut, Joined};
+    let cases = [
+        (0, 0, None, false),
+        (5, 1, None, false),
+        (5, 0, Some(Cut), true),
+        (5, 0, None, true),
+        (0, 0, None, true),
+        (5, 2, None, true),
+        (5, 3, Some(Joined), false),
+        (1, 0, Some(Cut), true),
+        (1, 1, Some(Joined), false),
+    ];
+    let mut health = LinkHealth::default();
+    let mut now = Millis(1_000);
+    for (case, (asked, reached, change, is_cut)) in cases.into_iter().enumerate() {
+        now += Millis(500);
+        let recorded = health.record(LinkCheck { asked, reached }, now);
+        assert_eq!(recorded, change, "case {case}");
+        assert_eq!(health.is_cut(), is_cut, "case {case}");
+    }
+    assert!(health.was_sound_just_now(now + Millis(100)));
+    assert!(
+        !health.was_sound_just_now(now + Millis(1_000)),
+        "a check is stale soon"
+    );
+}
--- a/crates/mgw-relay/tests/support/cut.rs
+++ b/crates/mgw-relay/tests/support/cut.rs
@@ -37,7 +37,10 @@
 
 /// The links of one entry to the targets; clones share them.
 #[derive(Clone)]
-pub struct Links(Arc<Mutex<HashMap<Option<SocketAddr>, watch::Sender<Option<Cut>>>>>);
+pub struct Links(Arc<Mutex<LinkStates>>);
+
+/// How the links to one target, or to all of them, are cut.
+type LinkStates = HashMap<Option<SocketAddr>, watch::Sender<Option<Cut>>>;
 
 impl Links {
     fn new() -> Self {
--- a/crates/mgw-route/src/chain/health.rs
+++ b/crates/mgw-route/src/chain/health.rs
@@ -133,7 +133,8 @@
         self.clear();
     }
 
-    const fn clear(&mut self) {
+    /// Forgets failed probes and silence, as they weren't the target's fault.
+    pub const fn clear(&mut self) {
         self.suspected_until = Millis::ZERO;
         self.lost_at = None;
         self.has_ended = false;
--- a/crates/mgw-route/src/chain/health_checks.rs
+++ b/crates/mgw-route/src/chain/health_checks.rs
@@ -150,6 +150,13 @@
         }
     }
 
+    /// Forgets which targets are suspected, as the entry's own links are the reason why they were silent.
+    pub fn clear_suspicions(&mut self) {
+        for member in self.fleet.iter_mut() {
+            member.health.clear();
+        }
+    }
+
     /// Records the result of a probe.
     pub fn record_probe(&mut self, name: &TargetName, outcome: ProbeOutcome, now: Millis) {
         // The measured slowness stays valid at least until the next probe may be sent.
