A request that is read whole late in a planned stop is refused instead of cut

Cause: connections stop taking requests 2.5 s after the signal, but one whose head or body was under way was taken whenever it was whole. Change: a request that isn't whole by then is refused with 503 and a time to come back; it hasn't run. Connections without a byte were closed at that moment before, too.

--- a/crates/mgw-relay/src/callers/handle.rs
+++ b/crates/mgw-relay/src/callers/handle.rs
@@ -7,6 +7,8 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, Version};
 use mgw_routing::CallKind;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use super::caller_stream::ResetAtEnd;
 use super::{Call, Refusal, RelayBody};
@@ -14,14 +16,31 @@
 use crate::plain::answer_plain;
 use crate::stream::{RelayedStream, StreamStart, stream_body};
 
-/// Answers one request, by a target's answer or by a refusal.
+/// What the answer to a request depends on besides the request itself.
+pub struct Handling {
+    /// Has the connection end with a reset.
+    pub reset_at_end: ResetAtEnd,
+    /// Cancelled when connections are to take no further request.
+    pub closing: CancellationToken,
+}
+
+/// Answers one request, by a target's answer or by a refusal. A request that wasn't read whole before connections were
+/// closing isn't passed on: the process would end before its answer.
 pub async fn handle_request(
     app: Arc<App>,
     request: Request<Incoming>,
-    reset_at_end: ResetAtEnd,
+    handling: Handling,
 ) -> Response<RelayBody> {
     let has_chunks = request.version() >= Version::HTTP_11;
-    let mut response = match Call::read(&app, request).await {
+    let read = Call::read(&app, request).await;
+    let admitted = match read {
+        Ok(call) if handling.closing.is_cancelled() => {
+            info!(id = %call.head.id, "request refused: the process ends");
+            Err(Refusal::ending())
+        }
+        read => read,
+    };
+    let mut response = match admitted {
         Ok(call) => answer_call(&app, call).await,
         Err(refusal) => {
             app.metrics
@@ -40,7 +59,7 @@
     }
     response.map(|body| {
         body.map_err(move |truncated| {
-            reset_at_end.request();
+            handling.reset_at_end.request();
             truncated
         })
         .boxed_unsync()
--- a/crates/mgw-relay/src/callers/mod.rs
+++ b/crates/mgw-relay/src/callers/mod.rs
@@ -9,6 +9,6 @@
 
 pub use call::Call;
 pub use digest::RequestIdentity;
-pub use handle::handle_request;
+pub use handle::{Handling, handle_request};
 pub use refusal::{Refusal, RelayBody, TruncatedAnswer, full_body};
 pub use serve::{CallerConnections, serve_callers};
--- a/crates/mgw-relay/src/callers/refusal.rs
+++ b/crates/mgw-relay/src/callers/refusal.rs
@@ -22,6 +22,8 @@
 const NO_ROUTING_RETRY_MS: Millis = Millis(1_500);
 /// `Retry-After` while a newer routing document is being fetched.
 const OUTDATED_ROUTING_RETRY_MS: Millis = Millis(300);
+/// `Retry-After` of a process that ends: another entry takes the request at once.
+const ENDING_RETRY_MS: Millis = Millis(50);
 /// `Retry-After` while some layers aren't covered: a target takes that long to load layers.
 const UNCOVERED_RETRY_MS: Millis = Millis(1_500);
 /// `Retry-After` while all targets are full: about half the duration of a usual answer.
@@ -81,6 +83,12 @@
         )
     }
 
+    /// The process ends before a target could answer.
+    #[must_use]
+    pub const fn ending() -> Self {
+        Self::retry_later("the process ends", ENDING_RETRY_MS)
+    }
+
     /// No route has a prefix of the path.
     #[must_use]
     pub const fn not_found() -> Self {
--- a/crates/mgw-relay/src/callers/serve.rs
+++ b/crates/mgw-relay/src/callers/serve.rs
@@ -16,7 +16,7 @@
 use tracing::warn;
 
 use super::caller_stream::{CallerStream, ResetAtEnd};
-use super::handle_request;
+use super::{Handling, handle_request};
 use crate::app::App;
 
 /// Smallest buffer for a request's head that the HTTP library accepts.
@@ -64,8 +64,13 @@
     let idle_ms = limits.idle_timeout_ms + IDLE_SLACK_MS;
     let reset_at_end = ResetAtEnd::default();
     let stream = CallerStream::new(stream, reset_at_end.clone());
+    let is_closing = closing.clone();
     let service = service_fn(move |request| {
-        let answering = handle_request(Arc::clone(&app), request, reset_at_end.clone());
+        let handling = Handling {
+            reset_at_end: reset_at_end.clone(),
+            closing: is_closing.clone(),
+        };
+        let answering = handle_request(Arc::clone(&app), request, handling);
         async move { Ok::<_, Infallible>(answering.await) }
     });
     let connection = http1::Builder::new()
