--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app.rs
@@ -23,6 +23,7 @@
 use crate::balance::OtherEntriesRequests;
 use crate::dialect::RelayAdapter;
 use crate::follow::RoutingUpdates;
+use crate::held_answers::HeldAnswers;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::retries::ServiceRetries;
@@ -54,6 +55,8 @@
     pub connection_pool: ConnectionPool,
     /// Whether the entry's own links to targets work.
     pub links: Links,
+    /// Answers that are being read whole.
+    pub held_answers: HeldAnswers,
     /// Limits on the time that requests wait before they are sent.
     pub wait_limits: WaitLimits,
     /// Requests that wait until a stream releases its chain.
@@ -116,6 +119,7 @@
             links: Links::default(),
             peers: Arc::new(PeerPool::new(None)),
             pause_limits: PauseLimits::default(),
+            held_answers: HeldAnswers::default(),
             wait_limits: WaitLimits::default(),
             waiters: Arc::default(),
             routing_set: Notify::new(),
--- a/crates/mgw-relay/src/lib.rs
+++ b/crates/mgw-relay/src/lib.rs
@@ -7,6 +7,7 @@
 mod dialect;
 mod drain;
 mod follow;
+mod held_answers;
 mod links;
 mod metrics;
 mod plain;
--- a/crates/mgw-relay/src/plain.rs
+++ b/crates/mgw-relay/src/plain.rs
@@ -6,7 +6,6 @@
 use hyper::Response;
 use hyper::http::response::Parts;
 use mgw_route::{BrokenSend, TargetEnd};
-use mgw_serve::http::read_answer;
 use mgw_world::{Millis, TargetName};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -308,7 +307,7 @@
         return SendResult::NoAnswer(SendOutcome::NotRun, "turned away");
     }
     let left = (ends_at - app.clock.now()).to_duration();
-    let body = match timeout(left, read_answer(answer.body)).await {
+    let body = match timeout(left, app.held_answers.read(answer.body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
             return SendResult::NoAnswer(
