--- a/crates/mgw-relay/tests/cut_links.rs
+++ b/crates/mgw-relay/tests/cut_links.rs
@@ -9,11 +9,15 @@
 
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use support::{Behaviour, Cut, CutFleet, Standin, names, request, whole_stream};
+use support::{Behaviour, Cut, CutFleet, Seen, Standin, names, request, whole_stream};
 use tokio::time::sleep;
 
 /// Time from the beginning of a cut after which callers of the entry must be served.
 const STABILITY_WINDOW: Duration = Duration::from_millis(3_000);
+/// Time that callers give, in milliseconds.
+const TIME_MS: u64 = 20_000;
+/// Most targets that the routes allow for a request.
+const MAX_SENDS: usize = 2;
 const PATHS: [&str; 3] = ["/stream/x", "/read/x", "/once/x"];
 /// Requests of each kind at each entry.
 const REQUESTS: usize = 9;
@@ -48,11 +52,16 @@
         self.engines.iter().chain(&self.records).collect()
     }
 
-    /// How often a request ran.
-    fn runs(&self, id: &str) -> usize {
+    /// What targets have seen of a request.
+    fn seen(&self, id: &str) -> Vec<Seen> {
         let all = self.all();
         let seen = all.iter().flat_map(|target| target.seen());
-        seen.filter(|seen| seen.id == id).count()
+        seen.filter(|seen| seen.id == id).collect()
+    }
+
+    /// How often a request ran.
+    fn runs(&self, id: &str) -> usize {
+        self.seen(id).len()
     }
 
     fn plan(&self, behaviour: Behaviour) {
@@ -82,6 +91,13 @@
                 if path == "/once/x" {
                     assert!(targets.runs(&id) <= 1, "{id}: ran twice");
                 }
+                for seen in targets.seen(&id) {
+                    assert!(!seen.has_key, "{id}: the key was passed on");
+                    assert_eq!(seen.workspace.as_deref(), Some("marshals"), "{id}");
+                    let time_left_ms = seen.time_left_ms.unwrap();
+                    assert!(time_left_ms <= TIME_MS, "{id}: {time_left_ms} ms");
+                }
+                assert!(targets.runs(&id) <= MAX_SENDS, "{id}: sent too often");
                 served += usize::from(is_served);
             }
             assert!(
--- a/crates/mgw-relay/tests/support/cut.rs
+++ b/crates/mgw-relay/tests/support/cut.rs
@@ -145,6 +145,8 @@
 pub struct Entry {
     pub relay: Relay,
     pub listen: SocketAddr,
+    /// Address at which the other processes reach it.
+    pub peer_listen: SocketAddr,
     pub links: Links,
 }
 
@@ -184,7 +186,8 @@
             controls: vec![self.system.control_address],
             ..relay_settings()
         };
-        let (listen, links) = (settings.listen, Links::new());
+        let (listen, peer_listen) = (settings.listen, settings.peer_listen);
+        let links = Links::new();
         if let Some(cut) = cut {
             links.cut(cut);
         }
@@ -200,6 +203,7 @@
         self.entries.push(Entry {
             relay,
             listen,
+            peer_listen,
             links,
         });
         // The entries hear of each other by way of the control.
--- a/crates/mgw-relay/tests/support/mod.rs
+++ b/crates/mgw-relay/tests/support/mod.rs
@@ -47,7 +47,7 @@
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use raw::Piece;
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use standin::{Behaviour, EVENTS, Standin, event};
+pub use standin::{Behaviour, EVENTS, Seen, Standin, event};
 pub use wire::{ADAPTER, names};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/mgw-relay/tests/support/raw.rs
+++ b/crates/mgw-relay/tests/support/raw.rs
@@ -139,6 +139,7 @@
             has_key: field(super::names::KEY).is_some(),
             workspace: field(super::names::WORKSPACE),
             chain: field(super::names::CHAIN),
+            time_left_ms: field(super::names::TIME).and_then(|it| it.parse().ok()),
             body: String::new(),
         });
     }
--- a/crates/mgw-relay/tests/support/standin.rs
+++ b/crates/mgw-relay/tests/support/standin.rs
@@ -71,6 +71,8 @@
     pub has_key: bool,
     pub workspace: Option<String>,
     pub chain: Option<String>,
+    /// Time that the relay says it waits, in milliseconds.
+    pub time_left_ms: Option<u64>,
     pub body: String,
 }
 
@@ -189,6 +191,7 @@
             has_key: parts.headers.contains_key(names::KEY),
             workspace: text(names::WORKSPACE),
             chain: text(names::CHAIN),
+            time_left_ms: text(names::TIME).and_then(|it| it.parse().ok()),
             body: String::from_utf8(body.to_bytes().to_vec()).unwrap(),
         });
         let behaviour = self.plan.lock().pop_front().unwrap_or(Behaviour::Normal);
