Links are checked only where no other connection tells, and by one target first

Change: a connection that requests or probes have opened while another failed, or 250 ms before, speaks for the links as a check does; a check asks one target, and four more if that doesn't accept within 25 ms.

--- a/crates/mgw-relay/src/links/check.rs
+++ b/crates/mgw-relay/src/links/check.rs
@@ -13,9 +13,12 @@
 
 use super::health::{LinkChange, LinkCheck};
 use crate::app::App;
+use crate::targets::PooledConnection;
 
 /// Number of targets that are connected to in one check.
 const CHECKED_TARGETS: usize = 5;
+/// Time within which the first target of a check accepts if it and the links are sound.
+const FIRST_MS: Millis = Millis(25);
 /// Time between two checks while the links are cut.
 const CUT_INTERVAL_MS: Millis = Millis(500);
 
@@ -37,16 +40,8 @@
 async fn check(app: &App) {
     let targets = choose_targets(app);
     let asked = targets.len();
-    let needed = app.links.health().needed(asked);
     let pool = &app.connection_pool;
-    let opening = targets.into_iter().map(|address| pool.open(address));
-    let mut opening: FuturesUnordered<_> = opening.collect();
-    let mut reached = Vec::new();
-    while reached.len() < needed
-        && let Some(opened) = opening.next().await
-    {
-        reached.extend(opened.ok());
-    }
+    let reached = connect_to_enough(app, &targets).await;
     let check = LinkCheck {
         asked,
         reached: reached.len(),
@@ -81,6 +76,29 @@
     }
 }
 
+/// Connects to as many of the targets as it takes to know. Where one is enough, the others are left alone unless the first
+/// one doesn't accept at once.
+async fn connect_to_enough(app: &App, targets: &[SocketAddr]) -> Vec<PooledConnection> {
+    let pool = &app.connection_pool;
+    let needed = app.links.health().needed(targets.len());
+    let mut reached = Vec::new();
+    let mut opening = FuturesUnordered::new();
+    let (first, others) = targets.split_at(targets.len().min(needed));
+    opening.extend(first.iter().map(|address| pool.open(*address)));
+    if let Ok(Some(Ok(connection))) = timeout(FIRST_MS.to_duration(), opening.next()).await {
+        reached.push(connection);
+    }
+    if reached.len() < needed {
+        opening.extend(others.iter().map(|address| pool.open(*address)));
+    }
+    while reached.len() < needed
+        && let Some(opened) = opening.next().await
+    {
+        reached.extend(opened.ok());
+    }
+    reached
+}
+
 /// Draws the targets to connect to.
 fn choose_targets(app: &App) -> Vec<SocketAddr> {
     let addresses = app.target_addresses();
--- a/crates/mgw-relay/src/links/connect.rs
+++ b/crates/mgw-relay/src/links/connect.rs
@@ -58,11 +58,13 @@
             {
                 return Ok(idle);
             }
+            let began_at = self.clock.now();
             let opened = self.connection_pool.open(link.address).await;
             let Err(error) = opened else {
+                self.links.record_opened(self.clock.now());
                 return opened;
             };
-            let health = self.links.explain_failure(self.clock.now()).await;
+            let health = self.links.explain_failure(began_at).await;
             if !health.is_cut() {
                 return Err(error);
             }
--- a/crates/mgw-relay/src/links/health.rs
+++ b/crates/mgw-relay/src/links/health.rs
@@ -2,7 +2,7 @@
 
 use mgw_world::Millis;
 
-/// How long a check that found the links to work speaks for them.
+/// How long a connection that was opened speaks for the links.
 const SOUND_FOR_MS: Millis = Millis(250);
 
 /// Outcome of a check: connections to several targets, opened at the same time.
@@ -52,10 +52,18 @@
         self.cut_since
     }
 
-    /// Whether a check has shown just now that the links work, so that a failure is the target's.
+    /// Records that a request or a probe has opened a connection to a target.
+    pub const fn record_opened(&mut self, now: Millis) {
+        self.sound_at = Some(now);
+    }
+
+    /// Whether a connection was opened while another one, begun at `began_at`, failed, or just before, so that the
+    /// failure is the target's.
     #[must_use]
-    pub fn was_sound_just_now(&self, now: Millis) -> bool {
-        let is_recent = self.sound_at.is_some_and(|at| now - at <= SOUND_FOR_MS);
+    pub fn was_sound_at(&self, began_at: Millis) -> bool {
+        let is_recent = self
+            .sound_at
+            .is_some_and(|at| at + SOUND_FOR_MS >= began_at);
         is_recent && !self.is_cut()
     }
 
--- a/crates/mgw-relay/src/links/serve_tunnel.rs
+++ b/crates/mgw-relay/src/links/serve_tunnel.rs
@@ -77,11 +77,15 @@
     if !app.may_use(&request.target, request.address) {
         return Err(TunnelRefusal::NotUsable);
     }
+    let began_at = app.clock.now();
     let error = match app.connection_pool.dial(request.address).await {
-        Ok(stream) => return Ok(stream),
+        Ok(stream) => {
+            app.links.record_opened(app.clock.now());
+            return Ok(stream);
+        }
         Err(error) => error,
     };
-    let health = app.links.explain_failure(app.clock.now()).await;
+    let health = app.links.explain_failure(began_at).await;
     Err(match error.kind() {
         _ if health.is_cut() => TunnelRefusal::CutOff,
         ErrorKind::ConnectionRefused => TunnelRefusal::TargetRefused,
--- a/crates/mgw-relay/src/links/state.rs
+++ b/crates/mgw-relay/src/links/state.rs
@@ -53,10 +53,15 @@
         change
     }
 
-    /// Finds out whether the links were cut when a connection failed just now.
-    pub async fn explain_failure(&self, now: Millis) -> LinkHealth {
+    /// Records that a connection to a target was opened.
+    pub fn record_opened(&self, now: Millis) {
+        self.health.lock().record_opened(now);
+    }
+
+    /// Finds out whether the links were cut when a connection failed that was begun at `began_at`.
+    pub async fn explain_failure(&self, began_at: Millis) -> LinkHealth {
         let health = self.health();
-        if health.is_cut() || health.was_sound_just_now(now) {
+        if health.is_cut() || health.was_sound_at(began_at) {
             return health;
         }
         let mut checks = self.checks.subscribe();
--- a/crates/mgw-relay/tests/decisions.rs
+++ b/crates/mgw-relay/tests/decisions.rs
@@ -296,9 +296,14 @@
         assert_eq!(recorded, change, "case {case}");
         assert_eq!(health.is_cut(), is_cut, "case {case}");
     }
-    assert!(health.was_sound_just_now(now + Millis(100)));
+    assert!(health.was_sound_at(now + Millis(100)));
     assert!(
-        !health.was_sound_just_now(now + Millis(1_000)),
+        !health.was_sound_at(now + Millis(1_000)),
         "a check is stale soon"
     );
+    health.record_opened(now + Millis(900));
+    assert!(
+        health.was_sound_at(now + Millis(1_000)),
+        "requests' connections count"
+    );
 }
