Relay: the exchange of loads is apart from the rest of the shared state

Change: app/load.rs holds what entries tell each other about targets, app/state.rs the rest; no change of behaviour. Long log lines of the links are wrapped, one module's comment follows its code.

--- /dev/null
+++ b/crates/mgw-relay/src/app/mod.rs
@@ -0,0 +1,6 @@
+//! State shared by all request handlers and background tasks of a relay.
+
+mod load;
+mod state;
+
+pub use state::App;
--- a/crates/mgw-relay/src/app.rs
+++ b/crates/mgw-relay/src/app/state.rs
@@ -8,8 +8,8 @@
 use mgw_member::{NodePhase, NodeRole, View};
 use mgw_peer::PeerPool;
 use mgw_route::{
-    BrokenSend, ChainRouter, ChainTarget, EntryLoad, EntryQuarantine, EntryRateLimits, Exclusions,
-    FullTarget, OtherEntriesLoad, ReturnTimes, TargetRun, UnresolvedSends,
+    BrokenSend, ChainRouter, ChainTarget, EntryQuarantine, EntryRateLimits, Exclusions,
+    ReturnTimes, TargetRun, UnresolvedSends,
 };
 use mgw_routing::RouteTable;
 use mgw_serve::Shutdown;
@@ -96,12 +96,12 @@
     pub retries: Mutex<ServiceRetries>,
     routing: RwLock<Arc<RouteTable>>,
     usable_targets: Mutex<UsableTargets>,
-    chains: Mutex<HashMap<ServiceName, ChainRouter>>,
+    pub(super) chains: Mutex<HashMap<ServiceName, ChainRouter>>,
     plain_balancer: Mutex<PlainBalancer>,
     entry_count: Mutex<u32>,
     /// Whether a control has told how many entries there are.
-    knows_entries: AtomicBool,
-    other_entries_requests: Mutex<Option<OtherEntriesRequests>>,
+    pub(super) knows_entries: AtomicBool,
+    pub(super) other_entries_requests: Mutex<Option<OtherEntriesRequests>>,
 }
 
 impl App {
@@ -240,100 +240,6 @@
         self.chains.lock().get_mut(service).map(work)
     }
 
-    /// The load report of this entry for the other entries.
-    #[must_use]
-    pub fn own_load(&self) -> EntryLoad {
-        let now = self.clock.now();
-        let requests = self.in_flight();
-        let chains = self.chains.lock();
-        let routers = chains.values();
-        EntryLoad {
-            requests,
-            uses: routers.clone().flat_map(ChainRouter::own_loads).collect(),
-            lost: routers
-                .clone()
-                .flat_map(|router| router.own_lost_targets(now))
-                .collect(),
-            full: routers
-                .flat_map(|router| router.own_full_targets(now))
-                .collect(),
-            leaving: self.exclusions.lock().leaving_to_report(now),
-            sends: self.retries.lock().own_sends(),
-            demand: self.admission.lock().gate().demand(),
-        }
-    }
-
-    /// Sets the summed load of all other entries and grants retries by it.
-    pub fn set_other_entries_load(&self, other_entries: &OtherEntriesLoad) {
-        let now = self.clock.now();
-        for router in self.chains.lock().values_mut() {
-            router.set_other_entries_load(&other_entries.uses, &other_entries.lost, now);
-        }
-        self.record_lost_by_others(other_entries.lost.len());
-        self.learn_full_targets(&other_entries.full);
-        if other_entries.is_complete {
-            self.set_entries(other_entries.entries + 1);
-            self.knows_entries.store(true, Ordering::Relaxed);
-        }
-        self.retries.lock().set_shared(other_entries);
-        self.apply_admission(other_entries);
-        for target in &other_entries.leaving {
-            self.record_leaving(target, "another entry");
-        }
-        *self.other_entries_requests.lock() = Some(OtherEntriesRequests {
-            received_at: now,
-            entries: other_entries.entries,
-            requests: other_entries.requests,
-        });
-    }
-
-    /// Shows how many targets are suspected because other entries have lost them.
-    fn record_lost_by_others(&self, lost: usize) {
-        let gauge = &self.metrics.lost_by_others;
-        let lost = to_gauge(lost as u64);
-        if gauge.get() != lost {
-            info!(
-                from = gauge.get(),
-                to = lost,
-                "targets lost by other entries"
-            );
-            gauge.set(lost);
-        }
-    }
-
-    /// Lowers the room of targets that refused requests of other entries.
-    fn learn_full_targets(&self, full: &[FullTarget]) {
-        let now = self.clock.now();
-        let mut chains = self.chains.lock();
-        let routers = chains.values_mut();
-        let learnt: usize = routers
-            .map(|router| router.learn_full_targets(full, now))
-            .sum();
-        let routers = chains.values();
-        let limited: usize = routers.map(|router| router.count_full_targets(now)).sum();
-        drop(chains);
-        self.metrics.set_full_targets(learnt, limited);
-        if learnt > 0 {
-            info!(
-                learnt,
-                limited, "room of targets lowered by refusals of other entries"
-            );
-        }
-    }
-
-    /// Records that the other entries' load didn't arrive. Once the last one is stale, budgets earn
-    /// retries by their own requests again.
-    pub fn record_missed_exchange(&self) {
-        let now = self.clock.now();
-        if self
-            .other_entries_requests
-            .lock()
-            .is_none_or(|others| others.is_stale(now))
-        {
-            self.retries.lock().resume_earning();
-        }
-    }
-
     /// Number of streams with a reservation on a chain.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -477,7 +383,7 @@
     }
 
     /// Sets the number of entries that share the targets.
-    fn set_entries(&self, entries: u32) {
+    pub(super) fn set_entries(&self, entries: u32) {
         let mut current = self.entry_count.lock();
         if *current == entries {
             return;
@@ -521,6 +427,7 @@
     u32::try_from(serving.count()).unwrap_or(u32::MAX).max(1)
 }
 
-fn to_gauge(value: u64) -> i64 {
+/// Converts a count for a gauge.
+pub(super) fn to_gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/mgw-relay/src/links/check.rs
+++ b/crates/mgw-relay/src/links/check.rs
@@ -1,4 +1,4 @@
-//! Checks whether the entry's own links work, by connections to several targets at once.
+//! Checks whether the entry's own links work, by connections to targets that are drawn at random.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/mgw-relay/src/links/connect.rs
+++ b/crates/mgw-relay/src/links/connect.rs
@@ -84,15 +84,21 @@
         };
         for peer in choose_peers(self) {
             let opening = self.peers.open_tunnel(peer, TUNNEL_TIMEOUT_MS, &request);
+            let target_name = &link.run.name;
             let failure = match opening.await {
                 Ok(stream) => {
-                    info!(id = link.id, target_name = %link.run.name, %peer, "tunnel to a target opened by another entry");
+                    info!(
+                        id = link.id,
+                        %target_name,
+                        %peer,
+                        "tunnel to a target opened by another entry"
+                    );
                     let tunnel = self.connection_pool.adopt_tunnel(link.address, stream);
                     return tunnel.await;
                 }
                 Err(failure) => failure,
             };
-            info!(id = link.id, target_name = %link.run.name, %peer, %failure, "no tunnel to a target");
+            info!(id = link.id, %target_name, %peer, %failure, "no tunnel to a target");
             match failure {
                 TunnelFailure::Refused(TunnelRefusal::TargetRefused) => {
                     return Err(ErrorKind::ConnectionRefused.into());
