--- a/crates/mgw-relay/tests/cut_links.rs
+++ b/crates/mgw-relay/tests/cut_links.rs
@@ -244,3 +244,17 @@
     check_served(&fleet, &targets, &[0], "after").await;
     assert!(silent.seen().len() > seen_before, "gets no requests again");
 }
+
+/// The links to all targets of one service are cut, those to the others work. Another entry reaches them.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_the_links_to_one_service_are_reset() {
+    let targets = Targets::start().await;
+    let fleet = CutFleet::start(&targets.all(), 1).await;
+    check_served(&fleet, &targets, &[0], "before").await;
+    for record in &targets.records {
+        let links = &fleet.entries[0].links;
+        links.set_target(record.address, Some(Cut::Resets));
+    }
+    sleep(STABILITY_WINDOW).await;
+    check_served(&fleet, &targets, &[0], "cut").await;
+}
